--- /dev/null
+++ b/bamboocove/__init__.py
@@ -0,0 +1,3 @@
+"""Configuration distribution system for a service mesh."""
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/bamboocove/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions as functions of state and the present time."""
--- /dev/null
+++ b/bamboocove/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages, rows and the operators' text, with their codecs."""
--- /dev/null
+++ b/bamboocove/state/__init__.py
@@ -0,0 +1,1 @@
+"""Data of one node, without input, output or clock."""
--- /dev/null
+++ b/bamboocove/state/codec.py
@@ -0,0 +1,55 @@
+"""CBOR encoding of the attrs classes of this package."""
+
+from typing import Any, TypeVar
+
+import cbor2
+from cattrs.errors import BaseValidationError
+from cattrs.preconf.cbor2 import make_converter
+
+from bamboocove.errors import ErrorKind, ErrorResult
+
+Decoded = TypeVar("Decoded")
+
+# Unknown fields are ignored, so that nodes of two releases can exchange
+# messages while hosts are replaced.
+_converter = make_converter(detailed_validation=False)
+
+
+def to_plain(value: Any) -> Any:
+    """Return an attrs object as mappings, lists and scalars."""
+    return _converter.unstructure(value)
+
+
+def from_plain(cls: type[Decoded], data: Any) -> Decoded | ErrorResult:
+    """Build an object from mappings, lists and scalars.
+
+    Returns
+    -------
+    value : object or ErrorResult
+        ``INVALID_MESSAGE`` if the data does not fit the class.
+    """
+    try:
+        return _converter.structure(data, cls)
+    except (BaseValidationError, TypeError, ValueError, KeyError, AttributeError) as e:
+        reason = f"not a {cls.__name__}: {type(e).__name__}: {e}"
+        return ErrorResult(ErrorKind.INVALID_MESSAGE, reason)
+
+
+def encode(value: Any) -> bytes:
+    """Encode an attrs object as canonical CBOR, equal for equal content."""
+    return cbor2.dumps(to_plain(value), canonical=True)
+
+
+def decode(cls: type[Decoded], data: bytes) -> Decoded | ErrorResult:
+    """Decode an attrs object.
+
+    Returns
+    -------
+    value : object or ErrorResult
+        ``INVALID_MESSAGE`` if the bytes are not CBOR or do not fit the class.
+    """
+    try:
+        plain = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+        return ErrorResult(ErrorKind.INVALID_MESSAGE, f"not CBOR: {error}")
+    return from_plain(cls, plain)
--- /dev/null
+++ b/bamboocove/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and wire formats; carries no policy."""
