--- a/bamboocove/metrics.py
+++ b/bamboocove/metrics.py
@@ -42,7 +42,8 @@
         histogram = self.histograms_by_class.get(request_class)
         if histogram is None:
             histogram = self.histograms_by_class[request_class] = make_histogram()
-        histogram.record_value(max(LOWEST_LATENCY_US, int(seconds * 1e6)))
+        microseconds = min(int(seconds * 1e6), HIGHEST_LATENCY_US)
+        histogram.record_value(max(LOWEST_LATENCY_US, microseconds))
         if self.client is not None:
             name = f"latency.{self.tenant}.{request_class}"
             self.client.timing(name, seconds * 1e3)
--- a/bamboocove/settings.py
+++ b/bamboocove/settings.py
@@ -54,6 +54,19 @@
     return tuple(addresses)
 
 
+def _check_scope(value: str) -> str:
+    if value.strip() not in ("all", "own"):
+        raise ValueError("must be all or own")
+    return value.strip()
+
+
+def _check_level(value: str) -> str:
+    level = value.strip().upper()
+    if level not in ("DEBUG", "INFO", "NOTICE", "WARNING", "ERROR", "CRITICAL"):
+        raise ValueError("must be DEBUG, INFO, NOTICE, WARNING, ERROR or CRITICAL")
+    return level
+
+
 def _check_url(value: str) -> str:
     url = value.strip().rstrip("/")
     if not url.startswith(("http://", "https://")):
@@ -100,6 +113,7 @@
     Setting("peers", "links", "3", _check_count, "links to peers in the own zone"),
     Setting("peers", "heartbeat_s", "2", _check_positive, "time between heartbeats"),
     Setting("peers", "suspect_s", "6", _check_positive, "silence before suspicion"),
+    Setting("calls", "scope", "all", _check_scope, "services routed: all or own"),
     Setting("calls", "max_body_bytes", "8388608", _check_count, "largest body"),
     Setting("calls", "drain_s", "30", _check_positive, "time for calls at a stop"),
     Setting("calls", "queue", "64", _check_count, "waiting calls for each service"),
@@ -108,7 +122,7 @@
     Setting("moves", "window_s", "1", _check_positive, "length of evidence windows"),
     Setting("moves", "step_s", "5", _check_positive, "least time on each step"),
     Setting("metrics", "statsd", "", _check_addresses, "host:port of statsd, if any"),
-    Setting("logs", "level", "INFO", _check_text, "lowest level that is logged"),
+    Setting("logs", "level", "INFO", _check_level, "lowest level that is logged"),
 )
 
 
--- a/bamboocove/state/snapshot.py
+++ b/bamboocove/state/snapshot.py
@@ -111,3 +111,19 @@
             return ErrorResult(ErrorKind.STALE, reason)
         self.current = snapshot
         return None
+
+    def rescope(self, snapshot: Snapshot) -> ErrorResult | None:
+        """Replace the snapshot by one of the same revision for other services.
+
+        Used when workers of another service are announced on this host.
+
+        Returns
+        -------
+        error : ErrorResult or None
+            ``STALE`` if the revision differs from the one in force.
+        """
+        if snapshot.revision != self.current.revision:
+            reason = f"revision {snapshot.revision} is not {self.current.revision}"
+            return ErrorResult(ErrorKind.STALE, reason)
+        self.current = snapshot
+        return None
