--- /dev/null
+++ b/bamboocove/operations.py
@@ -0,0 +1,140 @@
+"""Publishing of operators' edits."""
+
+from collections.abc import Callable, Collection, Mapping
+from uuid import uuid4
+
+from attrs import define, frozen
+
+from bamboocove.coordination.edits import PlannedEdit, StaleEdit, prepare_edit
+from bamboocove.coordination.publishing import (
+    Published,
+    publish,
+    read_head,
+    read_history,
+)
+from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.events import format_event, log_event
+from bamboocove.protocol.rows import HistoryRecord
+from bamboocove.protocol.text_source import TextProblem
+from bamboocove.state.config import Config
+from bamboocove.transport.platform import ObjectClient, TableClient
+
+# An edit competes with the steps of moves, which change the head about once
+# in 5 s; four lost races in a row point at another cause.
+PUBLISH_ATTEMPTS = 4
+
+
+@frozen
+class EditConflict:
+    """The text changed since the revision that an edit was made from.
+
+    Parameters
+    ----------
+    text_revision : int
+        Text revision in force.
+    author : str
+        Who made it.
+    difference : list of str
+        What the refused text would change now.
+    """
+
+    text_revision: int
+    author: str
+    difference: list[str]
+
+
+EditResult = PlannedEdit | EditConflict | list[TextProblem] | ErrorResult
+
+
+@define(eq=False)
+class Editor:
+    """Publishes operators' edits.
+
+    Parameters
+    ----------
+    table, objects : TableClient, ObjectClient
+        The platform.
+    offer : callable
+        Puts a published configuration in force and spreads it.
+    get_announced : callable
+        Returns the versions that workers announce, by service.
+    """
+
+    table: TableClient
+    objects: ObjectClient
+    offer: Callable[[Config], object]
+    get_announced: Callable[[], Mapping[str, Collection[str]]]
+
+    async def apply(self, data: bytes, base: int, author: str, now: float) -> EditResult:
+        """Publish an edit as the next revision.
+
+        Parameters
+        ----------
+        data : bytes
+            The text.
+        base : int
+            Text revision that the operator edited.
+        author : str
+            Who asks.
+        now : float
+            Unix time in seconds.
+
+        Returns
+        -------
+        result : PlannedEdit, EditConflict, list of TextProblem or ErrorResult
+            What was published, or why nothing was. ``STORE_UNKNOWN`` if the
+            edit may have been published.
+        """
+        result: EditResult = ErrorResult(ErrorKind.CONFLICT, "no attempt was made")
+        for _ in range(PUBLISH_ATTEMPTS):
+            head = await read_head(self.table, self.objects)
+            if isinstance(head, ErrorResult):
+                return head
+            result = await self._try_apply(head, data, base, author, now)
+            if not _is_conflict(result):
+                return result
+        return result
+
+    async def _try_apply(
+        self, head: Published, data: bytes, base: int, author: str, now: float
+    ) -> EditResult:
+        edit = prepare_edit(head.config, data, base, now, self.get_announced())
+        if isinstance(edit, StaleEdit):
+            winner = await self._find_author(edit.text_revision)
+            return EditConflict(edit.text_revision, winner, edit.difference)
+        if not isinstance(edit, PlannedEdit):
+            log_event(702, author=author, reason=f"{len(edit)} problems in the text")
+            return edit
+        if edit.config is head.config:
+            return edit
+        return await self._publish(head, edit, author, now)
+
+    async def _publish(
+        self, head: Published, edit: PlannedEdit, author: str, now: float
+    ) -> PlannedEdit | ErrorResult:
+        revision = edit.config.revision
+        record = HistoryRecord(
+            revision=revision,
+            author=author,
+            at=now,
+            summary="; ".join(edit.difference),
+            events=(format_event(701, author=author, revision=revision),),
+        )
+        published = await publish(
+            self.table, self.objects, head, edit.config, record, uuid4().hex
+        )
+        if isinstance(published, ErrorResult):
+            return published
+        log_event(701, author=author, revision=revision)
+        self.offer(published.config)
+        return edit
+
+    async def _find_author(self, text_revision: int) -> str:
+        records = await read_history(self.table, text_revision - 1, 1)
+        if isinstance(records, ErrorResult) or not records:
+            return "unknown"
+        return records[0].author
+
+
+def _is_conflict(result: EditResult) -> bool:
+    return isinstance(result, ErrorResult) and result.kind is ErrorKind.CONFLICT
