Route calls end to end

The node needs a call path before distribution can be tried with traffic. HTTP/1.1 server and pooled client on httptools, route, version and worker choice, admission, retries, evidence windows and the Proxy task. Idempotency keys and suspect requests have their decision modules but are not wired in.

Seen: three GETs and a chunked PUT through a Proxy on loopback return the worker's answers. MemberTable counts its changes, so that the call path can keep what it derived from the table.

--- /dev/null
+++ b/bamboocove/coordination/idempotency.py
@@ -0,0 +1,299 @@
+"""Claims of idempotency keys in the table service, and recorded outcomes."""
+
+import hashlib
+from collections.abc import Callable
+from typing import Any
+
+from attrs import frozen
+
+from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.protocol.rows import (
+    ABSENT,
+    Check,
+    Committed,
+    Row,
+    Transaction,
+    Write,
+    idempotency_key,
+)
+from bamboocove.state.codec import from_plain, to_plain
+
+MAX_KEY_BYTES = 200
+# Largest response body that is kept for a second request with the same key.
+MAX_OUTCOME_BODY_BYTES = 4 * 1024
+# After the caller's time has passed by this much, a claim without an outcome
+# was left by a node that is gone.
+CLAIM_MARGIN_S = 5.0
+
+
+@frozen
+class Outcome:
+    """A recorded response.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    headers : tuple of (bytes, bytes)
+        Fields without framing.
+    body : bytes or None
+        None if it was larger than ``MAX_OUTCOME_BODY_BYTES``.
+    """
+
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes | None
+
+
+@frozen
+class ClaimRecord:
+    """Value of a row ``idempotency/<service>/<key>``.
+
+    Parameters
+    ----------
+    digest : bytes
+        Digest of the request, to detect that the key is used for another one.
+    node_id : str
+        Node that dispatches the request.
+    expires_at : float
+        Unix time in seconds after which a claim without an outcome is unknown.
+    state : {"claimed", "done", "unknown"}
+        How far it is.
+    outcome : Outcome or None
+        The response, once it is done.
+    """
+
+    digest: bytes
+    node_id: str
+    expires_at: float
+    state: str = "claimed"
+    outcome: Outcome | None = None
+
+
+@frozen
+class Claim:
+    """A claim held by this node.
+
+    Parameters
+    ----------
+    key : str
+        Key of the row.
+    version : int
+        Version of the row.
+    record : ClaimRecord
+        Its value.
+    """
+
+    key: str
+    version: int
+    record: ClaimRecord
+
+
+def check_key(key: bytes | None) -> ErrorResult | None:
+    """Return what is wrong with an idempotency key."""
+    if not key:
+        reason = "the route needs the header Idempotency-Key"
+        return ErrorResult(ErrorKind.KEY_REQUIRED, reason)
+    if len(key) > MAX_KEY_BYTES or not all(0x21 <= byte <= 0x7E for byte in key):
+        reason = f"Idempotency-Key is not 1 to {MAX_KEY_BYTES} visible ASCII characters"
+        return ErrorResult(ErrorKind.BAD_REQUEST, reason)
+    return None
+
+
+def digest_request(method: bytes, target: bytes, length: int, body: bytes) -> bytes:
+    """Return the digest of a request.
+
+    Parameters
+    ----------
+    method, target : bytes
+        Request line.
+    length : int
+        Declared body length, -1 if it is not known.
+    body : bytes
+        First part of the body.
+    """
+    text = b"%b %b %d\n%b" % (method, target, length, body)
+    return hashlib.sha256(text).digest()
+
+
+async def claim_key(
+    table: Any,
+    service: str,
+    key: str,
+    record: ClaimRecord,
+    operation_id: str,
+    now: float,
+) -> Claim | Outcome | ErrorResult:
+    """Claim a key before the request is dispatched.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+    service, key : str
+        Service and idempotency key.
+    record : ClaimRecord
+        Value of the claim.
+    operation_id : str
+        Unique, by which a claim is recognised after its answer was lost.
+    now : float
+        Unix time in seconds.
+
+    Returns
+    -------
+    result : Claim, Outcome or ErrorResult
+        The claim, or the outcome of an earlier request. ``KEY_REUSED``,
+        ``KEY_IN_PROGRESS``, ``UPSTREAM_LOST`` if the earlier outcome is
+        unknown or was not kept whole, ``STORE_UNAVAILABLE`` if there is no
+        claim, ``STORE_UNKNOWN`` if there may be one: the caller removes it
+        with ``withdraw_claim``.
+    """
+    row_key = idempotency_key(service, key)
+    transaction = Transaction(
+        operation_id, (Check(row_key, ABSENT),), (Write(row_key, to_plain(record)),)
+    )
+    result = await table.transact(transaction)
+    if isinstance(result, Committed):
+        return Claim(row_key, result.versions_by_key[row_key], record)
+    if result.kind not in (ErrorKind.CONFLICT, ErrorKind.STORE_UNKNOWN):
+        return ErrorResult(ErrorKind.STORE_UNAVAILABLE, result.reason)
+    row = await table.get(row_key)
+    if isinstance(row, ErrorResult):
+        # After a conflict the row is someone else's and nothing is left behind.
+        kind = ErrorKind.STORE_UNAVAILABLE
+        if result.kind is ErrorKind.STORE_UNKNOWN:
+            kind = ErrorKind.STORE_UNKNOWN
+        return ErrorResult(kind, row.reason)
+    if row is None:
+        # The write did not arrive yet or was removed since.
+        return ErrorResult(ErrorKind.STORE_UNKNOWN, "claim cannot be read back")
+    if row.operation_id == operation_id:
+        return Claim(row_key, row.version, record)
+    return _judge_row(row, record, now)
+
+
+def _judge_row(row: Row, record: ClaimRecord, now: float) -> Outcome | ErrorResult:
+    held = from_plain(ClaimRecord, row.value)
+    if isinstance(held, ErrorResult):
+        return ErrorResult(ErrorKind.STORE_UNAVAILABLE, held.reason)
+    if held.digest != record.digest:
+        reason = "the key was used for another request"
+        return ErrorResult(ErrorKind.KEY_REUSED, reason)
+    if held.state == "done" and held.outcome is not None:
+        if held.outcome.body is None:
+            reason = f"it ran with status {held.outcome.status}; the body was not kept"
+            return ErrorResult(ErrorKind.UPSTREAM_LOST, reason)
+        return held.outcome
+    if held.state == "claimed" and now < held.expires_at:
+        reason = "a request with this key is in progress"
+        return ErrorResult(ErrorKind.KEY_IN_PROGRESS, reason)
+    reason = "the outcome of the request with this key is unknown"
+    return ErrorResult(ErrorKind.UPSTREAM_LOST, reason)
+
+
+async def _replace(
+    table: Any, claim: Claim, value: Any, operation_id: str
+) -> ErrorResult | None:
+    transaction = Transaction(
+        operation_id,
+        (Check(claim.key, claim.version),),
+        (Write(claim.key, value),),
+    )
+    result = await table.transact(transaction)
+    if isinstance(result, Committed):
+        return None
+    if result.kind is ErrorKind.CONFLICT:
+        # An earlier attempt took effect and its answer was lost; only the
+        # holder writes a claimed row.
+        return None
+    return result
+
+
+async def record_outcome(
+    table: Any, claim: Claim, outcome: Outcome | None, operation_id: str
+) -> ErrorResult | None:
+    """Record the response to a claimed request.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+    claim : Claim
+        The claim.
+    outcome : Outcome or None
+        The response; None if it is unknown whether the request ran.
+    operation_id : str
+        Unique; the same for each attempt.
+
+    Returns
+    -------
+    error : ErrorResult or None
+        To be tried again.
+    """
+    record = ClaimRecord(
+        claim.record.digest,
+        claim.record.node_id,
+        claim.record.expires_at,
+        "unknown" if outcome is None else "done",
+        outcome,
+    )
+    return await _replace(table, claim, to_plain(record), operation_id)
+
+
+async def release_claim(
+    table: Any, claim: Claim, operation_id: str
+) -> ErrorResult | None:
+    """Remove the claim of a request that was not run."""
+    return await _replace(table, claim, None, operation_id)
+
+
+async def withdraw_claim(
+    table: Any, row_key: str, claim_operation_id: str, operation_id: str
+) -> ErrorResult | None:
+    """Remove a claim whose write was never confirmed.
+
+    Returns
+    -------
+    error : ErrorResult or None
+        To be tried again. ``NOT_FOUND`` if there is no row: a delayed write
+        may still arrive.
+    """
+    row = await table.get(row_key)
+    if isinstance(row, ErrorResult):
+        return row
+    if row is None:
+        return ErrorResult(ErrorKind.NOT_FOUND, "no claim")
+    if row.operation_id != claim_operation_id:
+        return None
+    transaction = Transaction(
+        operation_id, (Check(row_key, row.version),), (Write(row_key, None),)
+    )
+    result = await table.transact(transaction)
+    if isinstance(result, Committed) or result.kind is ErrorKind.CONFLICT:
+        return None
+    return result
+
+
+async def repeat(
+    attempt: Callable[[], Any],
+    sleep: Callable[[float], Any],
+    delays_s: tuple[float, ...] = (0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 20.0),
+) -> ErrorResult | None:
+    """Try a store write until it succeeds or the delays are used up.
+
+    Parameters
+    ----------
+    attempt : callable
+        Returns an awaitable of None or an ErrorResult.
+    sleep : callable
+        Takes seconds and returns an awaitable.
+    delays_s : tuple of float
+        Seconds before each further attempt.
+    """
+    error = await attempt()
+    for delay_s in delays_s:
+        if error is None:
+            return None
+        await sleep(delay_s)
+        error = await attempt()
+    return error
--- a/bamboocove/state/members.py
+++ b/bamboocove/state/members.py
@@ -92,9 +92,13 @@
     ----------
     members_by_id : dict of str to Member
         Newest record of each member.
+    changes : int
+        Raised by each merge that changed the table, so that a reader can tell
+        whether what it derived from the table still holds.
     """
 
     members_by_id: dict[str, Member] = field(factory=dict)
+    changes: int = 0
 
     def merge(self, member: Member) -> bool:
         """Take a record if it is newer than the one held.
@@ -108,6 +112,7 @@
         if held is not None and held.age_key >= member.age_key:
             return False
         self.members_by_id[member.node_id] = member
+        self.changes += 1
         return True
 
     def get_live(self, zone: str | None = None) -> list[Member]:
--- /dev/null
+++ b/bamboocove/transport/exchanges.py
@@ -0,0 +1,232 @@
+"""One request on a server connection and the response to it."""
+
+from collections.abc import Callable
+from typing import Any
+
+from bamboocove.errors import ANSWERS, ErrorResult
+from bamboocove.transport.framing import (
+    LAST_CHUNK,
+    Headers,
+    format_chunk,
+    format_fields,
+    format_length,
+    format_status_line,
+)
+
+Receiver = Callable[[bytes], None]
+
+
+class Exchange:
+    """One request on a server connection and the response to it.
+
+    Parameters
+    ----------
+    connection : ServerConnection
+        Where it arrived.
+    method, target : bytes
+        Request line; the target is in origin form.
+    headers : list of (bytes, bytes)
+        Fields with names in lower case.
+    length : int or None
+        Declared body length; -1 for chunked, None for no body.
+    is_keep_alive, is_http10 : bool
+        Properties of the request that frame the response.
+
+    Attributes
+    ----------
+    on_data, on_end : callable or None
+        Receive the body once ``receive`` was called.
+    on_closed : callable or None
+        Called with an ErrorResult when the request cannot be completed or
+        the caller's connection is lost before the response is finished.
+    """
+
+    __slots__ = (
+        "connection",
+        "headers",
+        "held",
+        "held_bytes",
+        "is_blocked",
+        "is_chunked",
+        "is_closed",
+        "is_complete",
+        "is_ended",
+        "is_finished",
+        "is_http10",
+        "is_keep_alive",
+        "is_started",
+        "length",
+        "method",
+        "needs_continue",
+        "on_closed",
+        "on_data",
+        "on_end",
+        "received_bytes",
+        "response_head",
+        "target",
+    )
+
+    def __init__(
+        self,
+        connection: Any,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        length: int | None,
+        is_keep_alive: bool,
+        is_http10: bool,
+    ):
+        self.connection = connection
+        self.method = method
+        self.target = target
+        self.headers = headers
+        self.length = length
+        self.is_keep_alive = is_keep_alive
+        self.is_http10 = is_http10
+        self.needs_continue = False
+        self.held: list[bytes] = []
+        self.held_bytes = 0
+        self.received_bytes = 0
+        self.is_complete = False
+        self.is_ended = False
+        self.is_started = False
+        self.is_closed = False
+        self.is_finished = False
+        self.is_chunked = False
+        self.is_blocked = False
+        self.response_head: bytes | None = None
+        self.on_data: Receiver | None = None
+        self.on_end: Callable[[], None] | None = None
+        self.on_closed: Callable[[ErrorResult], None] | None = None
+
+    def receive(self, on_data: Receiver, on_end: Callable[[], None]) -> None:
+        """Deliver the body, starting with what has arrived."""
+        self.on_data = on_data
+        self.on_end = on_end
+        if self.needs_continue and not self.is_complete:
+            self.connection.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self.needs_continue = False
+        self.deliver()
+        if not self.is_blocked:
+            self.connection.resume()
+
+    def deliver(self) -> None:
+        """Pass on what is held of the body."""
+        on_data = self.on_data
+        if on_data is None:
+            return
+        if self.held:
+            data = self.held[0] if len(self.held) == 1 else b"".join(self.held)
+            self.held = []
+            self.held_bytes = 0
+            on_data(data)
+        if self.is_complete and not self.is_ended and not self.is_closed:
+            self.is_ended = True
+            self.on_end()
+
+    def pause(self) -> None:
+        """Stop reading the body from the caller."""
+        if not self.is_complete:
+            self.is_blocked = True
+            self.connection.pause()
+
+    def resume(self) -> None:
+        """Read on."""
+        self.is_blocked = False
+        self.connection.resume()
+
+    def start(self, status: int, headers: Headers, length: int | None) -> None:
+        """Prepare the response head; it is sent with the first data.
+
+        Parameters
+        ----------
+        status : int
+            Status code.
+        headers : list of (bytes, bytes)
+            Fields without framing and connection fields.
+        length : int or None
+            Body bytes; -1 if unknown, None for a response without a body.
+        """
+        if length is not None and length < 0:
+            if self.is_http10:
+                length = None
+                self.is_keep_alive = False
+            else:
+                self.is_chunked = True
+        if not self.is_complete:
+            self.is_keep_alive = False
+        if self.is_http10 and self.is_keep_alive:
+            connection = b"connection: keep-alive\r\n"
+        else:
+            connection = b"" if self.is_keep_alive else b"connection: close\r\n"
+        self.response_head = b"".join(
+            (
+                format_status_line(status),
+                format_fields(headers),
+                format_length(length),
+                connection,
+                b"\r\n",
+            )
+        )
+        if self.method == b"HEAD":
+            self.is_chunked = False
+
+    def write(self, data: bytes) -> None:
+        """Send a part of the response body."""
+        if self.is_closed or self.is_finished:
+            return
+        if self.is_chunked:
+            data = format_chunk(data)
+        if self.response_head:
+            data = self.response_head + data
+            self.response_head = b""
+        self.connection.write(data)
+
+    def finish(self, data: bytes = b"") -> None:
+        """Send the last part of the response body."""
+        if self.is_closed or self.is_finished:
+            return
+        self.is_finished = True
+        if self.is_chunked:
+            data = (format_chunk(data) if data else b"") + LAST_CHUNK
+        if self.response_head:
+            data = self.response_head + data
+            self.response_head = b""
+        if data:
+            self.connection.write(data)
+        self.connection.finish_exchange(self)
+
+    def respond(self, status: int, headers: Headers, body: bytes = b"") -> None:
+        """Send a whole response."""
+        self.start(status, headers, len(body))
+        self.finish(b"" if self.method == b"HEAD" else body)
+
+    def refuse(self, error: ErrorResult, run: str | None = None) -> None:
+        """Send the answer of an error.
+
+        Parameters
+        ----------
+        error : ErrorResult
+            Its kind gives status and fields, its reason the body.
+        run : str, optional
+            Value of ``bamboocove-run`` if it is not that of the kind.
+        """
+        answer = ANSWERS[error.kind]
+        headers = [
+            (b"bamboocove-error", error.kind.value.encode()),
+            (b"bamboocove-run", (run or answer.run).encode()),
+            (b"content-type", b"text/plain; charset=utf-8"),
+        ]
+        if answer.retry_after_s:
+            headers.append((b"retry-after", b"%d" % answer.retry_after_s))
+        self.respond(answer.status, headers, f"{error}\n".encode())
+
+    def abort(self) -> None:
+        """Break the caller's connection, so that it sees an incomplete response."""
+        self.is_finished = True
+        self.connection.abort()
+
+    @property
+    def is_response_started(self) -> bool:
+        """Whether a part of the response was sent."""
+        return self.response_head == b""
--- /dev/null
+++ b/tests/callpath.py
@@ -0,0 +1,213 @@
+"""Fixtures of the call path tests: a worker, a caller and a store on loopback."""
+
+import random
+import socket
+import time
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+
+from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.metrics import Metrics
+from bamboocove.protocol.rows import Committed, Row, Transaction
+from bamboocove.proxy import Proxy
+from bamboocove.settings import Settings, check_settings
+from bamboocove.state.config import Config, Move, Route, Service
+from bamboocove.state.members import Member, MemberTable, WorkerRecord
+from bamboocove.state.snapshot import ActiveSnapshot, compile_snapshot
+
+WAIT_S = 5.0
+
+
+def make_settings(**values: str) -> Settings:
+    """Return settings of a node n1 in zone a."""
+    texts = {
+        ("node", "id"): "n1",
+        ("node", "zone"): "a",
+        ("platform", "table_url"): "http://127.0.0.1:1",
+        ("platform", "object_url"): "http://127.0.0.1:1",
+    }
+    for name, text in values.items():
+        section, _, key = name.partition("__")
+        texts[section, key] = text
+    settings = check_settings(texts)
+    assert isinstance(settings, Settings), settings
+    return settings
+
+
+def make_config(moves: tuple[Move, ...] = (), revision: int = 1) -> Config:
+    """Return a configuration with the service orders."""
+    orders = Service(
+        "orders",
+        "v1",
+        (),
+        (
+            Route("read", "/orders", ("GET", "HEAD"), "prompt"),
+            Route("write", "/orders", ("PUT",), "normal"),
+            Route("report", "/reports", ("GET",), "deferrable"),
+            Route("confirm", "/confirmations", ("POST",), "normal", False, 2.0),
+        ),
+    )
+    return Config(
+        revision,
+        "kozje-mleko",
+        revision,
+        {"orders": orders},
+        {move.move_id: move for move in moves},
+    )
+
+
+def make_member(
+    index: int,
+    port: int,
+    version: str = "v1",
+    zone: str = "a",
+    state: str = "ready",
+    connections: int = 100,
+) -> Member:
+    """Return a member with one worker of orders on loopback."""
+    worker = WorkerRecord("orders", version, "127.0.0.1", port, 12, connections, state)
+    return Member(f"n{index}", 1, 1, zone, "r", "127.0.0.1", 1, "alive", (worker,))
+
+
+def make_table(*members: Member) -> MemberTable:
+    """Return a member table."""
+    table = MemberTable()
+    for member in members:
+        table.merge(member)
+    return table
+
+
+class FakeTable:
+    """Table service in memory.
+
+    Parameters
+    ----------
+    answers : list of str
+        For each coming transaction "ok", "unavailable", "lost" (done, answer
+        lost) or "dropped" (not done, answer lost); "ok" once it is used up.
+    reads : list of str
+        The same for reads: "ok" or "unavailable".
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self.answers: list[str] = []
+        self.reads: list[str] = []
+        self.transactions: list[Transaction] = []
+
+    async def get(self, key: str) -> Row | None | ErrorResult:
+        """Return a row."""
+        if self.reads and self.reads.pop(0) != "ok":
+            return ErrorResult(ErrorKind.STORE_UNAVAILABLE, "fault")
+        return self.rows.get(key)
+
+    async def transact(self, transaction: Transaction) -> Committed | ErrorResult:
+        """Check and write."""
+        self.transactions.append(transaction)
+        answer = self.answers.pop(0) if self.answers else "ok"
+        if answer == "unavailable":
+            return ErrorResult(ErrorKind.STORE_UNAVAILABLE, "fault")
+        if answer == "dropped":
+            return ErrorResult(ErrorKind.STORE_UNKNOWN, "fault")
+        for check in transaction.checks:
+            held = self.rows.get(check.key)
+            if (held.version if held else 0) != check.version:
+                return ErrorResult(ErrorKind.CONFLICT, check.key)
+        versions = {}
+        for write in transaction.writes:
+            held = self.rows.pop(write.key, None)
+            versions[write.key] = (held.version if held else 0) + 1
+            if write.value is not None:
+                self.rows[write.key] = Row(
+                    write.key,
+                    versions[write.key],
+                    transaction.operation_id,
+                    write.value,
+                )
+        if answer == "lost":
+            return ErrorResult(ErrorKind.STORE_UNKNOWN, "fault")
+        return Committed(versions)
+
+
+def run(coroutine: Any, wait_s: float = WAIT_S) -> Any:
+    """Run the reactor until a coroutine ends, at most for a while."""
+    results: list[Any] = []
+    done = Deferred.fromCoroutine(coroutine)
+    done.addBoth(results.append)
+    spin(lambda: results, wait_s)
+    if hasattr(results[0], "raiseException"):
+        results[0].raiseException()
+    return results[0]
+
+
+def spin(is_done: Callable[[], Any], wait_s: float = WAIT_S) -> None:
+    """Run the reactor until a condition holds, at most for a while."""
+    if not reactor.running:
+        reactor.startRunning(installSignalHandlers=False)
+    end = time.monotonic() + wait_s
+    while not is_done():
+        assert time.monotonic() < end, "the wait is over"
+        reactor.runUntilCurrent()
+        reactor.doIteration(0.005)
+
+
+def make_proxy(
+    members: MemberTable, config: Config, table: Any = None, **options: Any
+) -> Proxy:
+    """Return a proxy on the real reactor."""
+    active = ActiveSnapshot()
+    assert active.swap(compile_snapshot(config)) is None
+    notices = options.pop("notices", [])
+    is_braked = options.pop("is_braked", lambda move_id: False)
+    return Proxy(
+        make_settings(**options),
+        active,
+        members,
+        table or FakeTable(),
+        Metrics("kozje-mleko"),
+        reactor,
+        random.Random(1),
+        notices.append,
+        is_braked,
+    )
+
+
+class Caller:
+    """A blocking socket that is read while the reactor runs."""
+
+    def __init__(self, port: int):
+        self.socket = socket.create_connection(("127.0.0.1", port))
+        self.socket.setblocking(False)
+        self.data = b""
+        self.is_closed = False
+
+    def send(self, data: bytes) -> None:
+        """Send; the data must fit the socket's buffer."""
+        self.socket.sendall(data)
+
+    def _read(self) -> None:
+        try:
+            data = self.socket.recv(1 << 20)
+        except BlockingIOError:
+            return
+        except ConnectionError:
+            data = b""
+        self.data += data
+        self.is_closed = self.is_closed or not data
+
+    def read_until(self, is_done: Callable[[bytes], Any]) -> bytes:
+        """Read until the data satisfies a condition or the peer closes."""
+
+        def check() -> bool:
+            self._read()
+            return self.is_closed or bool(is_done(self.data))
+
+        spin(check)
+        return self.data
+
+    def close(self) -> None:
+        """Close the socket."""
+        self.socket.close()
