--- a/bamboocove/call.py
+++ b/bamboocove/call.py
@@ -18,7 +18,7 @@
 )
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.state.snapshot import Snapshot
-from bamboocove.state.upstreams import Upstream
+from bamboocove.state.upstreams import Upstream, format_address
 from bamboocove.transport.clients import ClientConnection
 from bamboocove.transport.exchanges import Exchange
 from bamboocove.transport.framing import (
@@ -61,8 +61,8 @@
 
     Parameters
     ----------
-    proxy : Proxy
-        Decides; see ``bamboocove.proxy``.
+    dispatcher : Dispatcher
+        Chooses the worker and takes the end of the call.
     exchange : Exchange
         Request and response on the caller's side.
     match : Match
@@ -73,9 +73,20 @@
         Seconds, by the clock of the call path.
     fraction : float
         Draw from 0 to 1 that picks the version, one for all attempts.
+    key : bytes or None
+        Idempotency key of a call to a route that is not idempotent.
+
+    Attributes
+    ----------
+    is_dispatched : bool
+        Whether a worker may have run the request.
+    is_completed : bool
+        Whether the whole response was passed on.
+    error : ErrorResult or None
+        Answer that waits for the claim to be released.
     """
 
-    proxy: Any
+    dispatcher: Any
     exchange: Exchange
     match: Match
     snapshot: Snapshot
@@ -91,7 +102,10 @@
     attempt_at: float = 0.0
     connection: ClientConnection | None = None
     connector: Any = None
+    error: ErrorResult | None = None
     is_waiting: bool = False
+    was_waiting: bool = False
+    is_completed: bool = False
     is_done: bool = False
     is_dispatched: bool = False
     is_receiving: bool = False
@@ -179,11 +193,10 @@
     def get_subject(self) -> Subject:
         """Return what identifies the request among others."""
         exchange = self.exchange
-        path = exchange.target.partition(b"?")[0]
         identity = self.key
         if identity is None:
             identity = self.get_body_digest() if self.body_bytes else b""
-        return (self.match.service, exchange.method, path, identity)
+        return (self.match.service, exchange.method, exchange.target, identity)
 
     # Attempt.
 
@@ -199,6 +212,8 @@
             for item in strip_headers(exchange.headers)
             if item[0] != DEADLINE_HEADER
         ]
+        if exchange.is_http10 and get_header(fields, b"host") is None:
+            fields.append((b"host", format_address(self.upstream.address).encode()))
         return b"%b %b HTTP/1.1\r\n%b%b%b: %d\r\n\r\n" % (
             exchange.method,
             exchange.target,
@@ -223,7 +238,7 @@
             parts += map(format_chunk, self.body) if is_chunked else self.body
         self.is_dispatched = True
         upstream = self.upstream
-        pool = self.proxy.pool
+        pool = self.dispatcher.pool
         connection.send(
             b"".join(parts),
             self.exchange.method == b"HEAD",
@@ -294,16 +309,20 @@
         self._clear_request_source()
         self.connection = None
         if self.is_refusal:
-            self.is_dispatched = False
-            retry_after = get_header(self.response_headers, b"retry-after")
-            self.proxy.on_refused(self, read_retry_after(retry_after))
+            self._report_refusal()
             return
         if self.kept is not None:
             self._keep_response(data)
         self.clear_response_source()
         self.exchange.on_closed = None
+        self.is_completed = True
         self.exchange.finish(data)
-        self.proxy.on_completed(self)
+        self.dispatcher.on_completed(self)
+
+    def _report_refusal(self) -> None:
+        self.is_refusal = self.is_dispatched = False
+        retry_after = get_header(self.response_headers, b"retry-after")
+        self.dispatcher.on_refused(self, read_retry_after(retry_after))
 
     def clear_response_source(self) -> None:
         """Stop the back pressure of the caller's transport."""
@@ -317,8 +336,11 @@
             return
         self.has_request_source = False
         self.connection = None
+        if self.is_refusal:
+            self._report_refusal()
+            return
         error = ErrorResult(ErrorKind.UPSTREAM_LOST, reason)
-        self.proxy.on_lost(self, error)
+        self.dispatcher.on_lost(self, error)
 
     def get_outcome(self) -> Outcome:
         """Return the response as it is recorded for its idempotency key."""
@@ -329,6 +351,12 @@
 
     # End.
 
+    def respond(self, outcome: Outcome) -> None:
+        """Answer with the recorded response of an earlier request."""
+        self.exchange.on_closed = None
+        headers = [tuple(item) for item in outcome.headers]
+        self.exchange.respond(outcome.status, headers, outcome.body)
+
     def fail(self, error: ErrorResult) -> None:
         """Answer with an error, or break off a response that has started."""
         exchange = self.exchange
--- /dev/null
+++ b/bamboocove/claims.py
@@ -0,0 +1,124 @@
+"""Keeps the idempotency claims of a node's calls."""
+
+import uuid
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+from twisted.logger import Logger
+
+from bamboocove.coordination.idempotency import (
+    CLAIM_MARGIN_S,
+    Claim,
+    ClaimRecord,
+    Outcome,
+    claim_key,
+    digest_request,
+    record_outcome,
+    release_claim,
+    repeat,
+    withdraw_claim,
+)
+from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.events import log_event
+from bamboocove.protocol.rows import idempotency_key
+
+logger = Logger()
+
+
+class ClaimKeeper:
+    """Claims keys, and settles the claims in the background.
+
+    Parameters
+    ----------
+    table : TableClient
+        The table service.
+    node_id : str
+        This node.
+    clock : reactor
+        Source of time.
+    on_settled : callable
+        Called when ``pending`` falls to 0.
+
+    Attributes
+    ----------
+    pending : int
+        Store operations in progress.
+    """
+
+    def __init__(
+        self, table: Any, node_id: str, clock: Any, on_settled: Callable[[], None]
+    ):
+        self._table = table
+        self._node_id = node_id
+        self._clock = clock
+        self._on_settled = on_settled
+        self.pending = 0
+
+    def start(self, coroutine: Coroutine) -> Deferred:
+        """Run a coroutine and count it as pending until it ends."""
+        self.pending += 1
+        running = Deferred.fromCoroutine(coroutine)
+        running.addErrback(lambda failure: logger.failure("claim failed", failure))
+        return running.addBoth(self._finish)
+
+    def _finish(self, result: Any) -> Any:
+        self.pending -= 1
+        if not self.pending:
+            self._on_settled()
+        return result
+
+    def _sleep(self, seconds: float) -> Deferred:
+        return deferLater(self._clock, seconds)
+
+    async def claim(
+        self, service: str, key: str, request: tuple, timeout_s: float
+    ) -> Claim | Outcome | ErrorResult:
+        """Claim a key; see ``claim_key``.
+
+        Parameters
+        ----------
+        service, key : str
+            Service and idempotency key.
+        request : (bytes, bytes, int, bytes)
+            Arguments of ``digest_request``.
+        timeout_s : float
+            Time that the call may take.
+        """
+        now = self._clock.seconds()
+        expires_at = now + timeout_s + CLAIM_MARGIN_S
+        record = ClaimRecord(digest_request(*request), self._node_id, expires_at)
+        operation_id = uuid.uuid4().hex
+        result = await claim_key(self._table, service, key, record, operation_id, now)
+        if isinstance(result, ErrorResult) and result.kind is ErrorKind.STORE_UNKNOWN:
+            self.start(self._withdraw(idempotency_key(service, key), operation_id))
+        return result
+
+    async def _withdraw(self, row_key: str, claim_operation_id: str) -> None:
+        operation_id = uuid.uuid4().hex
+
+        def attempt() -> Any:
+            return withdraw_claim(
+                self._table, row_key, claim_operation_id, operation_id
+            )
+
+        await repeat(attempt, self._sleep)
+
+    async def release(self, claim: Claim) -> None:
+        """Remove the claim of a request that was not run."""
+        operation_id = uuid.uuid4().hex
+        await repeat(
+            lambda: release_claim(self._table, claim, operation_id), self._sleep
+        )
+
+    async def record(self, claim: Claim, outcome: Outcome | None) -> None:
+        """Record the response of a request; None if it is unknown."""
+        if outcome is None:
+            _, service, key = claim.key.split("/", 2)
+            log_event(404, key=key, service=service)
+        operation_id = uuid.uuid4().hex
+        await repeat(
+            lambda: record_outcome(self._table, claim, outcome, operation_id),
+            self._sleep,
+        )
--- a/bamboocove/coordination/directory.py
+++ b/bamboocove/coordination/directory.py
@@ -1,5 +1,7 @@
 """Candidates of each service and version, kept until something changes."""
 
+from collections import Counter
+
 from attrs import define, field
 
 from bamboocove.coordination.routing import (
@@ -13,11 +15,10 @@
 from bamboocove.state.snapshot import Snapshot
 from bamboocove.state.upstreams import Upstream, UpstreamTable
 
-# The member table is scanned at most this often while records change, and
-# otherwise once a second. The first bounds the time that a draining worker
-# still gets calls; a scan of 5,500 records takes milliseconds.
-CHANGED_SCAN_S = 0.1
-UNCHANGED_SCAN_S = 1.0
+# The member table is scanned at most this often while records change. It bounds
+# the time that a draining worker still gets calls; a scan of 5,500 records
+# takes milliseconds, during which calls wait.
+SCAN_S = 0.5
 
 _NONE = Candidates((), ())
 
@@ -38,6 +39,7 @@
     zone: str
     table: UpstreamTable = field(factory=UpstreamTable)
     _upstreams_by_service: dict[str, list[Upstream]] = field(factory=dict)
+    _nodes_by_services: Counter[frozenset[str]] = field(factory=Counter)
     _candidates_by_key: dict[tuple[str, str], Candidates] = field(factory=dict)
     _snapshot: Snapshot | None = None
     _changes: int = -1
@@ -46,9 +48,7 @@
     def refresh(self, snapshot: Snapshot, now: float) -> None:
         """Scan the member table if it is due."""
         age = now - self._scanned_at
-        is_due = age >= UNCHANGED_SCAN_S or (
-            age >= CHANGED_SCAN_S and self._changes != self.members.changes
-        )
+        is_due = age >= SCAN_S and self._changes != self.members.changes
         if not is_due and snapshot is self._snapshot:
             return
         if is_due:
@@ -62,6 +62,9 @@
         live = self.members.get_live()
         workers = [(member, worker) for member in live for worker in member.workers]
         self.table.refresh(workers, now)
+        self._nodes_by_services = Counter(
+            frozenset(worker.service for worker in member.workers) for member in live
+        )
         self._upstreams_by_service = {}
         for upstream in self.table.upstreams_by_address.values():
             if upstream.state == "ready":
@@ -87,7 +90,7 @@
             old = sum(held.version == move.from_version for held in upstreams)
             chosen = limit_workers(chosen, old, move.share, move.move_id)
         callers = count_callers(
-            self.members.get_live(), snapshot.services_by_name, service
+            self._nodes_by_services, snapshot.services_by_name, service
         )
         for upstream in chosen:
             upstream.connection_share = share_connections(upstream.connections, callers)
--- a/bamboocove/coordination/routing.py
+++ b/bamboocove/coordination/routing.py
@@ -9,7 +9,6 @@
 
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.state.config import Route, Service
-from bamboocove.state.members import Member
 from bamboocove.state.snapshot import Snapshot
 from bamboocove.state.upstreams import Upstream, compute_weight
 
@@ -153,22 +152,35 @@
 
 
 def count_callers(
-    members: Iterable[Member], services_by_name: Mapping[str, Service], service: str
+    nodes_by_services: Mapping[frozenset[str], int],
+    services_by_name: Mapping[str, Service],
+    service: str,
 ) -> int:
     """Count the nodes that call a service.
 
     These are the nodes whose workers depend on it and, because callers without
     a worker use any of them, the nodes of its own workers. A worker of a
     service that this node does not know counts as a caller.
+
+    Parameters
+    ----------
+    nodes_by_services : mapping of frozenset of str to int
+        Number of nodes by the services of their workers.
+    services_by_name : mapping of str to Service
+        Services that this node knows.
+    service : str
+        The service that is called.
     """
-    count = 0
-    for member in members:
-        for worker in member.workers:
-            held = services_by_name.get(worker.service)
-            if held is None or worker.service == service or service in held.depends_on:
-                count += 1
-                break
-    return count
+
+    def is_caller(name: str) -> bool:
+        held = services_by_name.get(name)
+        return held is None or name == service or service in held.depends_on
+
+    return sum(
+        count
+        for names, count in nodes_by_services.items()
+        if any(is_caller(name) for name in names)
+    )
 
 
 @frozen
@@ -258,18 +270,17 @@
 ) -> Upstream:
     if len(usable) == 1:
         return usable[0]
-    first = _draw(usable, now, random)
-    second = _draw(usable, now, random)
+    count = len(usable)
+    index = int(random() * count)
+    first = usable[index]
+    second = usable[(index + 1 + int(random() * (count - 1))) % count]
+    # A worker in its slow start takes part in a draw with the probability of
+    # its weight, so that it is not favoured for being idle.
+    first_weight = compute_weight(first, now)
+    second_weight = compute_weight(second, now)
+    if first_weight != second_weight:
+        if first_weight < second_weight and random() >= first_weight:
+            return second
+        if second_weight < first_weight and random() >= second_weight:
+            return first
     return second if second.in_flight < first.in_flight else first
-
-
-def _draw(
-    usable: Sequence[Upstream], now: float, random: Callable[[], float]
-) -> Upstream:
-    # A worker in its slow start keeps a draw with the probability of its
-    # weight; otherwise one more draw decides.
-    upstream = usable[int(random() * len(usable))]
-    weight = compute_weight(upstream, now)
-    if weight < 1.0 and random() >= weight:
-        upstream = usable[int(random() * len(usable))]
-    return upstream
--- a/bamboocove/proxy.py
+++ b/bamboocove/proxy.py
@@ -7,18 +7,17 @@
 from twisted.internet.task import LoopingCall
 
 from bamboocove.call import DEADLINE_HEADER, Call
-from bamboocove.coordination.admission import CallQueue, is_admitted
+from bamboocove.claims import ClaimKeeper
 from bamboocove.coordination.directory import Directory
-from bamboocove.coordination.retries import RetryBudget, plan_retry
-from bamboocove.coordination.routing import (
-    Candidates,
-    is_panicking,
-    match_route,
-    pick_upstream,
-    pick_version,
+from bamboocove.coordination.idempotency import Claim, Outcome, check_key
+from bamboocove.coordination.routing import match_route
+from bamboocove.coordination.suspects import (
+    FINGERPRINT_BODY_BYTES,
+    SUSPECT_S,
+    SuspectTable,
 )
-from bamboocove.coordination.suspects import SuspectTable
 from bamboocove.coordination.windows import EvidenceWindows
+from bamboocove.dispatcher import Dispatcher
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.events import log_event
 from bamboocove.metrics import Metrics
@@ -26,25 +25,15 @@
 from bamboocove.settings import Settings
 from bamboocove.state.evidence import Evidence
 from bamboocove.state.members import MemberTable
-from bamboocove.state.snapshot import ActiveSnapshot, Snapshot
-from bamboocove.state.upstreams import (
-    Upstream,
-    eject,
-    format_address,
-    record_failure,
-    record_success,
-)
+from bamboocove.state.snapshot import ActiveSnapshot
+from bamboocove.state.upstreams import Upstream, format_address
 from bamboocove.transport.calls import SWEEP_S, CallServer
-from bamboocove.transport.clients import ClientConnection, ConnectionPool
+from bamboocove.transport.clients import ClientConnection
 from bamboocove.transport.exchanges import Exchange
 from bamboocove.transport.framing import get_header
 
 SERVICE_HEADER = b"bamboocove-service"
 KEY_HEADER = b"idempotency-key"
-CONNECT_TIMEOUT_S = 1.0
-# A worker's process that is gone refuses connections at once; a host that is
-# gone does not answer.
-PROBE_TIMEOUT_S = 0.25
 BACKLOG = 1024
 
 
@@ -75,11 +64,6 @@
         Spreads a ``SuspectNotice`` to the peers.
     is_braked : callable, optional
         Whether this node's brake is set for a move identifier.
-
-    Attributes
-    ----------
-    in_flight : int
-        Calls in progress.
     """
 
     def __init__(
@@ -100,24 +84,36 @@
         self._clock = clock
         self._random = random.random
         self._notify_suspect = notify_suspect
-        self._is_braked = is_braked
-        self._node_id = settings.get("node", "id")
-        self._directory = Directory(members, settings.get("node", "zone"))
-        self._budget = RetryBudget(settings.get("calls", "retry_ratio"))
+        node_id = settings.get("node", "id")
         self._suspects = SuspectTable()
-        window_s = settings.get("moves", "window_s")
-        self._windows = EvidenceWindows(self._node_id, window_s)
-        self._queues_by_service: dict[str, CallQueue] = {}
+        self._claims = ClaimKeeper(table, node_id, clock, self._check_drained)
+        self._dispatcher = Dispatcher(
+            active,
+            Directory(members, settings.get("node", "zone")),
+            EvidenceWindows(node_id, settings.get("moves", "window_s")),
+            metrics,
+            clock,
+            self._random,
+            settings.get("calls", "queue"),
+            settings.get("calls", "retry_ratio"),
+            is_braked,
+            self._check_suspect,
+            self._on_end,
+        )
         self._server = CallServer(
             self._on_request, settings.get("calls", "max_body_bytes"), clock
         )
-        self.pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
+        self._calls = 0
         self._port: Any = None
         self._sweeper = LoopingCall(self._sweep)
         self._sweeper.clock = clock
         self._is_draining = False
         self._drained: Deferred | None = None
-        self.in_flight = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Calls in progress, and store operations that follow calls."""
+        return self._calls + self._claims.pending
 
     # Life cycle.
 
@@ -142,25 +138,33 @@
             await port.stopListening()
             self._sweeper.stop()
         self._server.close_idle()
-        self.pool.close()
+        self._dispatcher.pool.close()
 
-    def post(self, message: SuspectNotice) -> None:
-        """Take a message of a peer."""
-        self._suspects.add_notice(message, self._clock.seconds())
+    def _check_drained(self) -> None:
+        if not self.in_flight and self._drained is not None:
+            drained, self._drained = self._drained, None
+            drained.callback(None)
 
     def _sweep(self) -> None:
         now = self._clock.seconds()
         self._server.sweep(now)
-        self.pool.sweep(now)
+        self._dispatcher.sweep(now)
         self._suspects.expire(now)
 
+    # Other tasks.
+
+    def post(self, message: SuspectNotice) -> None:
+        """Take a message of a peer."""
+        self._suspects.add_notice(message, self._clock.seconds())
+
     def take_evidence(self, now: float) -> list[Evidence]:
         """Return the evidence of finished windows since the last call."""
-        return self._windows.take(self._active.current, now)
+        return self._dispatcher.windows.take(self._active.current, now)
 
     def get_upstream_report(self) -> list[dict]:
         """Return what is known of each worker, for operators."""
         now = self._clock.seconds()
+        table = self._dispatcher.directory.table
         return [
             {
                 "service": upstream.service,
@@ -173,20 +177,37 @@
                 "success_average": round(upstream.success_average, 3),
                 "ejected_s": round(max(0.0, upstream.ejected_until - now), 3),
             }
-            for upstream in self._directory.table.upstreams_by_address.values()
+            for upstream in table.upstreams_by_address.values()
         ]
 
-    # Request.
+    # Requests.
 
     def _on_request(self, exchange: Exchange) -> None:
+        call = self._make_call(exchange)
+        if isinstance(call, ErrorResult):
+            self._metrics.count(f"refused.{call.kind.value}")
+            exchange.refuse(call)
+            return
+        self._calls += 1
+        dispatcher = self._dispatcher
+        dispatcher.budget.earn()
+        exchange.on_closed = lambda error: dispatcher.on_closed(call, error)
+        timeout_s = call.deadline - call.started_at
+        call.timer = self._clock.callLater(timeout_s, dispatcher.on_deadline, call)
+        if exchange.is_complete and not exchange.held:
+            self._proceed(call)
+        else:
+            # A request is dispatched once enough of it is known to recognise
+            # it, which also lets it be sent again after a refusal.
+            call.collect(lambda: self._proceed(call))
+
+    def _make_call(self, exchange: Exchange) -> Call | ErrorResult:
         snapshot = self._active.current
         if self._is_draining:
             exchange.is_keep_alive = False
-            self._refuse(exchange, ErrorKind.DRAINING, "the node is stopping")
-            return
+            return ErrorResult(ErrorKind.DRAINING, "the node is stopping")
         if not snapshot.revision:
-            self._refuse(exchange, ErrorKind.NOT_READY, "no configuration yet")
-            return
+            return ErrorResult(ErrorKind.NOT_READY, "no configuration yet")
         service = get_header(exchange.headers, SERVICE_HEADER)
         match = match_route(
             snapshot,
@@ -195,251 +216,121 @@
             exchange.target.partition(b"?")[0].decode("latin-1"),
         )
         if isinstance(match, ErrorResult):
-            self._refuse(exchange, match.kind, match.reason)
-            return
-        now = self._clock.seconds()
+            return match
         timeout_s = _read_timeout(exchange, match.route.timeout_s)
         if isinstance(timeout_s, ErrorResult):
-            self._refuse(exchange, timeout_s.kind, timeout_s.reason)
-            return
-        call = Call(
-            self, exchange, match, snapshot, now, now + timeout_s, self._random()
-        )
-        self._begin(call, timeout_s)
-
-    def _refuse(self, exchange: Exchange, kind: ErrorKind, reason: str) -> None:
-        self._metrics.count(f"refused.{kind.value}")
-        exchange.refuse(ErrorResult(kind, reason))
-
-    def _begin(self, call: Call, timeout_s: float) -> None:
-        self.in_flight += 1
-        self._budget.earn()
-        call.exchange.on_closed = lambda error: self._on_closed(call, error)
-        call.timer = self._clock.callLater(timeout_s, self._on_deadline, call)
-        self._route(call)
-
-    def _route(self, call: Call) -> None:
-        """Choose a version and a worker, and connect."""
+            return timeout_s
+        key = None
+        if not match.route.idempotent:
+            key = get_header(exchange.headers, KEY_HEADER)
+            error = check_key(key)
+            if error is not None:
+                return error
         now = self._clock.seconds()
-        snapshot = self._active.current
-        service = call.match.service
-        if service not in snapshot.services_by_name:
-            self._fail(call, ErrorKind.NO_ROUTE, f"service {service} was removed")
-            return
-        call.snapshot = snapshot
-        self._directory.refresh(snapshot, now)
-        upstream = self._pick(call, snapshot, now)
-        if not upstream:
-            if upstream.kind is ErrorKind.OVERLOADED:
-                self._enqueue(call)
-            else:
-                self._fail(call, upstream.kind, upstream.reason)
-            return
-        call.upstream = upstream
-        call.version = upstream.version
-        call.attempts += 1
-        upstream.in_flight += 1
-        connection = self.pool.take(upstream.address)
-        if connection is not None:
-            call.dispatch(connection, now)
-            return
-        call.attempt_at = now
-        call.connector = self.pool.connect(
-            upstream.address,
-            lambda connection: self._on_connected(call, connection),
-            lambda reason: self._on_connect_failed(call, reason),
+        return Call(
+            self._dispatcher,
+            exchange,
+            match,
+            snapshot,
+            now,
+            now + timeout_s,
+            self._random(),
+            key,
         )
 
-    def _pick(self, call: Call, snapshot: Snapshot, now: float) -> Any:
-        service = call.match.service
-        split = snapshot.get_split(service)
-        move = snapshot.moves_by_service.get(service)
-        if move is not None and self._is_braked(move.move_id):
-            split = {move.from_version: 1.0}
-        version = pick_version(split, call.fraction)
-        upstream = self._pick_of(call, version, now)
-        if upstream or move is None or version != move.to_version:
-            return upstream
-        # The old version takes calls that the new one cannot; never the other
-        # way round, which would raise the share of the new version.
-        if move.from_version in split:
-            return self._pick_of(call, move.from_version, now)
-        return upstream
-
-    def _pick_of(self, call: Call, version: str, now: float) -> Any:
-        service = call.match.service
-        candidates = self._directory.get_candidates(service, version)
-        request_class = call.match.route.request_class
-        if request_class == "deferrable" and not _has_room(candidates, request_class):
-            return ErrorResult(ErrorKind.OVERLOADED, "deferrable calls wait")
-        return pick_upstream(candidates, now, self._random, call.refused_by)
-
-    def _enqueue(self, call: Call) -> None:
-        service = call.match.service
-        queue = self._queues_by_service.get(service)
-        if queue is None:
-            limit = self._settings.get("calls", "queue")
-            queue = self._queues_by_service[service] = CallQueue(limit)
-        call.is_waiting = True
-        refused = queue.add(call, call.match.route.request_class)
-        if refused is not None:
-            refused.is_waiting = False
-            self._fail(refused, ErrorKind.OVERLOADED, "all workers are busy")
-
-    def _drain_queue(self, service: str) -> None:
-        queue = self._queues_by_service.get(service)
-        if not queue:
-            return
-        call = queue.take()
-        call.is_waiting = False
-        self._route(call)
-
-    # Attempt.
-
-    def _on_connected(self, call: Call, connection: ClientConnection) -> None:
+    def _proceed(self, call: Call) -> None:
         if call.is_done:
-            connection.abort()
             return
-        call.dispatch(connection, self._clock.seconds())
-
-    def _on_connect_failed(self, call: Call, reason: str) -> None:
-        if call.is_done:
+        if call.key is None:
+            self._dispatcher.route(call)
             return
-        call.connector = None
-        now = self._clock.seconds()
-        self._eject(call.upstream, now, reason)
-        self._retry(call, False, reason)
-
-    def _eject(self, upstream: Upstream, now: float, reason: str) -> None:
-        self._log_ejection(upstream, eject(upstream, now), reason)
-        candidates = self._directory.get_candidates(upstream.service, upstream.version)
-        if is_panicking(candidates, now):
-            log_event(403, service=upstream.service)
-
-    def _log_ejection(self, upstream: Upstream, seconds: float, reason: str) -> None:
-        if seconds:
-            log_event(
-                401,
-                address=format_address(upstream.address),
-                service=upstream.service,
-                seconds=seconds,
-                reason=reason,
-            )
-
-    def on_refused(self, call: Call, retry_after_s: float) -> None:
-        """Go on after a worker refused a call before it started work."""
-        upstream = call.upstream
-        upstream.refused_until = self._clock.seconds() + retry_after_s
-        self._retry(call, True, "worker refused the call")
-
-    def _retry(self, call: Call, is_shed: bool, reason: str) -> None:
-        now = self._clock.seconds()
-        upstream = call.upstream
-        self._record(call, now, True)
-        self._leave_upstream(call)
-        call.refused_by.append(upstream)
-        delay_s = None
-        if call.is_replayable:
-            delay_s = plan_retry(
-                self._budget, call.attempts, call.deadline - now, is_shed, self._random
-            )
-        if delay_s is None:
-            self._fail(call, ErrorKind.UPSTREAM_REFUSED, reason)
+        error = self._check_suspect(call)
+        if error is not None:
+            self._dispatcher.fail(call, error)
             return
-        self._metrics.count("retries")
-        self._clock.callLater(delay_s, self._route_again, call)
-
-    def _route_again(self, call: Call) -> None:
-        if not call.is_done:
-            self._route(call)
-
-    # End.
-
-    def on_completed(self, call: Call) -> None:
-        """Count a call whose response was passed on."""
-        now = self._clock.seconds()
-        is_failure = call.status >= 500
-        if is_failure:
-            seconds = record_failure(call.upstream, now)
-            self._log_ejection(call.upstream, seconds, f"status {call.status}")
-        else:
-            record_success(call.upstream)
-        self._record(call, now, is_failure)
-        self._end(call, now)
-
-    def on_lost(self, call: Call, error: ErrorResult) -> None:
-        """Answer a call whose worker was lost after dispatch."""
-        now = self._clock.seconds()
-        self._eject(call.upstream, now, error.reason)
-        self._record(call, now, True)
-        call.fail(error)
-        self._end(call, now)
-
-    def _on_deadline(self, call: Call) -> None:
+        self._claims.start(self._claim(call))
+
+    async def _claim(self, call: Call) -> None:
+        exchange = call.exchange
+        length = exchange.length or 0
+        if length < 0 and call.is_body_ended:
+            length = call.body_bytes
+        # The same part of the body on each attempt, however it was received.
+        body = b"".join(call.body)[:FINGERPRINT_BODY_BYTES]
+        request = (exchange.method, exchange.target, length, body)
+        timeout_s = call.deadline - self._clock.seconds()
+        result = await self._claims.claim(
+            call.match.service, call.key.decode("ascii"), request, timeout_s
+        )
         if call.is_done:
-            return
-        call.timer = None
-        now = self._clock.seconds()
-        kind = ErrorKind.DEADLINE_BEFORE_DISPATCH
+            if isinstance(result, Claim):
+                await self._claims.release(result)
+        elif isinstance(result, Claim):
+            call.claim = result
+            self._dispatcher.route(call)
+        elif isinstance(result, Outcome):
+            call.respond(result)
+            self._dispatcher.end(call)
+        else:
+            self._dispatcher.fail(call, result)
+
+    # Ends.
+
+    def _on_end(self, call: Call, lost: Upstream | None) -> None:
+        self._calls -= 1
+        if lost is not None:
+            self._on_worker_lost(call, lost)
+        elif call.status and call.key is None:
+            now = self._clock.seconds()
+            self._suspects.record_completed(call.get_subject(), now)
+        if call.claim is not None:
+            self._claims.start(self._settle(call, call.claim))
+        if self._drained is not None:
+            self._check_drained()
+
+    async def _settle(self, call: Call, claim: Claim) -> None:
         if call.is_dispatched:
-            kind = ErrorKind.DEADLINE_AFTER_DISPATCH
-            record_failure(call.upstream, now)
-            self._record(call, now, True)
-        self._fail(call, kind, "the deadline has passed")
-
-    def _on_closed(self, call: Call, error: ErrorResult) -> None:
-        if call.is_done:
+            outcome = call.get_outcome() if call.is_completed else None
+            await self._claims.record(claim, outcome)
             return
+        # The caller may use the key again as soon as it has the answer.
+        await self._claims.release(claim)
+        if call.error is not None:
+            call.fail(call.error)
+
+    # Suspects.
+
+    def _check_suspect(self, call: Call) -> ErrorResult | None:
+        suspects = self._suspects
+        if not suspects.suspects_by_fingerprint:
+            return None
+        if suspects.is_blocked(call.get_subject(), self._clock.seconds()):
+            reason = "workers were lost while they ran this request"
+            return ErrorResult(ErrorKind.SUSPECT_REQUEST, reason)
+        return None
+
+    def _on_worker_lost(self, call: Call, upstream: Upstream) -> None:
         now = self._clock.seconds()
-        call.fail(error)
-        self._end(call, now)
-
-    def _fail(self, call: Call, kind: ErrorKind, reason: str) -> None:
-        self._metrics.count(f"refused.{kind.value}")
-        call.fail(ErrorResult(kind, reason))
-        self._end(call, self._clock.seconds())
-
-    def _end(self, call: Call, now: float) -> None:
-        if call.is_done:
-            return
-        call.is_done = True
-        call.release()
-        route = call.match.route
-        service = call.match.service
-        if call.is_waiting:
-            call.is_waiting = False
-            self._queues_by_service[service].discard(call, route.request_class)
-        self._metrics.record_latency(route.request_class, now - call.started_at)
-        self._leave_upstream(call)
-        self._leave()
-
-    def _leave_upstream(self, call: Call) -> None:
-        upstream, call.upstream = call.upstream, None
-        if upstream is not None:
-            upstream.in_flight -= 1
-            if self._queues_by_service:
-                self._drain_queue(upstream.service)
-
-    def _leave(self) -> None:
-        self.in_flight -= 1
-        if not self.in_flight and self._drained is not None:
-            drained, self._drained = self._drained, None
-            drained.callback(None)
-
-    def _record(self, call: Call, now: float, is_failure: bool) -> None:
         move = call.snapshot.moves_by_service.get(call.match.service)
-        if move is None:
+        is_new = move is not None and call.version == move.to_version
+        notice = self._suspects.record_lost(
+            call.get_subject(), upstream.address, is_new, now
+        )
+        if notice is None:
             return
-        route = call.match.route
-        self._windows.record(
-            move.move_id,
-            call.snapshot.revision,
-            route.name,
-            route.request_class,
-            call.version == move.to_version,
-            is_failure,
-            now - call.attempt_at,
-            now,
+        log_event(402, fingerprint=notice.fingerprint, seconds=SUSPECT_S)
+        if notice.crashes > 1:
+            self._notify_suspect(notice)
+            return
+
+        def on_alive(connection: ClientConnection) -> None:
+            connection.abort()
+            upstream.ejected_until = 0.0
+            seen = self._suspects.record_alive(notice, self._clock.seconds())
+            self._notify_suspect(seen)
+
+        self._dispatcher.pool.connect(
+            upstream.address, on_alive, lambda reason: self._notify_suspect(notice)
         )
 
 
@@ -453,13 +344,3 @@
     if not int(value):
         return ErrorResult(ErrorKind.DEADLINE_BEFORE_DISPATCH, "no time is left")
     return min(timeout_s, int(value) / 1000)
-
-
-def _has_room(candidates: Candidates, request_class: str) -> bool:
-    in_flight = 0
-    capacity = 0
-    for zone in (candidates.near, candidates.far):
-        for upstream in zone:
-            in_flight += upstream.in_flight
-            capacity += upstream.connection_share
-    return is_admitted(request_class, in_flight, capacity) or not capacity
--- a/bamboocove/transport/clients.py
+++ b/bamboocove/transport/clients.py
@@ -205,6 +205,10 @@
             receiver.on_response(status, self._headers, self._length)
             if self._receiver is not receiver:
                 return
+            if not self._is_complete and not self._data:
+                # The body may come much later; the head is not held for it.
+                receiver.on_response_data(b"")
+                return
         if self._is_complete:
             data = self._take_data()
             # Set free first: the receiver may start another request.
--- a/bamboocove/transport/exchanges.py
+++ b/bamboocove/transport/exchanges.py
@@ -147,6 +147,9 @@
         length : int or None
             Body bytes; -1 if unknown, None for a response without a body.
         """
+        self.is_chunked = False
+        if status in (204, 304):
+            length = None
         if length is not None and length < 0:
             if self.is_http10:
                 length = None
@@ -172,10 +175,10 @@
             self.is_chunked = False
 
     def write(self, data: bytes) -> None:
-        """Send a part of the response body."""
+        """Send a part of the response body; empty data sends the head."""
         if self.is_closed or self.is_finished:
             return
-        if self.is_chunked:
+        if data and self.is_chunked:
             data = format_chunk(data)
         if self.response_head:
             data = self.response_head + data
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,345 @@
+"""The HTTP server: malformed, pipelined, chunked, half-closed, oversized input."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+
+from bamboocove.errors import ErrorKind
+from bamboocove.transport.calls import (
+    HEAD_S,
+    HELD_BYTES,
+    IDLE_S,
+    LINGER_S,
+    ServerConnection,
+)
+from bamboocove.transport.framing import MAX_HEAD_BYTES
+
+MAX_BODY = 1000
+
+
+class Transport(StringTransport):
+    """Transport that records how it is closed."""
+
+    is_write_closed = False
+
+    def loseWriteConnection(self):
+        self.is_write_closed = True
+
+    def setTcpNoDelay(self, enabled):
+        pass
+
+
+class Server:
+    """A connection whose requests are collected, and answered if told to."""
+
+    def __init__(self, answers=True, max_body=MAX_BODY):
+        self.clock = MemoryReactorClock()
+        self.transport = Transport()
+        self.exchanges = []
+        self.bodies = []
+        self.errors = []
+        self.answers = answers
+        self.connection = ServerConnection(self.on_request, max_body, self.clock)
+        self.connection.makeConnection(self.transport)
+
+    def on_request(self, exchange):
+        self.exchanges.append(exchange)
+        body = []
+        self.bodies.append(body)
+        exchange.on_closed = self.errors.append
+        if self.answers:
+            exchange.receive(body.append, lambda: self.answer(exchange, body))
+
+    def answer(self, exchange, body=()):
+        exchange.respond(200, [(b"x", exchange.target)], b"".join(body))
+
+    def feed(self, data, size=0):
+        for start in range(0, len(data), size or len(data)):
+            if self.transport.disconnected or self.transport.disconnecting:
+                return
+            self.connection.dataReceived(data[start : start + (size or len(data))])
+
+    @property
+    def output(self):
+        return self.transport.value()
+
+    @property
+    def is_closed(self):
+        transport = self.transport
+        return transport.disconnecting or transport.is_write_closed
+
+
+GET = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+PUT = b"PUT /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
+CHUNKED = (
+    b"PUT /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"3;ext=1\r\nhel\r\n2\r\nlo\r\n0\r\nTrailer: x\r\n\r\n"
+)
+
+
+@given(st.lists(st.integers(1, 40), min_size=1, max_size=60))
+@settings(derandomize=True, max_examples=60, deadline=None)
+def test_any_chunking_gives_the_same_requests(sizes):
+    """Guards against state that depends on where the input is cut."""
+    server = Server()
+    data = GET + PUT + CHUNKED + GET
+    while data:
+        for size in sizes:
+            server.connection.dataReceived(data[:size])
+            data = data[size:]
+            if not data:
+                break
+    assert [e.target for e in server.exchanges] == [b"/a", b"/b", b"/c", b"/a"]
+    assert [b"".join(body) for body in server.bodies] == [b"", b"hello", b"hello", b""]
+    assert server.output.count(b"HTTP/1.1 200 OK") == 4
+    assert not server.is_closed
+
+
+@given(st.binary(max_size=200), st.integers(1, 50))
+@settings(derandomize=True, max_examples=100, deadline=None)
+def test_arbitrary_input_is_answered_or_awaited(data, size):
+    """Guards against an exception that leaves a connection open and unanswered."""
+    server = Server()
+    server.feed(b"GET / HTTP/1.1\r\n" + data, size)
+    if server.output:
+        assert server.output.startswith(b"HTTP/1.1 ")
+
+
+def test_pipelined_requests_are_answered_in_order():
+    """Guards against a response that reaches the wrong request."""
+    server = Server(answers=False)
+    server.feed(GET + PUT)
+    assert len(server.exchanges) == 1
+    assert server.transport.producerState == "paused"
+    server.answer(server.exchanges[0])
+    assert len(server.exchanges) == 2
+    server.answer(server.exchanges[1])
+    assert server.output.index(b"x: /a") < server.output.index(b"x: /b")
+    assert server.transport.producerState == "producing"
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        b"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding: chunked\r\nContent-Length: 5\r\n",
+        b"Content-Length: 5\r\nContent-Length: 6\r\n",
+        b"Content-Length: 5, 5\r\n",
+        b"Content-Length: -1\r\n",
+        b"Content-Length: +5\r\n",
+        b"Transfer-Encoding: gzip, chunked\r\n",
+        b"Transfer-Encoding: identity\r\n",
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        b"Transfer-Encoding : chunked\r\n",
+        b"X: a\r\n folded\r\n",
+        b"X: a\0b\r\n",
+        b"Host: other\r\n",
+        b"Connection: upgrade\r\nUpgrade: websocket\r\n",
+        b"Expect: something\r\n",
+    ],
+)
+def test_refuses_ambiguous_heads(fields):
+    """Guards against request smuggling: nothing after the head is a request."""
+    server = Server()
+    server.feed(b"PUT /a HTTP/1.1\r\nHost: h\r\n" + fields + b"\r\n" + GET)
+    assert server.output.startswith(b"HTTP/1.1 400 ")
+    assert b"bamboocove-run: not-run" in server.output
+    assert server.output.count(b"HTTP/1.1") == 1
+    assert not server.exchanges
+    assert server.is_closed
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\x16\x03\x01\x02\x00\x01\x00",
+        b"GET /a\r\n\r\n",
+        b"GET /a HTTP/1.1\r\n\r\n",
+        b"PUT /a HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n",
+        b"CONNECT h:1 HTTP/1.1\r\nHost: h\r\n\r\n",
+        b"GET a HTTP/1.1\r\nHost: h\r\n\r\n",
+    ],
+)
+def test_refuses_malformed_requests(data):
+    """Guards against guesses at what a malformed request means."""
+    server = Server()
+    server.feed(data)
+    assert server.output.startswith(b"HTTP/1.1 400 ")
+    assert not server.exchanges
+    assert server.is_closed
+
+
+def test_answers_what_came_before_a_malformed_request():
+    """Guards against the loss of a response to an earlier good request."""
+    server = Server(answers=False)
+    server.feed(GET + b"\0\0\0")
+    assert not server.output
+    server.answer(server.exchanges[0])
+    assert server.output.index(b"HTTP/1.1 200") < server.output.index(b"HTTP/1.1 400")
+
+
+def test_malformed_chunk_ends_the_request():
+    """Guards against a body that is passed on as if it were complete."""
+    server = Server()
+    head = b"PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    server.feed(head + b"3\r\nabc\r\n")
+    server.feed(b"zz\r\n")
+    assert [error.kind for error in server.errors] == [ErrorKind.BAD_REQUEST]
+    assert server.output.startswith(b"HTTP/1.1 400 ")
+
+
+@pytest.mark.parametrize("size", [1000, 1 << 20])
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * (2 * MAX_HEAD_BYTES),
+        b"GET /" + b"x" * (2 * MAX_HEAD_BYTES),
+        b"GET /a HTTP/1.1\r\nHost: h\r\n" + b"X: y\r\n" * 1000 + b"\r\n",
+        b"GET /a HTTP/1.1\r\nHost: h\r\nX: "
+        + b"x" * (MAX_HEAD_BYTES + 1)
+        + b"\r\n\r\n",
+    ],
+)
+def test_refuses_large_heads(head, size):
+    """Guards against memory held for an unbounded head."""
+    server = Server()
+    server.feed(head, size)
+    assert server.output.startswith(b"HTTP/1.1 413 ")
+    assert not server.exchanges
+    assert server.is_closed
+
+
+def test_refuses_large_trailers():
+    """Guards against memory held for an unbounded trailer."""
+    server = Server()
+    server.feed(CHUNKED[: CHUNKED.index(b"Trailer")])
+    server.feed(b"T: " + b"x" * (2 * MAX_HEAD_BYTES), 1000)
+    assert server.output.startswith(b"HTTP/1.1 413 ")
+
+
+def test_refuses_large_bodies():
+    """Guards against bodies above the limit, declared or not."""
+    server = Server()
+    server.feed(b"PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1001\r\n\r\n")
+    assert server.output.startswith(b"HTTP/1.1 413 ")
+    server = Server()
+    head = b"PUT /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    server.feed(head + b"1f4\r\n" + b"x" * 500 + b"\r\n")
+    assert not server.output
+    server.feed(b"1f5\r\n" + b"x" * 501 + b"\r\n")
+    assert server.output.startswith(b"HTTP/1.1 413 ")
+    assert [error.kind for error in server.errors] == [ErrorKind.TOO_LARGE]
+
+
+def test_holds_a_bounded_part_of_the_body():
+    """Guards against a whole body in memory while its receiver is not ready."""
+    server = Server(answers=False, max_body=1 << 30)
+    server.feed(b"PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 9999999\r\n\r\n")
+    server.feed(b"x" * HELD_BYTES)
+    assert server.transport.producerState == "producing"
+    server.feed(b"x")
+    assert server.transport.producerState == "paused"
+    body = []
+    server.exchanges[0].receive(body.append, lambda: None)
+    assert len(b"".join(body)) == HELD_BYTES + 1
+    assert server.transport.producerState == "producing"
+
+
+def test_asks_for_an_expected_body_only_once_it_is_wanted():
+    """Guards against a body that is sent for a request that is refused."""
+    head = b"PUT /a HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\nExpect: 100-continue"
+    server = Server(answers=False)
+    server.feed(head + b"\r\n\r\n")
+    assert not server.output
+    exchange = server.exchanges[0]
+    exchange.receive(lambda data: None, lambda: server.answer(exchange))
+    assert server.output == b"HTTP/1.1 100 Continue\r\n\r\n"
+    server.feed(b"hello")
+    assert b"HTTP/1.1 200 OK" in server.output
+    assert not server.is_closed
+    server = Server(answers=False)
+    server.feed(head + b"\r\n\r\n")
+    server.answer(server.exchanges[0])
+    assert b"100 Continue" not in server.output
+    assert b"connection: close" in server.output
+
+
+def test_early_answer_lingers_before_the_close():
+    """Guards against a reset that destroys an answer sent before the body's end."""
+    server = Server(answers=False)
+    server.feed(PUT[:-2])
+    server.answer(server.exchanges[0])
+    assert b"connection: close" in server.output
+    assert server.transport.is_write_closed
+    server.feed(b"lo" + GET)
+    assert len(server.exchanges) == 1
+    assert not server.transport.disconnected
+    server.clock.advance(LINGER_S)
+    assert server.transport.disconnected
+
+
+def test_half_close_cancels_the_request():
+    """Guards against work for a caller that is gone."""
+    server = Server(answers=False)
+    server.feed(GET + GET)
+    server.connection.connectionLost()
+    assert [error.kind for error in server.errors] == [ErrorKind.CANCELLED]
+    server.answer(server.exchanges[0])
+    assert not server.output
+    assert len(server.exchanges) == 1
+
+
+def test_connection_close_ends_the_connection():
+    """Guards against requests run after the caller announced its close."""
+    server = Server()
+    server.feed(b"GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n" + GET)
+    assert len(server.exchanges) == 1
+    assert server.output.count(b"HTTP/1.1") == 1
+    assert server.is_closed
+
+
+@pytest.mark.parametrize(("start", "limit"), [(b"", IDLE_S), (b"GET /", HEAD_S)])
+def test_closes_connections_that_wait_too_long(start, limit):
+    """Guards against connections held open without a request."""
+    server = Server()
+    if start:
+        server.feed(start)
+    server.connection.sweep(limit)
+    assert not server.transport.disconnected
+    server.connection.sweep(limit + 1)
+    assert server.transport.disconnected
+
+
+def test_frames_streamed_responses():
+    """Guards against a response whose end the caller cannot find."""
+    server = Server(answers=False)
+    server.feed(GET + b"HEAD /a HTTP/1.1\r\nHost: h\r\n\r\n")
+    first = server.exchanges[0]
+    first.start(200, [], -1)
+    first.write(b"")
+    assert server.output.endswith(b"transfer-encoding: chunked\r\n\r\n")
+    first.write(b"abc")
+    first.finish()
+    assert server.output.endswith(b"3\r\nabc\r\n0\r\n\r\n")
+    server.transport.clear()
+    server.exchanges[1].start(200, [], 7)
+    server.exchanges[1].finish()
+    assert server.output.endswith(b"content-length: 7\r\n\r\n")
+    assert not server.is_closed
+    server = Server(answers=False)
+    server.feed(b"GET /a HTTP/1.0\r\n\r\n")
+    server.exchanges[0].start(200, [], -1)
+    server.exchanges[0].finish(b"abc")
+    assert b"chunked" not in server.output
+    assert server.output.endswith(b"connection: close\r\n\r\nabc")
+    assert server.transport.disconnecting
+
+
+def test_error_replaces_a_head_that_was_not_sent():
+    """Guards against chunked framing of an error that follows a chunked head."""
+    server = Server(answers=False)
+    server.feed(GET)
+    server.exchanges[0].start(200, [], -1)
+    server.exchanges[0].respond(502, [], b"lost")
+    assert server.output.endswith(b"content-length: 4\r\n\r\nlost")
--- /dev/null
+++ b/tests/test_idempotency.py
@@ -0,0 +1,145 @@
+"""Claims of idempotency keys against a store that loses answers."""
+
+import pytest
+from twisted.internet.defer import Deferred
+
+from bamboocove.coordination.idempotency import (
+    Claim,
+    ClaimRecord,
+    Outcome,
+    check_key,
+    claim_key,
+    digest_request,
+    record_outcome,
+    release_claim,
+    repeat,
+    withdraw_claim,
+)
+from bamboocove.errors import ErrorKind, ErrorResult
+from tests.callpath import FakeTable
+
+RECORD = ClaimRecord(b"digest", "n1", 10.0)
+ROW = "idempotency/orders/k"
+
+
+def result_of(coroutine):
+    results = []
+    Deferred.fromCoroutine(coroutine).addCallback(results.append)
+    return results[0]
+
+
+def claim(table, record=RECORD, operation_id="op1", now=0.0):
+    return result_of(claim_key(table, "orders", "k", record, operation_id, now))
+
+
+def test_second_request_does_not_run():
+    """Guards against a payment that is taken twice."""
+    table = FakeTable()
+    held = claim(table)
+    assert isinstance(held, Claim)
+    assert claim(table, operation_id="op2").kind is ErrorKind.KEY_IN_PROGRESS
+    outcome = Outcome(201, ((b"x", b"y"),), b"done")
+    assert result_of(record_outcome(table, held, outcome, "op3")) is None
+    assert claim(table, operation_id="op4") == outcome
+
+
+def test_claim_of_a_lost_node_is_unknown():
+    """Guards against "in progress" for good after a node has crashed."""
+    table = FakeTable()
+    claim(table)
+    assert claim(table, operation_id="op2", now=10.0).kind is ErrorKind.UPSTREAM_LOST
+
+
+def test_unknown_outcome_is_kept():
+    """Guards against a second run after the first one's response was lost."""
+    table = FakeTable()
+    result_of(record_outcome(table, claim(table), None, "op2"))
+    assert claim(table, operation_id="op3").kind is ErrorKind.UPSTREAM_LOST
+
+
+def test_large_body_is_not_replayed_in_part():
+    """Guards against an incomplete response to the second request."""
+    table = FakeTable()
+    result_of(record_outcome(table, claim(table), Outcome(200, (), None), "op2"))
+    result = claim(table, operation_id="op3")
+    assert result.kind is ErrorKind.UPSTREAM_LOST
+    assert "200" in result.reason
+
+
+def test_reused_key_is_refused():
+    """Guards against the outcome of one request given to another."""
+    table = FakeTable()
+    claim(table)
+    other = ClaimRecord(b"other", "n1", 10.0)
+    assert claim(table, other, "op2").kind is ErrorKind.KEY_REUSED
+    assert digest_request(b"POST", b"/a", 1, b"b") != digest_request(
+        b"POST", b"/a", 1, b"c"
+    )
+
+
+def test_lost_answer_is_read_back():
+    """Guards against a refusal, or a second claim, after the write took effect."""
+    table = FakeTable()
+    table.answers = ["lost"]
+    held = claim(table)
+    assert isinstance(held, Claim)
+    assert result_of(release_claim(table, held, "op2")) is None
+    assert not table.rows
+
+
+@pytest.mark.parametrize(
+    ("answers", "reads", "kind"),
+    [
+        (["unavailable"], [], ErrorKind.STORE_UNAVAILABLE),
+        (["dropped"], [], ErrorKind.STORE_UNKNOWN),
+        (["lost"], ["unavailable"], ErrorKind.STORE_UNKNOWN),
+    ],
+)
+def test_no_claim_without_a_confirmed_write(answers, reads, kind):
+    """Guards against a dispatch without a claim."""
+    table = FakeTable()
+    table.answers, table.reads = answers, reads
+    assert claim(table).kind is kind
+
+
+def test_withdraws_only_its_own_claim():
+    """Guards against a claim that blocks its key, and against removing another's."""
+    table = FakeTable()
+    withdraw = withdraw_claim(table, ROW, "op1", "op2")
+    assert result_of(withdraw).kind is ErrorKind.NOT_FOUND
+    claim(table)
+    assert result_of(withdraw_claim(table, ROW, "op9", "op3")) is None
+    assert ROW in table.rows
+    assert result_of(withdraw_claim(table, ROW, "op1", "op4")) is None
+    assert not table.rows
+
+
+def test_repeats_until_it_succeeds():
+    """Guards against an outcome that one store fault leaves unrecorded."""
+    table = FakeTable()
+    held = claim(table)
+    table.answers = ["unavailable", "lost"]
+    slept = []
+
+    async def sleep(seconds):
+        slept.append(seconds)
+
+    def attempt():
+        return record_outcome(table, held, Outcome(200, (), b""), "op2")
+
+    assert result_of(repeat(attempt, sleep)) is None
+    assert len(slept) == 2
+    assert isinstance(claim(table, operation_id="op3"), Outcome)
+
+    async def fail():
+        return ErrorResult(ErrorKind.STORE_UNAVAILABLE, "fault")
+
+    assert result_of(repeat(fail, sleep, (0.1,))).kind is ErrorKind.STORE_UNAVAILABLE
+
+
+@pytest.mark.parametrize("key", [b"a b", b"\xff", b"x" * 201, b"a\x7f"])
+def test_refuses_odd_keys(key):
+    """Guards against keys that a row key or a log line cannot hold."""
+    assert check_key(key).kind is ErrorKind.BAD_REQUEST
+    assert check_key(None).kind is check_key(b"").kind is ErrorKind.KEY_REQUIRED
+    assert check_key(b"order-1/a") is None
--- /dev/null
+++ b/tests/test_upstreams.py
@@ -0,0 +1,66 @@
+"""What a node keeps about each worker."""
+
+from bamboocove.state.upstreams import (
+    FAILURES_TO_EJECT,
+    FIRST_EJECTION_S,
+    LONGEST_EJECTION_S,
+    UpstreamTable,
+    eject,
+    record_failure,
+    record_success,
+)
+from tests.callpath import make_member
+
+
+def refresh(table, now, *members):
+    workers = [(member, worker) for member in members for worker in member.workers]
+    table.refresh(workers, now)
+    return table.upstreams_by_address.get(("127.0.0.1", 1))
+
+
+def test_consecutive_failures_eject():
+    """Guards against calls to a worker that fails each of them."""
+    upstream = refresh(UpstreamTable(), 0.0, make_member(1, 1))
+    for _ in range(FAILURES_TO_EJECT - 1):
+        assert not record_failure(upstream, 1.0)
+    record_success(upstream)
+    for _ in range(FAILURES_TO_EJECT - 1):
+        assert not record_failure(upstream, 1.0)
+    assert record_failure(upstream, 1.0) == FIRST_EJECTION_S
+    assert upstream.ejected_until == 1.0 + FIRST_EJECTION_S
+
+
+def test_ejection_grows_and_is_bounded():
+    """Guards against a dead worker that is tried every second for good."""
+    upstream = refresh(UpstreamTable(), 0.0, make_member(1, 1))
+    now, times = 0.0, []
+    for _ in range(8):
+        times.append(eject(upstream, now))
+        assert not eject(upstream, now), "failures in flight do not add up"
+        now = upstream.ejected_until
+    assert times[:4] == [1.0, 2.0, 4.0, 8.0]
+    assert max(times) == LONGEST_EJECTION_S
+    record_success(upstream)
+    assert eject(upstream, now) == FIRST_EJECTION_S
+
+
+def test_refresh_keeps_state_and_notices_new_workers():
+    """Guards against calls counted for a worker that another one replaced."""
+    table = UpstreamTable()
+    first = refresh(table, 0.0, make_member(1, 1))
+    first.in_flight = 3
+    assert refresh(table, 5.0, make_member(1, 1)) is first
+    replaced = refresh(table, 6.0, make_member(1, 1, "v2"))
+    assert replaced is not first
+    assert (replaced.version, replaced.first_seen) == ("v2", 6.0)
+    assert refresh(table, 7.0) is None
+
+
+def test_worker_that_comes_back_starts_slowly():
+    """Guards against a full load on a restarted worker, and a stale ejection."""
+    table = UpstreamTable()
+    upstream = refresh(table, 0.0, make_member(1, 1))
+    eject(upstream, 20.0)
+    refresh(table, 20.0, make_member(1, 1, state="down"))
+    refresh(table, 20.5, make_member(1, 1))
+    assert (upstream.first_seen, upstream.ejected_until) == (20.5, 0.0)
