--- a/bamboocove/protocol/rows.py
+++ b/bamboocove/protocol/rows.py
@@ -4,8 +4,12 @@
 
 from attrs import frozen
 
+from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.state.members import Member
+
 HEAD_KEY = "config/head"
 HISTORY_PREFIX = "config/history/"
+NODE_PREFIX = "node/"
 COORDINATOR_LEASE_KEY = "lease/coordinator"
 ABSENT = 0
 
@@ -81,6 +85,49 @@
     versions_by_key: dict[str, int]
 
 
+@frozen
+class Conflict(ErrorResult):
+    """A check of a transaction failed, and nothing was written.
+
+    Parameters
+    ----------
+    key : str
+        Key of the first check that failed.
+    version : int
+        Version of that row.
+
+    Examples
+    --------
+    >>> Conflict.of("config/head", 4).kind
+    <ErrorKind.CONFLICT: 'conflict'>
+    """
+
+    key: str
+    version: int
+
+    @classmethod
+    def of(cls, key: str, version: int) -> "Conflict":
+        """Create a conflict with its reason."""
+        reason = f"row {key} has version {version}"
+        return cls(ErrorKind.CONFLICT, reason, key, version)
+
+
+@frozen
+class NodeRecord:
+    """Value of a row ``node/<zone>/<node id>``, the registration of a node.
+
+    Parameters
+    ----------
+    member : Member
+        The node's own record when it wrote the row.
+    at : float
+        Unix time in seconds; old rows are of nodes that were lost.
+    """
+
+    member: Member
+    at: float
+
+
 @frozen
 class HeadRecord:
     """Value of the row ``config/head``."""
--- /dev/null
+++ b/tests/test_publishing.py
@@ -0,0 +1,232 @@
+"""Publishing under lost answers, races and lost leases."""
+
+import pytest
+from attrs import evolve
+
+from bamboocove.coordination.lease import acquire_lease
+from bamboocove.coordination.publishing import (
+    Published,
+    publish,
+    read_head,
+    read_history,
+)
+from bamboocove.errors import ErrorKind
+from bamboocove.protocol.rows import (
+    COORDINATOR_LEASE_KEY,
+    HEAD_KEY,
+    HistoryRecord,
+    LeaseRecord,
+    history_key,
+)
+from bamboocove.state.codec import decode
+from bamboocove.state.config import Config, Delta, Service, apply_delta
+from tests.fakes import FakeObjects, FakeTable, run
+
+HISTORY = HistoryRecord(0, "ana", 100.0, "a change")
+
+
+@pytest.fixture
+def table():
+    return FakeTable()
+
+
+@pytest.fixture
+def objects():
+    return FakeObjects()
+
+
+def make_next(base: Published, version: str) -> Config:
+    return evolve(
+        base.config,
+        revision=base.config.revision + 1,
+        services_by_name={"orders": Service("orders", version)},
+    )
+
+
+def publish_next(table, objects, base, version, operation_id, lease=None):
+    config = make_next(base, version)
+    return run(publish(table, objects, base, config, HISTORY, operation_id, lease))
+
+
+def test_empty_store_has_revision_0(table, objects):
+    assert run(read_head(table, objects)) == Published(Config(), 0)
+
+
+def test_published_config_is_read_back_and_history_leads_to_it(table, objects):
+    base = run(read_head(table, objects))
+    first = publish_next(table, objects, base, "v1", "op-1")
+    second = publish_next(table, objects, first, "v2", "op-2")
+    assert run(read_head(table, objects)) == second
+    records = run(read_history(table, 1, 10))
+    assert [record.revision for record in records] == [2]
+    assert apply_delta(first.config, decode(Delta, records[0].delta)) == second.config
+
+
+def test_lost_answer_is_resolved_by_the_operation_id(table, objects):
+    """Guards against reporting a failure for a change that is in force."""
+    base = run(read_head(table, objects))
+    table.lost_answers = 1
+    result = publish_next(table, objects, base, "v1", "op-1")
+    assert result == run(read_head(table, objects))
+    assert result.config.revision == 1
+    assert table.writes == 1
+
+
+def test_delayed_write_cannot_land_after_the_outcome_is_known(table, objects):
+    """Guards against taking an absent history row as proof of no effect."""
+    base = run(read_head(table, objects))
+    table.delayed_writes = 1
+    result = publish_next(table, objects, base, "v1", "op-1")
+    assert result.config.revision == 1
+    rival = publish_next(table, objects, result, "v2", "op-2")
+    late = table.deliver_delayed()
+    assert [item.kind for item in late] == [ErrorKind.CONFLICT]
+    assert run(read_head(table, objects)) == rival
+
+
+def test_delayed_write_that_lands_before_the_second_copy_counts_once(table, objects):
+    """Guards against reporting a conflict of an operation with itself."""
+    base = run(read_head(table, objects))
+    table.delayed_writes = 1
+
+    def deliver_late(transaction):
+        if table.delayed:
+            table.deliver_delayed()
+
+    table.before_transact = deliver_late
+    result = publish_next(table, objects, base, "v1", "op-1")
+    assert result == run(read_head(table, objects))
+    assert table.state.rows_by_key[HEAD_KEY].version == 1
+
+
+def test_outage_after_a_lost_answer_is_unknown(table, objects):
+    """Guards against claiming either outcome without having read it back."""
+    base = run(read_head(table, objects))
+    table.lost_answers = 1
+
+    def fail(key):
+        table.is_down = True
+
+    table.before_get = fail
+    config = make_next(base, "v1")
+    result = run(publish(table, objects, base, config, HISTORY, "op-1"))
+    assert result.kind == ErrorKind.STORE_UNKNOWN
+    table.before_get = None
+    table.is_down = False
+    # The caller repeats it when the store is back; it is not done twice.
+    result = run(publish(table, objects, base, config, HISTORY, "op-1"))
+    assert result == run(read_head(table, objects))
+    assert table.state.rows_by_key[HEAD_KEY].version == 1
+
+
+def test_outage_before_the_write_is_unavailable(table, objects):
+    base = run(read_head(table, objects))
+    table.is_down = True
+    result = publish_next(table, objects, base, "v1", "op-1")
+    assert result.kind == ErrorKind.STORE_UNAVAILABLE
+
+
+def test_second_of_two_racing_writers_is_told_and_first_stays(table, objects):
+    """Guards against a lost update between operators."""
+    base = run(read_head(table, objects))
+    first = publish_next(table, objects, base, "v1", "op-1")
+    second = publish_next(table, objects, base, "v9", "op-2")
+    assert second.kind == ErrorKind.CONFLICT
+    assert run(read_head(table, objects)) == first
+    row = table.state.rows_by_key[history_key(1)]
+    assert row.operation_id == "op-1"
+
+
+def test_loser_of_a_race_after_a_lost_answer_is_told(table, objects):
+    """Guards against taking the winner's history row for one's own."""
+    base = run(read_head(table, objects))
+    table.delayed_writes = 1
+    rival = FakeTable()
+    rival.state = table.state
+    won = []
+
+    def let_rival_win(key):
+        if not won:
+            won.append(publish_next(rival, objects, base, "v9", "op-2"))
+
+    table.before_get = let_rival_win
+    result = publish_next(table, objects, base, "v1", "op-1")
+    assert result.kind == ErrorKind.CONFLICT
+    assert [item.kind for item in table.deliver_delayed()] == [ErrorKind.CONFLICT]
+    assert run(read_head(rival, objects)) == won[0]
+
+
+def make_lease_record(holder, expires_at):
+    return LeaseRecord(holder, "127.0.0.1", 7000, 0, expires_at)
+
+
+def test_paused_holder_cannot_publish_after_a_takeover(table, objects):
+    """Guards against a holder that wakes up after its lease was taken over."""
+    base = run(read_head(table, objects))
+    old = run(
+        acquire_lease(table, COORDINATOR_LEASE_KEY, make_lease_record("a", 10.0), 0.0)
+    )
+    run(acquire_lease(table, COORDINATOR_LEASE_KEY, make_lease_record("b", 21.0), 11.0))
+    result = publish_next(table, objects, base, "v1", "op-1", old)
+    assert result.kind == ErrorKind.FENCED
+    assert run(read_head(table, objects)) == base
+
+
+def test_holder_publishes_while_it_holds_the_lease(table, objects):
+    base = run(read_head(table, objects))
+    held = run(
+        acquire_lease(table, COORDINATOR_LEASE_KEY, make_lease_record("a", 10.0), 0.0)
+    )
+    result = publish_next(table, objects, base, "v1", "op-1", held)
+    assert result.config.revision == 1
+
+
+def test_head_never_names_a_missing_object(table, objects):
+    """Guards against writing the head before its object."""
+    base = run(read_head(table, objects))
+    objects.is_down = True
+    result = publish_next(table, objects, base, "v1", "op-1")
+    assert result.kind == ErrorKind.STORE_UNAVAILABLE
+    assert table.writes == 0
+
+
+def test_lost_answer_of_the_object_store_is_repeated(table, objects):
+    base = run(read_head(table, objects))
+    objects.lost_answers = 1
+    result = publish_next(table, objects, base, "v1", "op-1")
+    assert result.config.revision == 1
+    assert objects.writes == 2
+
+
+def test_object_of_a_lost_race_does_not_replace_the_winners(table, objects):
+    """Guards against two writers sharing the object name of one revision."""
+    base = run(read_head(table, objects))
+    rival = []
+
+    def let_rival_win(transaction):
+        table.before_transact = None
+        rival.append(publish_next(table, objects, base, "v9", "op-2"))
+
+    table.before_transact = let_rival_win
+    result = publish_next(table, objects, base, "v1", "op-1")
+    assert result.kind == ErrorKind.CONFLICT
+    assert run(read_head(table, objects)) == rival[0]
+    assert len(objects.objects_by_name) == 2
+
+
+def test_damaged_object_is_refused(table, objects):
+    base = run(read_head(table, objects))
+    publish_next(table, objects, base, "v1", "op-1")
+    name = next(iter(objects.objects_by_name))
+    objects.objects_by_name[name] = objects.objects_by_name[name][:-1]
+    assert run(read_head(table, objects)).kind == ErrorKind.INVALID_CONFIG
+    del objects.objects_by_name[name]
+    assert run(read_head(table, objects)).kind == ErrorKind.NOT_FOUND
+
+
+def test_revision_must_follow_the_base(table, objects):
+    """Guards against a revision that skips or repeats a number."""
+    base = Published(Config(revision=3), 3)
+    config = Config(revision=3)
+    result = run(publish(table, objects, base, config, HISTORY, "op-1"))
+    assert result.kind == ErrorKind.STALE
