--- a/bamboocove/coordination/peering.py
+++ b/bamboocove/coordination/peering.py
@@ -2,6 +2,7 @@
 
 import functools
 import hashlib
+import itertools
 from collections.abc import Mapping
 
 from attrs import evolve
@@ -17,9 +18,13 @@
 # More would flood a host that returns; fewer would delay the end of a
 # partition in which each side holds the other for down.
 PROBES_PER_DOWN_MEMBER = 3
-# Fractions of the ring at which fingers point, in order of preference; the
-# successor precedes them and keeps the ring connected.
-FINGER_DIVISIONS = ((1, 4), (1, 2), (3, 4), (1, 8), (3, 8), (5, 8), (7, 8))
+# Eighths of the ring at which fingers point, in order of preference. The first
+# is the successor, which keeps the ring connected.
+FINGER_EIGHTHS = (0, 2, 4, 6, 1, 3, 5, 7)
+# A finger stays where it is while it is this close to its point, as a part of
+# the ring: otherwise one change of membership moves a link of most nodes.
+FINGER_TOLERANCE = 1 / 16
+RING_SIZE = 2**64
 
 
 @functools.lru_cache(maxsize=16384)
@@ -33,9 +38,17 @@
     return int.from_bytes(hashlib.blake2b(pair, digest_size=8).digest())
 
 
-def pick_fingers(own_id: str, members: list[Member], count: int) -> list[Member]:
+def pick_fingers(
+    own_id: str,
+    members: list[Member],
+    count: int,
+    current: frozenset[str] = frozenset(),
+) -> list[Member]:
     """Pick peers over the hash ring: successor, quarter, half and so on.
 
+    The points are fractions of the number of members. Fractions of the hash
+    space would give some members several times as many links as others.
+
     Parameters
     ----------
     own_id : str
@@ -44,20 +57,33 @@
         Live members of one availability zone.
     count : int
         Peers to pick; fewer if the zone is small.
+    current : frozenset of str
+        Peers picked before.
     """
-    own = compute_position(own_id)
+    start = compute_position(own_id)
     ring = sorted(
         (member for member in members if member.node_id != own_id),
-        key=lambda member: (compute_position(member.node_id) - own) % 2**64,
+        key=lambda member: (compute_position(member.node_id) - start) % RING_SIZE,
     )
-    size = len(ring) + 1
-    offsets = [1, *(size * part // whole for part, whole in FINGER_DIVISIONS)]
-    offsets += range(2, min(size, count + 2))
+    size = len(ring)
     picked: dict[str, Member] = {}
-    for offset in offsets:
-        if 0 < offset < size and len(picked) < count:
-            member = ring[offset - 1]
-            picked.setdefault(member.node_id, member)
+    for eighths in itertools.islice(itertools.cycle(FINGER_EIGHTHS), count):
+        place = size * eighths // 8
+        reach = int(size * FINGER_TOLERANCE) if eighths else 0
+        near = range(max(0, place - reach), min(size, place + reach + 1))
+        choices = [
+            *(
+                member
+                for member in map(ring.__getitem__, near)
+                if member.node_id in current
+            ),
+            *ring[place:],
+            *ring[:place],
+        ]
+        for member in choices:
+            if member.node_id not in picked:
+                picked[member.node_id] = member
+                break
     return list(picked.values())
 
 
@@ -95,12 +121,27 @@
     own: Member,
     links: int,
     avoided_zones: frozenset[str] = frozenset(),
+    current: frozenset[str] = frozenset(),
 ) -> list[Member]:
-    """Pick the peers that a node links to: ``links`` in its zone, one outside."""
+    """Pick the peers that a node links to: ``links`` in its zone, one outside.
+
+    Parameters
+    ----------
+    table : MemberTable
+        Table of this node.
+    own : Member
+        This node.
+    links : int
+        Peers in the own zone.
+    avoided_zones : frozenset of str
+        See ``pick_remote``.
+    current : frozenset of str
+        Peers picked before, see ``pick_fingers``.
+    """
     live = table.get_live()
     local = [member for member in live if member.zone == own.zone]
     remote = [member for member in live if member.zone != own.zone]
-    picked = pick_fingers(own.node_id, local, links)
+    picked = pick_fingers(own.node_id, local, links, current)
     other = pick_remote(own.node_id, remote, avoided_zones)
     return picked if other is None else [*picked, other]
 
--- a/bamboocove/membership.py
+++ b/bamboocove/membership.py
@@ -250,7 +250,8 @@
         basis = (self.table.changes, avoided)
         if basis != self._targets_for:
             links = self.settings.get("peers", "links")
-            self._targets = pick_peers(self.table, self.own, links, avoided)
+            current = frozenset(member.node_id for member in self._targets)
+            self._targets = pick_peers(self.table, self.own, links, avoided, current)
             self._targets_for = basis
         return self._targets
 
--- /dev/null
+++ b/tests/state/test_config.py
@@ -0,0 +1,106 @@
+"""Tests of bamboocove.state.config."""
+
+from attrs import evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from bamboocove.errors import ErrorKind
+from bamboocove.protocol.messages import ConfigFull, decode_message, encode_message
+from bamboocove.state.codec import decode, encode
+from bamboocove.state.config import (
+    Config,
+    Move,
+    Route,
+    Service,
+    apply_delta,
+    compute_digest,
+    decode_config,
+    encode_config,
+    make_delta,
+    reuse_unchanged,
+)
+
+NAMES = st.text(min_size=1, max_size=30)
+ROUTES = st.builds(Route, NAMES, NAMES, timeout_s=st.integers(1, 9) | st.floats(1, 9))
+SERVICES = st.builds(
+    Service, NAMES, NAMES, st.tuples(NAMES), st.lists(ROUTES, max_size=2).map(tuple)
+)
+MOVES = st.builds(Move, NAMES, NAMES, NAMES, NAMES, st.floats(0, 2e9))
+CONFIGS = st.builds(
+    lambda revision, services, moves: Config(
+        revision,
+        "t",
+        1,
+        {service.name: service for service in services},
+        {move.move_id: move for move in moves},
+    ),
+    st.integers(0, 2**40),
+    st.lists(SERVICES, max_size=30),
+    st.lists(MOVES, max_size=3),
+)
+
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(CONFIGS)
+def test_encoding_from_pieces_is_the_canonical_one(config):
+    """Guards against two encodings of one configuration."""
+    assert encode_config(config) == encode(config)
+    decoded = decode_config(encode_config(config))
+    assert decoded == config
+    assert compute_digest(decoded) == compute_digest(config)
+    assert decode_message(encode_message(ConfigFull(config))) == ConfigFull(config)
+
+
+@settings(max_examples=100, derandomize=True, deadline=None)
+@given(CONFIGS, CONFIGS)
+def test_delta_leads_to_the_same_configuration_everywhere(old, new):
+    """Guards against digests that depend on how a node got its configuration."""
+    delta = make_delta(old, new)
+    plain = decode(type(delta), encode(delta))
+    result = apply_delta(decode_config(encode(old)), plain)
+    assert result == new
+    assert compute_digest(result) == compute_digest(decode_config(encode(new)))
+    assert compute_digest(reuse_unchanged(old, new)) == compute_digest(new)
+
+
+def test_digest_covers_every_part():
+    """Guards against a cached digest that outlives a change."""
+    route = Route("r", "/r")
+    service = Service("s", "v1", ("d",), (route,))
+    move = Move("m", "s", "v1", "v2", 1.0)
+    config = Config(1, "t", 1, {"s": service}, {"m": move})
+    compute_digest(config)
+    variants = [
+        config,
+        evolve(config, revision=2),
+        evolve(config, tenant="u"),
+        evolve(config, text_revision=2),
+        evolve(config, services_by_name={"s": evolve(service, version="v2")}),
+        evolve(config, services_by_name={"s": evolve(service, depends_on=())}),
+        evolve(
+            config,
+            services_by_name={"s": evolve(service, routes=(evolve(route, path="/x"),))},
+        ),
+        evolve(config, services_by_name={}),
+        evolve(config, services_by_name={"x": service}),
+        evolve(config, moves_by_id={"m": evolve(move, share=0.01)}),
+        evolve(config, moves_by_id={}),
+    ]
+    assert len({compute_digest(variant) for variant in variants}) == len(variants)
+
+
+def test_whole_numbers_and_fractions_have_one_encoding():
+    """Guards against a digest that differs after decoding: 5 becomes 5.0."""
+    service = Service("s", "v", (), (Route("r", "/", timeout_s=5),))
+    config = Config(1, "t", 1, {"s": service}, {"m": Move("m", "s", "a", "b", 7)})
+    decoded = decode_config(encode_config(config))
+    assert compute_digest(decoded) == compute_digest(config)
+
+
+def test_wrong_delta_is_refused():
+    """Guards against a delta on another base or with another result."""
+    old, new = Config(1, "t"), Config(2, "t", 2, {"s": Service("s", "v")})
+    delta = make_delta(old, new)
+    assert apply_delta(new, delta).kind is ErrorKind.STALE
+    other = evolve(delta, services=(Service("s", "x"),))
+    assert apply_delta(old, other).kind is ErrorKind.INVALID_CONFIG
