--- a/bamboocove/operations.py
+++ b/bamboocove/operations.py
@@ -65,7 +65,9 @@
     offer: Callable[[Config], object]
     get_announced: Callable[[], Mapping[str, Collection[str]]]
 
-    async def apply(self, data: bytes, base: int, author: str, now: float) -> EditResult:
+    async def apply(
+        self, data: bytes, base: int, author: str, now: float
+    ) -> EditResult:
         """Publish an edit as the next revision.
 
         Parameters
