--- a/bamboocove/distributor.py
+++ b/bamboocove/distributor.py
@@ -1,5 +1,6 @@
 """Peer task: spreads configuration, member records and notices over links."""
 
+import math
 from collections.abc import Callable, Iterable, Mapping
 from random import Random
 from typing import Any
@@ -143,7 +144,7 @@
             (heartbeat_s, self._beat),
             (DIAL_S, self._dial_peers),
         ):
-            loop = LoopingCall(function)
+            loop = LoopingCall(self._run_periodic, function)
             loop.clock = self._clock
             # Nodes that start together spread their heartbeats.
             delay_s = interval_s * self._random.random()
@@ -249,13 +250,21 @@
 
     # Periodic work.
 
+    def _run_periodic(self, function: Callable[[], None]) -> None:
+        # An exception would end the loop, and peers would take this node for
+        # dead although it still serves.
+        try:
+            function()
+        except Exception as error:
+            log_event(305, reason=f"{type(error).__name__}: {error}")
+
     def _beat(self) -> None:
         now = self._clock.seconds()
         self._membership.beat(now)
         age_s = self.get_store_age(now)
         heartbeat = Heartbeat(
             revision=self.distribution.config.revision,
-            store_age_s=round(age_s, 1) if age_s < float("inf") else -1.0,
+            store_age_s=_round_age(age_s),
             members_digest=self._members.digest,
         )
         self._links.send_all(heartbeat)
@@ -349,3 +358,9 @@
     def _send(self, sends: list[Send]) -> None:
         for send in sends:
             self._links.send(send.peer, send.message)
+
+
+def _round_age(age_s: float) -> float:
+    # Rounded up and with a margin for the way to the peer: an age that becomes
+    # younger by rounding or transit would never grow old as it goes round.
+    return math.ceil(age_s * 10 + 1) / 10 if age_s < float("inf") else -1.0
--- a/bamboocove/events.py
+++ b/bamboocove/events.py
@@ -61,6 +61,12 @@
     Event(302, "DEBUG", "link to {address} opened"),
     Event(303, "DEBUG", "link to {address} closed: {reason}"),
     Event(304, "INFO", "worker {address} of {service} {version} is {state}"),
+    Event(
+        305,
+        "ERROR",
+        "periodic work of the peer task failed: {reason}",
+        "report the reason as a fault of this program",
+    ),
     Event(
         401,
         "WARNING",
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -1,8 +1,5 @@
 """Tests of bamboocove.transport.peers over loopback sockets and without them."""
 
-import threading
-from queue import Queue
-
 import pytest
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
@@ -10,6 +7,7 @@
 from websockets.frames import Frame, Opcode
 from websockets.server import ServerProtocol
 
+from bamboocove.errors import ErrorKind
 from bamboocove.protocol.messages import (
     CoordinatorNotice,
     Goodbye,
@@ -18,8 +16,7 @@
 )
 from bamboocove.transport import peers
 from bamboocove.transport.peers import LinkHandlers, PeerLink, PeerNetwork
-
-WAIT_S = 10.0
+from tests.loopback import run_with_reactor
 
 
 class Recorder:
@@ -228,57 +225,35 @@
 
 def test_loopback_sockets():
     """Guards against a network that works only in memory."""
-    from twisted.internet.selectreactor import SelectReactor
-
-    reactor = SelectReactor()
-    results = Queue()
     server, client = Recorder(), Recorder()
 
-    def on_message(link, message):
+    def answer(link, message):
         link.send(message)
         link.close("answered")
 
-    async def run():
+    async def run(reactor):
         listening, dialling = PeerNetwork(reactor), PeerNetwork(reactor)
-        handlers = LinkHandlers(
-            lambda link: None, on_message, server.handlers.on_closed
-        )
+        handlers = LinkHandlers(lambda link: None, answer, server.handlers.on_closed)
         port = await listening.listen("127.0.0.1", 0, handlers)
         taken = await dialling.listen("127.0.0.1", port, handlers)
-        results.put(("taken", bool(taken)))
+        assert taken.kind is ErrorKind.INVALID_SETTINGS
         done = Deferred()
-        dialling.dial(
-            "127.0.0.1",
-            port,
-            LinkHandlers(
-                lambda link: link.send(SuspectNotice("f" * 100_000, "s", 1.0)),
-                client.handlers.on_message,
-                lambda link, reason: done.callback(reason),
-            ),
+        handlers = LinkHandlers(
+            lambda link: link.send(SuspectNotice("f" * 100_000, "s", 1.0)),
+            client.handlers.on_message,
+            lambda link, reason: done.callback(reason),
         )
-        results.put(("closed", await done))
+        dialling.dial("127.0.0.1", port, handlers)
+        closed = await done
         await listening.stop()
         refused = Deferred()
-        dialling.dial(
-            "127.0.0.1",
-            port,
-            LinkHandlers(None, None, lambda link, reason: refused.callback(reason)),
+        handlers = LinkHandlers(
+            None, None, lambda link, reason: refused.callback(reason)
         )
-        results.put(("refused", "refused" in (await refused)))
-
-    def start():
-        running = Deferred.fromCoroutine(run())
-        running.addErrback(lambda failure: results.put(("failed", str(failure))))
-        running.addBoth(lambda _: reactor.callLater(0, reactor.stop))
-
-    reactor.callLater(0, start)
-    reactor.callLater(WAIT_S, reactor.stop)
-    thread = threading.Thread(
-        target=reactor.run, kwargs={"installSignalHandlers": False}, daemon=True
-    )
-    thread.start()
-    thread.join(WAIT_S + 5)
-    assert not thread.is_alive()
-    seen = dict(results.queue)
-    assert seen == {"taken": False, "closed": "closed by peer", "refused": True}
+        dialling.dial("127.0.0.1", port, handlers)
+        return closed, await refused
+
+    closed, refused = run_with_reactor(run)
+    assert closed == "closed by peer" and "refused" in refused
     assert client.messages == [SuspectNotice("f" * 100_000, "s", 1.0)]
+    assert server.closed == ["answered"]
