--- /dev/null
+++ b/bamboocove/coordination/judgement.py
@@ -0,0 +1,391 @@
+"""Sequential comparison of a new version with the old one, by route and class."""
+
+import math
+
+from attrs import define, evolve, field, frozen
+
+from bamboocove.coordination.sequential import (
+    ODDS_RATIOS,
+    Wager,
+    compare_windows,
+    compare_with_rate,
+    log_likelihood_ratio,
+    open_wager,
+    place_bet,
+)
+from bamboocove.state.config import Move
+from bamboocove.state.evidence import Evidence, OutcomeCounts
+
+STEP_SHARES = (0.01, 0.05, 0.10, 0.25, 0.50, 1.0)
+STREAMS = ("failures", "slow")
+
+# Probability of ever calling a version bad that is not, for a whole move.
+ALPHA = 0.01
+# A verdict needs bad events in at least this many closed windows.
+WINDOWS_FOR_BAD = 3
+# Largest part of a service's calls that a step may put at risk of being newly
+# bad. The margin on a route is this divided by the next share and by the
+# route's part of the calls.
+HARM_BUDGET = 0.02
+# Largest excess of bad calls that a good verdict leaves possible on any route,
+# so that a route with few calls is not passed unseen.
+MARGIN_MAX = 0.2
+CONFIDENCE = 0.95
+# With fewer calls on the new version a route has no evidence.
+CALLS_MIN = 5
+# Wealth at which no step is taken although the version is not shown to be bad.
+SUSPECT_E_VALUE = 10.0
+# Wealth against the old version's earlier rate at which traffic goes back to
+# 50% so that both versions can be compared in the same windows.
+REFERENCE_ALPHA = 0.01
+# Windows are pooled until they hold this many calls, because a window with few
+# calls of the old version says little, and for at most POOL_MAX_S.
+POOL_CALLS = 50
+POOL_S = 2.0
+POOL_MAX_S = 30.0
+# An old version with more bad calls than this in a window is in an outage; its
+# rate is too noisy for the non-inferiority margin.
+OUTAGE_RATE = 0.25
+OUTAGE_CALLS = 8
+# Calls for which the old version's rate on the step counts in a window's rate.
+RATE_PRIOR_CALLS = 50
+# Assumed rates while few calls of the old version are known, by stream.
+PRIOR_RATES = {"failures": 0.01, "slow": 0.06}
+PRIOR_CALLS = 30
+RATE_MIN = 0.002
+RATE_MAX = 0.95
+
+RouteKey = tuple[str, str]
+
+
+@frozen
+class Verdict:
+    """What the evidence of one step says.
+
+    Parameters
+    ----------
+    kind : {"bad", "good", "no_evidence", "undecided"}
+        ``no_evidence`` means too few calls to tell.
+    reason : str
+        For a person.
+    route, request_class : str
+        The route that decided; empty if none did.
+    is_suspect : bool
+        Whether there are signs, short of proof, that the version is bad.
+    has_traffic : bool
+        Whether any call to the old version was seen during the move.
+    """
+
+    kind: str
+    reason: str
+    route: str = ""
+    request_class: str = ""
+    is_suspect: bool = False
+    has_traffic: bool = True
+
+
+@frozen
+class StreamTest:
+    """The wagers on one stream of bad events of one route."""
+
+    bad: Wager = field(factory=lambda: open_wager(len(ODDS_RATIOS)))
+    earned: Wager = field(factory=lambda: open_wager(1))
+    reference: Wager = field(factory=lambda: open_wager(len(ODDS_RATIOS)))
+
+
+@frozen
+class RouteTest:
+    """State of the comparison on one route and class.
+
+    Parameters
+    ----------
+    old_pool, new_pool : OutcomeCounts
+        Windows that are not yet closed.
+    pool_since : float
+        Unix time in seconds of the first window in the pool.
+    old_step, new_step : OutcomeCounts
+        Closed windows of the current step.
+    old_total, new_total : OutcomeCounts
+        All outcomes of the move.
+    tests_by_stream : dict of str to StreamTest
+        Wagers.
+    """
+
+    old_pool: OutcomeCounts = OutcomeCounts()
+    new_pool: OutcomeCounts = OutcomeCounts()
+    pool_since: float = 0.0
+    old_step: OutcomeCounts = OutcomeCounts()
+    new_step: OutcomeCounts = OutcomeCounts()
+    old_total: OutcomeCounts = OutcomeCounts()
+    new_total: OutcomeCounts = OutcomeCounts()
+    tests_by_stream: dict[str, StreamTest] = field(
+        factory=lambda: {stream: StreamTest() for stream in STREAMS}
+    )
+
+
+@define
+class Judgement:
+    """State of one move; updated in place, as it is fed every second.
+
+    Parameters
+    ----------
+    move_id : str
+        The move.
+    step : int
+        Step that evidence is collected for.
+    changed_at : float
+        When the step began, Unix time in seconds.
+    first_revision, last_revision : int
+        Revisions at which the move has had this step.
+    route_count : int
+        Routes of the service, over which alpha is divided.
+    tests_by_route : dict of (str, str) to RouteTest
+        Comparison on each route and class that was seen.
+    last_window_by_source : dict of (str, str, str) to float
+        Start of the newest window taken, by node, route and class.
+    braked_nodes : set of str
+        Nodes whose local brake is set. Their share differs from that of the
+        others, so their calls are not compared.
+    elapsed_s : float
+        Length of the time for which calls were counted.
+    """
+
+    move_id: str
+    step: int
+    changed_at: float
+    first_revision: int
+    last_revision: int
+    route_count: int = 1
+    tests_by_route: dict[RouteKey, RouteTest] = field(factory=dict)
+    last_window_by_source: dict[tuple[str, str, str], float] = field(factory=dict)
+    braked_nodes: set[str] = field(factory=set)
+    elapsed_s: float = 0.0
+    first_window: float = math.inf
+
+    @property
+    def log_threshold(self) -> float:
+        """Log wealth at which one stream of one route is bad."""
+        routes = max(1, self.route_count, len(self.tests_by_route))
+        return math.log(routes * len(STREAMS) / ALPHA)
+
+
+def start_judgement(move: Move, revision: int, route_count: int) -> Judgement:
+    """Return the state of a move without evidence."""
+    return Judgement(
+        move.move_id, move.step, move.changed_at, revision, revision, route_count
+    )
+
+
+def follow_move(judgement: Judgement, move: Move, revision: int) -> Judgement:
+    """Take note of a revision; a changed step begins without evidence."""
+    if (move.step, move.changed_at) == (judgement.step, judgement.changed_at):
+        judgement.last_revision = max(judgement.last_revision, revision)
+        return judgement
+    for key, test in judgement.tests_by_route.items():
+        closed = _close_pool(judgement, key, test)
+        judgement.tests_by_route[key] = _begin_step(closed)
+    judgement.step = move.step
+    judgement.changed_at = move.changed_at
+    judgement.first_revision = judgement.last_revision = revision
+    judgement.braked_nodes.clear()
+    return judgement
+
+
+def add_evidence(judgement: Judgement, evidence: Evidence) -> Judgement:
+    """Add the counts of one node.
+
+    Evidence of another move or revision, and windows that are not newer than
+    the newest one taken from that node, are ignored.
+    """
+    key = (evidence.route, evidence.request_class)
+    source = (evidence.node_id, *key)
+    known = judgement.first_revision <= evidence.revision <= judgement.last_revision
+    last = judgement.last_window_by_source.get(source, -math.inf)
+    if evidence.move_id != judgement.move_id or not known:
+        return judgement
+    if evidence.window_start <= last or not _is_consistent(evidence):
+        return judgement
+    judgement.last_window_by_source[source] = evidence.window_start
+    judgement.first_window = min(judgement.first_window, evidence.window_start)
+    end = evidence.window_start + evidence.window_s
+    judgement.elapsed_s = max(judgement.elapsed_s, end - judgement.first_window)
+    test = judgement.tests_by_route.get(key, RouteTest())
+    test = evolve(
+        test,
+        old_total=test.old_total + evidence.old,
+        new_total=test.new_total + evidence.new,
+    )
+    if evidence.node_id not in judgement.braked_nodes:
+        is_empty = not test.old_pool.calls + test.new_pool.calls
+        test = evolve(
+            test,
+            old_pool=test.old_pool + evidence.old,
+            new_pool=test.new_pool + evidence.new,
+            pool_since=evidence.window_start if is_empty else test.pool_since,
+        )
+    judgement.tests_by_route[key] = test
+    return judgement
+
+
+def _is_consistent(evidence: Evidence) -> bool:
+    return all(
+        counts.failures >= 0
+        and counts.slow >= 0
+        and counts.failures + counts.slow <= counts.calls
+        for counts in (evidence.old, evidence.new)
+    )
+
+
+def close_windows(judgement: Judgement, now: float) -> Judgement:
+    """Bet on each pool that is large or old enough.
+
+    Whether a pool is closed depends on its age and number of calls, never on
+    their outcomes, so the wagers stay valid.
+    """
+    for key, test in judgement.tests_by_route.items():
+        age = now - test.pool_since
+        calls = test.old_pool.calls + test.new_pool.calls
+        if calls and (age >= POOL_MAX_S or age >= POOL_S and calls >= POOL_CALLS):
+            judgement.tests_by_route[key] = _close_pool(judgement, key, test)
+    return judgement
+
+
+def get_stream(counts: OutcomeCounts, stream: str) -> tuple[int, int]:
+    """Return calls and bad calls of a stream; a failed call cannot be slow."""
+    if stream == "failures":
+        return counts.calls, counts.failures
+    return counts.calls - counts.failures, counts.slow
+
+
+def estimate_rate(counts: OutcomeCounts, stream: str) -> float:
+    """Return the rate of bad calls, drawn to the prior while calls are few."""
+    calls, bad = get_stream(counts, stream)
+    rate = (bad + PRIOR_RATES[stream] * PRIOR_CALLS) / (calls + PRIOR_CALLS)
+    return min(max(rate, RATE_MIN), RATE_MAX)
+
+
+def compute_margin(judgement: Judgement, key: RouteKey) -> float:
+    """Return the excess rate of bad calls that must be excluded on a route."""
+    step = min(max(judgement.step, 0) + 1, len(STEP_SHARES) - 1)
+    return compute_step_margin(judgement, key, STEP_SHARES[step])
+
+
+def compute_step_margin(
+    judgement: Judgement, key: RouteKey, next_share: float
+) -> float:
+    """Return the margin that a route must meet before a share."""
+    tests = judgement.tests_by_route
+    total = sum(t.old_total.calls + t.new_total.calls for t in tests.values())
+    own = tests[key].old_total.calls + tests[key].new_total.calls
+    part = max(own, 1) / max(total, 1)
+    return min(MARGIN_MAX, HARM_BUDGET / (next_share * part))
+
+
+def _close_pool(judgement: Judgement, key: RouteKey, test: RouteTest) -> RouteTest:
+    margin = compute_margin(judgement, key)
+    log_cap = judgement.log_threshold / WINDOWS_FOR_BAD
+    tests = {
+        stream: _bet_stream(test, stream, margin, log_cap, judgement.step)
+        for stream in STREAMS
+    }
+    return evolve(
+        test,
+        old_pool=OutcomeCounts(),
+        new_pool=OutcomeCounts(),
+        old_step=test.old_step + test.old_pool,
+        new_step=test.new_step + test.new_pool,
+        tests_by_stream=tests,
+    )
+
+
+def _bet_stream(
+    test: RouteTest, stream: str, margin: float, log_cap: float, step: int
+) -> StreamTest:
+    current = test.tests_by_stream[stream]
+    new_calls, new_bad = get_stream(test.new_pool, stream)
+    old_calls, old_bad = get_stream(test.old_pool, stream)
+    if not new_calls:
+        return current
+    if not old_calls:
+        if step < len(STEP_SHARES) - 1:
+            return current
+        rate = estimate_rate(test.old_total, stream)
+        factors = compare_with_rate(new_calls, new_bad, rate)
+        return evolve(current, reference=place_bet(current.reference, factors, log_cap))
+    factors = compare_windows(new_calls, new_bad, old_calls, old_bad)
+    bad = place_bet(current.bad, factors, log_cap)
+    if old_calls >= OUTAGE_CALLS and old_bad > OUTAGE_RATE * old_calls:
+        return evolve(current, bad=bad)
+    known = estimate_rate(test.old_step + test.old_pool, stream)
+    rate = (old_bad + RATE_PRIOR_CALLS * known) / (old_calls + RATE_PRIOR_CALLS)
+    rate = min(max(rate, RATE_MIN), RATE_MAX - margin)
+    factor = log_likelihood_ratio(new_calls, new_bad, rate, rate + margin)
+    return evolve(current, bad=bad, earned=place_bet(current.earned, (factor,)))
+
+
+def _begin_step(test: RouteTest) -> RouteTest:
+    tests = {
+        stream: StreamTest(bad=current.bad)
+        for stream, current in test.tests_by_stream.items()
+    }
+    return evolve(
+        test,
+        old_step=OutcomeCounts(),
+        new_step=OutcomeCounts(),
+        tests_by_stream=tests,
+    )
+
+
+def _judge_route(test: RouteTest, log_threshold: float) -> tuple[str, str, bool]:
+    """Return kind, reason and whether the route is suspect."""
+    suspect = False
+    earned = True
+    log_reference = math.log(1.0 / REFERENCE_ALPHA)
+    for stream, wagers in test.tests_by_stream.items():
+        log_value = wagers.bad.log_value
+        if log_value >= log_threshold:
+            return "bad", f"{stream}: {_describe(test, stream)}", True
+        suspect = suspect or log_value >= math.log(SUSPECT_E_VALUE)
+        suspect = suspect or wagers.reference.log_value >= log_reference
+        earned = earned and wagers.earned.log_value >= -math.log(1.0 - CONFIDENCE)
+    calls = test.new_step.calls
+    if calls < CALLS_MIN:
+        return "no_evidence", f"{calls} calls to the new version", suspect
+    if earned:
+        return "good", f"{calls} calls to the new version", suspect
+    return "undecided", f"{calls} calls to the new version", suspect
+
+
+def _describe(test: RouteTest, stream: str) -> str:
+    new_calls, new_bad = get_stream(test.new_total, stream)
+    old_calls, old_bad = get_stream(test.old_total, stream)
+    return f"{new_bad} of {new_calls} new calls, {old_bad} of {old_calls} old calls"
+
+
+def get_verdict(judgement: Judgement, step: int) -> Verdict:
+    """Judge one step by the evidence collected on it."""
+    required = {
+        key: test
+        for key, test in sorted(judgement.tests_by_route.items())
+        if test.old_total.calls
+    }
+    if step != judgement.step:
+        return Verdict("no_evidence", f"no evidence of step {step}")
+    if not judgement.tests_by_route:
+        return Verdict("no_evidence", "no calls at all", has_traffic=False)
+    found = {
+        key: _judge_route(test, judgement.log_threshold)
+        for key, test in judgement.tests_by_route.items()
+    }
+    is_suspect = any(suspect for _, _, suspect in found.values())
+    for kind in ("bad", "undecided", "no_evidence"):
+        for key in found if kind == "bad" else required:
+            if found[key][0] == kind:
+                reason = f"{kind} on route {key[0]} ({key[1]}): {found[key][1]}"
+                return Verdict(kind, reason, *key, is_suspect)
+    if not required:
+        return Verdict(
+            "no_evidence", "no calls to the old version", is_suspect=is_suspect
+        )
+    reason = f"not worse on {len(required)} routes"
+    return Verdict("good", reason, "", "", is_suspect)
--- a/bamboocove/protocol/messages.py
+++ b/bamboocove/protocol/messages.py
@@ -8,7 +8,7 @@
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.state.codec import from_plain, to_plain
 from bamboocove.state.config import Config, Delta
-from bamboocove.state.evidence import Evidence
+from bamboocove.state.evidence import BrakeReport, Evidence
 from bamboocove.state.members import Member
 
 
@@ -111,9 +111,19 @@
 
 @frozen
 class EvidenceReport:
-    """Outcome counts of calls to services in a move."""
+    """Outcome counts of calls to services in a move.
+
+    Parameters
+    ----------
+    evidence : tuple of Evidence
+        Finished windows.
+    brakes : tuple of BrakeReport
+        Local brakes that are set; repeated in each report, as a report may be
+        lost.
+    """
 
     evidence: tuple[Evidence, ...]
+    brakes: tuple[BrakeReport, ...] = ()
 
 
 @frozen
--- a/bamboocove/state/evidence.py
+++ b/bamboocove/state/evidence.py
@@ -61,3 +61,29 @@
     window_s: float
     old: OutcomeCounts
     new: OutcomeCounts
+
+
+@frozen
+class BrakeReport:
+    """A node's local brake on a move is set.
+
+    Parameters
+    ----------
+    move_id : str
+        The move.
+    node_id : str
+        The node, which sends nothing to the new version.
+    revision : int
+        Revision that was active when the brake was set.
+    route, request_class : str
+        Where the bad calls were.
+    reason : str
+        For a person.
+    """
+
+    move_id: str
+    node_id: str
+    revision: int
+    route: str
+    request_class: str
+    reason: str
--- /dev/null
+++ b/tests/coordination/test_judgement.py
@@ -0,0 +1,229 @@
+"""Comparison of a new version with the old one."""
+
+import math
+from random import Random
+
+import pytest
+
+from bamboocove.coordination.judgement import (
+    ALPHA,
+    add_evidence,
+    close_windows,
+    follow_move,
+    get_verdict,
+    start_judgement,
+)
+from bamboocove.state.config import Move
+from bamboocove.state.evidence import Evidence, OutcomeCounts
+
+ROUTES = {"read": 20.0, "write": 9.5, "rare": 0.5}
+RUNS = 100
+
+
+def make_move(step=2, share=0.1, changed_at=0.0):
+    return Move(
+        "m", "orders", "v1", "v2", 3600.0, "stepping", share, step, "", 0.0, changed_at
+    )
+
+
+def make_evidence(start, old, new, revision=5, node="n1", route="read"):
+    return Evidence(
+        "m",
+        node,
+        revision,
+        route,
+        "normal",
+        start,
+        1.0,
+        OutcomeCounts(*old),
+        OutcomeCounts(*new),
+    )
+
+
+def draw(random, mean, failing, slow):
+    calls = int(mean) + (random.random() < mean % 1)
+    failures = sum(random.random() < failing for _ in range(calls))
+    late = sum(random.random() < slow for _ in range(calls - failures))
+    return calls, failures, late
+
+
+def run(seed, seconds, share=0.1, step=2, base=lambda t: 0.005, excess=None):
+    """Feed one judgement second by second; return verdict kinds by time."""
+    random = Random(seed)
+    judgement = start_judgement(make_move(step, share), 5, len(ROUTES))
+    excess = excess or (lambda route, second: (0.0, 0.0))
+    kinds = []
+    for second in range(seconds):
+        for route, rate in ROUTES.items():
+            failing, slow = excess(route, second)
+            old = draw(random, rate * (1 - share), base(second), 0.05)
+            new = draw(random, rate * share, base(second) + failing, 0.05 + slow)
+            item = make_evidence(float(second), old, new, route=route)
+            judgement = add_evidence(judgement, item)
+        close_windows(judgement, second + 1.0)
+        kinds.append(get_verdict(judgement, step).kind)
+        if kinds[-1] == "bad":
+            break
+    return kinds
+
+
+def find_bound(runs, alpha):
+    """Return the count that Binomial(runs, alpha) exceeds once in 1000."""
+    total = 0.0
+    for count in range(runs + 1):
+        total += math.comb(runs, count) * alpha**count * (1 - alpha) ** (runs - count)
+        if total >= 0.999:
+            return count
+    return runs
+
+
+@pytest.mark.parametrize("share", [0.1, 0.5])
+def test_false_alarms_stay_within_alpha(share):
+    # Guards against alarms on equal versions above the stated alpha, with a
+    # look every second and an outage that hits both versions.
+    def base(second):
+        return 0.4 if 30 <= second < 60 else 0.005
+
+    alarms = sum(run(seed, 120, share, 2, base)[-1] == "bad" for seed in range(RUNS))
+    assert alarms <= find_bound(RUNS, ALPHA)
+
+
+@pytest.mark.parametrize(
+    "excess",
+    [
+        pytest.param(lambda route, second: (0.3, 0.0), id="failing"),
+        pytest.param(lambda route, second: (0.0, 0.5), id="slow"),
+        pytest.param(lambda route, second: (0.5 * (second > 200), 0.0), id="late"),
+        pytest.param(lambda route, second: (0.5 * (route == "write"), 0.0), id="route"),
+    ],
+)
+def test_bad_versions_are_found(excess):
+    # Guards against a version that is bad in one stream, on one route or late
+    # and is not found at a share of 10%.
+    kinds = [run(seed, 400, excess=excess)[-1] for seed in range(25)]
+    assert kinds == ["bad"] * 25
+
+
+def test_bad_route_with_few_calls_does_not_hide():
+    # Guards against an average over routes: this route has 1 call in 60.
+    def excess(route, second):
+        return (0.9 * (route == "rare"), 0.0)
+
+    kinds = run(1, 900, excess=excess)
+    assert "good" not in kinds
+    assert kinds[-1] == "bad"
+
+
+def test_good_is_rarely_given_to_a_version_beyond_the_margin():
+    # Guards against steps earned by a version that is worse than the margin
+    # allows; 0.2 is the margin on every route before a share of 5%.
+    def excess(route, second):
+        return (0.25, 0.0)
+
+    runs = 100
+    passed = sum(
+        "good" in run(seed, 200, 0.01, 0, excess=excess) for seed in range(runs)
+    )
+    assert passed <= find_bound(runs, 0.05)
+
+
+def feed(judgement, items, now):
+    for item in items:
+        add_evidence(judgement, item)
+    return close_windows(judgement, now)
+
+
+def test_verdict_kinds_are_told_apart():
+    # Guards against silence or few calls being taken for a good version.
+    judgement = start_judgement(make_move(), 5, 1)
+    assert get_verdict(judgement, 2).kind == "no_evidence"
+    assert not get_verdict(judgement, 2).has_traffic
+    feed(judgement, [make_evidence(0.0, (60, 0, 3), (4, 0, 0))], 2.0)
+    assert get_verdict(judgement, 2).kind == "no_evidence"
+    assert get_verdict(judgement, 2).has_traffic
+    feed(judgement, [make_evidence(1.0, (60, 0, 3), (4, 0, 0))], 4.0)
+    assert get_verdict(judgement, 2).kind == "undecided"
+    feed(judgement, [make_evidence(2.0, (6000, 30, 300), (900, 4, 44))], 9.0)
+    assert get_verdict(judgement, 2).kind == "good"
+
+
+def test_route_without_evidence_blocks_a_good_verdict():
+    # Guards against a step earned while one route has not been tried.
+    judgement = start_judgement(make_move(), 5, 2)
+    items = [
+        make_evidence(0.0, (6000, 30, 300), (900, 4, 44)),
+        make_evidence(0.0, (50, 0, 0), (0, 0, 0), route="rare"),
+    ]
+    verdict = get_verdict(feed(judgement, items, 9.0), 2)
+    assert (verdict.kind, verdict.route) == ("no_evidence", "rare")
+
+
+@pytest.mark.parametrize(
+    "item",
+    [
+        pytest.param(make_evidence(0.0, (9, 0, 0), (9, 9, 0)), id="duplicate"),
+        pytest.param(make_evidence(-1.0, (9, 0, 0), (9, 9, 0)), id="older"),
+        pytest.param(make_evidence(1.0, (9, 0, 0), (9, 9, 0), 4), id="revision before"),
+        pytest.param(make_evidence(1.0, (9, 0, 0), (9, 9, 0), 6), id="unknown"),
+        pytest.param(make_evidence(1.0, (9, 0, 0), (9, 10, 0)), id="impossible"),
+        pytest.param(make_evidence(1.0, (9, 0, 0), (9, -1, 0)), id="negative"),
+    ],
+)
+def test_stale_evidence_is_ignored(item):
+    # Guards against counts of another share or a repeated report.
+    judgement = start_judgement(make_move(), 5, 1)
+    add_evidence(judgement, make_evidence(0.0, (9, 0, 0), (9, 0, 0)))
+    before = dict(judgement.tests_by_route)
+    add_evidence(judgement, item)
+    assert judgement.tests_by_route == before
+
+
+def test_evidence_of_another_revision_with_the_same_step_counts():
+    # Guards against one move's steps discarding the evidence of another move.
+    judgement = start_judgement(make_move(), 5, 1)
+    follow_move(judgement, make_move(), 6)
+    for start, revision in ((0.0, 5), (1.0, 6)):
+        add_evidence(judgement, make_evidence(start, (9, 0, 0), (9, 0, 0), revision))
+    assert judgement.tests_by_route["read", "normal"].new_total.calls == 18
+
+
+def test_new_step_begins_without_evidence():
+    # Guards against evidence of a lower share earning a later step.
+    judgement = start_judgement(make_move(), 5, 1)
+    feed(judgement, [make_evidence(0.0, (6000, 30, 300), (900, 4, 44))], 9.0)
+    assert get_verdict(judgement, 2).kind == "good"
+    follow_move(judgement, make_move(3, 0.25, 9.0), 6)
+    assert get_verdict(judgement, 3).kind == "no_evidence"
+    assert get_verdict(judgement, 2).kind == "no_evidence"
+
+
+def test_failures_of_a_single_window_are_no_verdict():
+    # Guards against the crash of the host of one worker, which fails all calls
+    # of the new version until the worker is ejected.
+    judgement = start_judgement(make_move(), 5, 1)
+    feed(judgement, [make_evidence(0.0, (200, 1, 9), (90, 90, 0))], 2.0)
+    assert get_verdict(judgement, 2).kind == "undecided"
+
+
+def test_braked_nodes_are_not_compared():
+    # Guards against the shares of braked nodes (0) being mixed with others.
+    judgement = start_judgement(make_move(), 5, 1)
+    judgement.braked_nodes.add("n1")
+    add_evidence(judgement, make_evidence(0.0, (90, 0, 0), (0, 0, 0)))
+    assert judgement.tests_by_route["read", "normal"].old_pool.calls == 0
+
+
+def test_rate_above_that_of_the_old_version_at_full_share_is_suspect():
+    # Guards against a late fault at 100%, where no old calls are left to
+    # compare with.
+    judgement = start_judgement(make_move(4, 0.5), 5, 1)
+    feed(judgement, [make_evidence(0.0, (2000, 10, 100), (2000, 10, 100))], 9.0)
+    follow_move(judgement, make_move(5, 1.0, 9.0), 6)
+    for second in range(10, 20):
+        item = make_evidence(float(second), (0, 0, 0), (60, 0, 3), 6)
+        feed(judgement, [item], second + 2.0)
+    assert not get_verdict(judgement, 5).is_suspect
+    for second in range(20, 30):
+        item = make_evidence(float(second), (0, 0, 0), (60, 9, 3), 6)
+        feed(judgement, [item], second + 2.0)
+    assert get_verdict(judgement, 5).is_suspect
