--- a/bamboocove/standin_platform.py
+++ b/bamboocove/standin_platform.py
@@ -176,8 +176,6 @@
     """
 
     app = Klein()
-    # Keys may contain empty path segments.
-    app.url_map.merge_slashes = False
 
     def __init__(self, clock: Any):
         self.table = TableState()
--- a/bamboocove/standin_worker.py
+++ b/bamboocove/standin_worker.py
@@ -25,6 +25,9 @@
 COLD_FACTOR = 5.0
 # Longest time that a drain waits for calls in flight.
 DRAIN_LIMIT_S = 60.0
+# Time for the last answers to leave the send buffers, which the end of the
+# process would discard.
+FLUSH_S = 0.1
 CRASH_STATUS = 70
 LOAD_HEADER = "bamboocove-load"
 RUN_HEADER = "bamboocove-run"
@@ -240,8 +243,7 @@
             self._idle.addErrback(lambda _: None)
             await self._idle
         left = self.options.drain_s - (self._clock.seconds() - started_at)
-        if left > 0:
-            await deferLater(self._clock, left, lambda: None)
+        await deferLater(self._clock, max(left, FLUSH_S), lambda: None)
         self.state = "down"
         await self.stop()
 
@@ -252,6 +254,7 @@
             await self.announce()
         if self._port is not None:
             await self._port.stopListening()
+            self._port = None
         await self._pool.closeCachedConnections()
 
     async def announce(self) -> bool:
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -37,14 +37,18 @@
 
     def finish(result):
         results.append(result)
-        reactor.stop()
+        if len(results) == 1:
+            reactor.stop()
+
+    def give_up():
+        # Cancelling is not enough, as code under test may handle it and go on.
+        finish(Failure(TimeoutError(f"not finished after {limit_s} s")))
 
     def begin():
-        deferred = Deferred.fromCoroutine(make_coroutine(reactor))
-        deferred.addTimeout(limit_s, reactor)
-        deferred.addBoth(finish)
+        Deferred.fromCoroutine(make_coroutine(reactor)).addBoth(finish)
 
     reactor.callWhenRunning(begin)
+    reactor.callLater(limit_s, give_up)
     reactor.run(installSignalHandlers=False)
     if isinstance(results[0], Failure):
         results[0].raiseException()
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -18,7 +18,7 @@
     LeaseRecord,
     history_key,
 )
-from bamboocove.state.codec import decode
+from bamboocove.state.codec import decode, encode
 from bamboocove.state.config import Config, Delta, Service, apply_delta
 from tests.fakes import FakeObjects, FakeTable, run
 
@@ -172,6 +172,23 @@
     assert run(read_head(table, objects)) == base
 
 
+def test_paused_holder_is_told_that_it_is_fenced_after_its_successor_published(
+    table, objects
+):
+    """Guards against a conflict that the holder would answer by trying again."""
+    base = run(read_head(table, objects))
+    old = run(
+        acquire_lease(table, COORDINATOR_LEASE_KEY, make_lease_record("a", 10.0), 0.0)
+    )
+    new = run(
+        acquire_lease(table, COORDINATOR_LEASE_KEY, make_lease_record("b", 21.0), 11.0)
+    )
+    published = publish_next(table, objects, base, "v2", "op-2", new)
+    result = publish_next(table, objects, base, "v1", "op-1", old)
+    assert result.kind == ErrorKind.FENCED
+    assert run(read_head(table, objects)) == published
+
+
 def test_holder_publishes_while_it_holds_the_lease(table, objects):
     base = run(read_head(table, objects))
     held = run(
@@ -214,11 +231,14 @@
     assert len(objects.objects_by_name) == 2
 
 
-def test_damaged_object_is_refused(table, objects):
+def test_object_that_is_not_what_the_head_names_is_refused(table, objects):
+    """Guards against putting a damaged or exchanged object in force."""
     base = run(read_head(table, objects))
     publish_next(table, objects, base, "v1", "op-1")
     name = next(iter(objects.objects_by_name))
-    objects.objects_by_name[name] = objects.objects_by_name[name][:-1]
+    objects.objects_by_name[name] = encode(make_next(base, "v9"))
+    assert run(read_head(table, objects)).kind == ErrorKind.INVALID_CONFIG
+    objects.objects_by_name[name] = b"damaged"
     assert run(read_head(table, objects)).kind == ErrorKind.INVALID_CONFIG
     del objects.objects_by_name[name]
     assert run(read_head(table, objects)).kind == ErrorKind.NOT_FOUND
