Coordinator: turn evidence into published steps

Cause: verdicts and decisions had no holder that publishes them under a lease.

Change: coordinator.py renews the lease, takes evidence and brake reports, judges each open move and publishes at most one revision per tick, reverts first; the history record holds a 5xx event. A lapsed, fenced or lost lease drops the state; after a conflict or an unknown outcome the head is read again. Event 511 tells that a share goes back without a revert. Silence now has to be reported by all nodes for 60 s: a coordinator that had just taken the lease heard no calls, took the service for idle and would have moved all traffic near the deadline.

--- /dev/null
+++ b/bamboocove/coordination/coordinator.py
@@ -0,0 +1,362 @@
+"""Coordinator: the lease holder that turns evidence into published steps."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+from attrs import define, evolve, field, frozen
+
+from bamboocove.coordination.judgement import (
+    Judgement,
+    add_brake,
+    add_evidence,
+    close_windows,
+    follow_move,
+    get_verdict,
+    start_judgement,
+)
+from bamboocove.coordination.moves import (
+    NOTES,
+    BrakeCounts,
+    Decision,
+    WorkerCounts,
+    apply_decision,
+    plan_move,
+)
+from bamboocove.coordination.pacing import estimate_remaining_s
+from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.events import format_event, log_event
+from bamboocove.protocol.messages import CoordinatorNotice, EvidenceReport
+from bamboocove.protocol.rows import HistoryRecord, LeaseRecord
+from bamboocove.signals import move_ended
+from bamboocove.state.codec import encode
+from bamboocove.state.config import Config, Move, make_delta
+
+# Time between attempts to take the lease; each is one or two store requests.
+ACQUIRE_S = 3.0
+# Time between notices, for nodes that joined since the last one.
+ANNOUNCE_S = 5.0
+# The lease is renewed when this part of its time is left.
+RENEW_PART = 2 / 3
+# Least time between two revisions of a move that only change its reason.
+NOTE_S = 10.0
+# Evidence this much older or newer than the coordinator's clock is ignored.
+EVIDENCE_AGE_MAX_S = 60.0
+# What is published first when several moves change at the same time.
+URGENCY = (
+    "revert",
+    "step_back",
+    "repeat",
+    "expire",
+    "advance",
+    "finish",
+    "warn",
+    "hold",
+    "resume",
+)
+STEP_EVENTS = {
+    "advance": 502,
+    "hold": 503,
+    "resume": 502,
+    "warn": 506,
+    "repeat": 511,
+    "step_back": 511,
+    "finish": 504,
+    "revert": 505,
+    "expire": 510,
+}
+
+
+class HeldLease(Protocol):
+    """What the coordinator reads of a lease that it holds."""
+
+    token: int
+    expires_at: float
+
+
+class Published(Protocol):
+    """What the coordinator reads of the published head."""
+
+    config: Config
+
+
+@frozen
+class CoordinatorPorts:
+    """Functions through which the coordinator reaches the rest of the node.
+
+    Parameters
+    ----------
+    acquire : callable
+        ``await acquire(record, now) -> HeldLease | ErrorResult``.
+    renew : callable
+        ``await renew(held, record, now) -> HeldLease | ErrorResult``.
+    release : callable
+        ``await release(held)``.
+    read_head : callable
+        ``await read_head() -> Published | ErrorResult``.
+    publish : callable
+        ``await publish(base, config, history, operation_id, held) ->
+        Published | ErrorResult``.
+    is_reader : callable
+        ``is_reader(now) -> bool``; only readers try to take the lease.
+    count_workers : callable
+        ``count_workers(move) -> WorkerCounts``.
+    announce : callable
+        ``announce(notice)`` sends a ``CoordinatorNotice`` to all nodes.
+    offer : callable
+        ``offer(config)`` hands a published revision to distribution.
+    make_operation_id : callable
+        Returns a new unique identifier.
+    """
+
+    acquire: Callable[[LeaseRecord, float], Awaitable[Any]]
+    renew: Callable[[Any, LeaseRecord, float], Awaitable[Any]]
+    release: Callable[[Any], Awaitable[Any]]
+    read_head: Callable[[], Awaitable[Any]]
+    publish: Callable[[Any, Config, HistoryRecord, str, Any], Awaitable[Any]]
+    is_reader: Callable[[float], bool]
+    count_workers: Callable[[Move], WorkerCounts]
+    announce: Callable[[CoordinatorNotice], None]
+    offer: Callable[[Config], None]
+    make_operation_id: Callable[[], str]
+
+
+@define
+class MoveState:
+    """What the coordinator remembers of one move while it holds the lease."""
+
+    judgement: Judgement
+    repeats: int = 0
+    noted_at: float = float("-inf")
+    warned_deadline: float | None = None
+
+
+@define
+class Coordinator:
+    """Task that judges moves and publishes their steps.
+
+    Parameters
+    ----------
+    node_id, host : str
+        This node and its IP number.
+    peer_port : int
+        TCP port to which nodes send evidence.
+    ports : CoordinatorPorts
+        The rest of the node.
+    lease_s, step_s : float
+        Lease time and least time on a step in seconds.
+    """
+
+    node_id: str
+    host: str
+    peer_port: int
+    ports: CoordinatorPorts
+    lease_s: float = 10.0
+    step_s: float = 5.0
+    lease: HeldLease | None = None
+    states_by_move: dict[str, MoveState] = field(factory=dict)
+    _tried_at: float = float("-inf")
+    _announced_at: float = float("-inf")
+    _is_ticking: bool = False
+
+    def post(self, report: EvidenceReport, now: float) -> None:
+        """Take a report; without the lease it is dropped."""
+        if self.lease is None:
+            return
+        for evidence in report.evidence:
+            state = self.states_by_move.get(evidence.move_id)
+            is_recent = abs(now - evidence.window_start) <= EVIDENCE_AGE_MAX_S
+            if state is not None and is_recent:
+                add_evidence(state.judgement, evidence)
+        for brake in report.brakes:
+            state = self.states_by_move.get(brake.move_id)
+            if state is not None:
+                add_brake(state.judgement, brake)
+
+    async def tick(self, now: float) -> None:
+        """Renew the lease, judge, and publish at most one revision.
+
+        A call while another one waits for the store does nothing.
+        """
+        if self._is_ticking:
+            return
+        self._is_ticking = True
+        try:
+            await self._tick(now)
+        finally:
+            self._is_ticking = False
+
+    async def stop(self) -> None:
+        """Give the lease up."""
+        lease = self.lease
+        self._drop("node stops")
+        if lease is not None:
+            await self.ports.release(lease)
+
+    async def _tick(self, now: float) -> None:
+        if self.lease is not None and now >= self.lease.expires_at:
+            self._drop("lapsed before it was renewed")
+            return
+        if not await self._hold_lease(now):
+            return
+        self._announce(now)
+        head = await self.ports.read_head()
+        # The lease may have been given up while the store was read.
+        if self.lease is None or isinstance(head, ErrorResult):
+            return
+        self._follow(head.config)
+        await self._step(head, now)
+
+    async def _hold_lease(self, now: float) -> bool:
+        if self.lease is None:
+            return await self._acquire(now)
+        if self.lease.expires_at - now > RENEW_PART * self.lease_s:
+            return True
+        held = await self.ports.renew(self.lease, self._make_record(now), now)
+        if self.lease is None:
+            return False
+        if not isinstance(held, ErrorResult):
+            self.lease = held
+            return True
+        if held.kind in (ErrorKind.FENCED, ErrorKind.CONFLICT):
+            self._drop(held.reason)
+        # With the store down the lease is kept until it lapses.
+        return False
+
+    async def _acquire(self, now: float) -> bool:
+        if now - self._tried_at < ACQUIRE_S or not self.ports.is_reader(now):
+            return False
+        self._tried_at = now
+        held = await self.ports.acquire(self._make_record(now), now)
+        if isinstance(held, ErrorResult):
+            return False
+        self.lease = held
+        self._announced_at = float("-inf")
+        log_event(508, token=held.token)
+        return True
+
+    def _make_record(self, now: float) -> LeaseRecord:
+        token = self.lease.token if self.lease is not None else 0
+        expires_at = now + self.lease_s
+        return LeaseRecord(self.node_id, self.host, self.peer_port, token, expires_at)
+
+    def _drop(self, reason: str) -> None:
+        if self.lease is not None:
+            log_event(509, reason=reason)
+        self.lease = None
+        self.states_by_move.clear()
+
+    def _announce(self, now: float) -> None:
+        if now - self._announced_at < ANNOUNCE_S:
+            return
+        self._announced_at = now
+        notice = CoordinatorNotice(
+            self.node_id, self.host, self.peer_port, self.lease.token
+        )
+        self.ports.announce(notice)
+
+    def _follow(self, config: Config) -> None:
+        followed = {}
+        for move in config.get_open_moves():
+            state = self.states_by_move.get(move.move_id)
+            if state is None:
+                routes = len(config.services_by_name[move.service].routes)
+                judgement = start_judgement(move, config.revision, routes)
+                state = MoveState(judgement)
+            follow_move(state.judgement, move, config.revision)
+            followed[move.move_id] = state
+        self.states_by_move = followed
+
+    async def _step(self, head: Published, now: float) -> None:
+        decided = []
+        for move in head.config.get_open_moves():
+            decision = self._decide(move, now)
+            if decision.kind != "keep":
+                decided.append((URGENCY.index(decision.kind), move.move_id, decision))
+        if not decided:
+            return
+        _, move_id, decision = min(decided, key=lambda item: item[:2])
+        await self._publish(head, head.config.moves_by_id[move_id], decision, now)
+
+    def _decide(self, move: Move, now: float) -> Decision:
+        state = self.states_by_move[move.move_id]
+        judgement = close_windows(state.judgement, now)
+        brakes = BrakeCounts(
+            len(judgement.braked_nodes), len(judgement.reporting_nodes), state.repeats
+        )
+        decision = plan_move(
+            move,
+            get_verdict(judgement, move.step),
+            now,
+            self.ports.count_workers(move),
+            brakes,
+            estimate_remaining_s(judgement),
+            self.step_s,
+        )
+        is_warned = state.warned_deadline == move.deadline
+        if decision.kind in NOTES and decision.warning and not is_warned:
+            return evolve(
+                decision,
+                kind="warn",
+                phase=move.phase,
+                reason=decision.warning,
+            )
+        if decision.kind in NOTES and now - state.noted_at < NOTE_S:
+            return evolve(decision, kind="keep")
+        return decision
+
+    async def _publish(
+        self, head: Published, move: Move, decision: Decision, now: float
+    ) -> None:
+        config = apply_decision(head.config, move, decision, now)
+        if isinstance(config, ErrorResult):
+            log_event(202, revision=head.config.revision + 1, reason=config.reason)
+            return
+        event = _describe(move, decision)
+        history = HistoryRecord(
+            config.revision,
+            self.node_id,
+            now,
+            f"move {move.move_id}: {decision.kind}: {decision.reason}",
+            (format_event(event[0], **event[1]),),
+            encode(make_delta(head.config, config)),
+        )
+        operation_id = self.ports.make_operation_id()
+        published = await self.ports.publish(
+            head, config, history, operation_id, self.lease
+        )
+        if isinstance(published, ErrorResult):
+            # After a conflict or an unknown outcome the next tick reads the
+            # head again and decides from what it finds.
+            if published.kind is ErrorKind.FENCED:
+                self._drop(published.reason)
+            return
+        log_event(event[0], **event[1])
+        self._remember(move, decision, now)
+        self.ports.offer(published.config)
+        if self.lease is not None:
+            self._follow(published.config)
+        changed = published.config.moves_by_id.get(move.move_id)
+        if changed is not None and changed.is_ended:
+            move_ended.send(self, move=changed)
+
+    def _remember(self, move: Move, decision: Decision, now: float) -> None:
+        state = self.states_by_move.get(move.move_id)
+        if state is None:
+            return
+        if decision.kind == "repeat":
+            state.repeats += 1
+        if decision.kind == "warn":
+            state.warned_deadline = move.deadline
+        elif decision.kind in NOTES:
+            state.noted_at = now
+
+
+def _describe(move: Move, decision: Decision) -> tuple[int, dict[str, Any]]:
+    """Return number and fields of the event that explains a decision."""
+    fields = {
+        "move_id": move.move_id,
+        "share": f"{decision.share:.0%}",
+        "reason": decision.reason,
+        "version": move.to_version,
+    }
+    return STEP_EVENTS[decision.kind], fields
--- a/bamboocove/coordination/judgement.py
+++ b/bamboocove/coordination/judgement.py
@@ -14,7 +14,7 @@
     place_bet,
 )
 from bamboocove.state.config import Move
-from bamboocove.state.evidence import Evidence, OutcomeCounts
+from bamboocove.state.evidence import BrakeReport, Evidence, OutcomeCounts
 
 STEP_SHARES = (0.01, 0.05, 0.10, 0.25, 0.50, 1.0)
 STREAMS = ("failures", "slow")
@@ -55,6 +55,10 @@
 RATE_MIN = 0.002
 RATE_MAX = 0.95
 
+# Reports of no calls must span this time before a service counts as silent. A
+# coordinator that hears nothing, because it is new or cut off, knows nothing.
+SILENCE_S = 60.0
+
 RouteKey = tuple[str, str]
 
 
@@ -72,8 +76,8 @@
         The route that decided; empty if none did.
     is_suspect : bool
         Whether there are signs, short of proof, that the version is bad.
-    has_traffic : bool
-        Whether any call to the old version was seen during the move.
+    is_silent : bool
+        Whether nodes reported for a while that there were no calls at all.
     """
 
     kind: str
@@ -81,7 +85,7 @@
     route: str = ""
     request_class: str = ""
     is_suspect: bool = False
-    has_traffic: bool = True
+    is_silent: bool = False
 
 
 @frozen
@@ -146,6 +150,8 @@
     braked_nodes : set of str
         Nodes whose local brake is set. Their share differs from that of the
         others, so their calls are not compared.
+    reporting_nodes : set of str
+        Nodes that sent evidence of this step.
     elapsed_s : float
         Length of the time for which calls were counted.
     """
@@ -159,6 +165,7 @@
     tests_by_route: dict[RouteKey, RouteTest] = field(factory=dict)
     last_window_by_source: dict[tuple[str, str, str], float] = field(factory=dict)
     braked_nodes: set[str] = field(factory=set)
+    reporting_nodes: set[str] = field(factory=set)
     elapsed_s: float = 0.0
     first_window: float = math.inf
 
@@ -188,6 +195,7 @@
     judgement.changed_at = move.changed_at
     judgement.first_revision = judgement.last_revision = revision
     judgement.braked_nodes.clear()
+    judgement.reporting_nodes.clear()
     return judgement
 
 
@@ -206,6 +214,7 @@
     if evidence.window_start <= last or not _is_consistent(evidence):
         return judgement
     judgement.last_window_by_source[source] = evidence.window_start
+    judgement.reporting_nodes.add(evidence.node_id)
     judgement.first_window = min(judgement.first_window, evidence.window_start)
     end = evidence.window_start + evidence.window_s
     judgement.elapsed_s = max(judgement.elapsed_s, end - judgement.first_window)
@@ -227,6 +236,15 @@
     return judgement
 
 
+def add_brake(judgement: Judgement, report: BrakeReport) -> Judgement:
+    """Take note of a node's brake, if it was set on the present step."""
+    known = judgement.first_revision <= report.revision <= judgement.last_revision
+    if report.move_id == judgement.move_id and known:
+        judgement.braked_nodes.add(report.node_id)
+        judgement.reporting_nodes.add(report.node_id)
+    return judgement
+
+
 def _is_consistent(evidence: Evidence) -> bool:
     return all(
         counts.failures >= 0
@@ -371,8 +389,13 @@
     }
     if step != judgement.step:
         return Verdict("no_evidence", f"no evidence of step {step}")
-    if not judgement.tests_by_route:
-        return Verdict("no_evidence", "no calls at all", has_traffic=False)
+    if not any(
+        test.old_total.calls + test.new_total.calls
+        for test in judgement.tests_by_route.values()
+    ):
+        is_silent = judgement.elapsed_s >= SILENCE_S
+        reason = "no calls on any route" if is_silent else "no calls reported yet"
+        return Verdict("no_evidence", reason, is_silent=is_silent)
     found = {
         key: _judge_route(test, judgement.log_threshold)
         for key, test in judgement.tests_by_route.items()
--- a/bamboocove/coordination/moves.py
+++ b/bamboocove/coordination/moves.py
@@ -27,7 +27,7 @@
 # Repetitions of steps for brakes before the move is reverted.
 REPEATS_MAX = 2
 # Kinds that leave the share and the time on the step as they are.
-NOTES = ("keep", "hold", "resume")
+NOTES = ("keep", "hold", "resume", "warn")
 LAST_STEP = len(STEP_SHARES) - 1
 
 # A table and not an automat machine: the phase is restored from the
@@ -56,10 +56,13 @@
         Workers of the old version on live members, in whatever state.
     new_ready : int
         Ready workers of the new version.
+    nodes : int
+        Live nodes, which all report calls.
     """
 
     old: int
     new_ready: int
+    nodes: int = 0
 
 
 @frozen
@@ -92,8 +95,8 @@
     Parameters
     ----------
     kind : str
-        ``keep``, ``advance``, ``hold``, ``resume``, ``repeat``, ``step_back``,
-        ``finish``, ``revert`` or ``expire``. ``keep`` publishes nothing.
+        ``keep``, ``advance``, ``hold``, ``resume``, ``warn``, ``repeat``,
+        ``step_back``, ``finish``, ``revert`` or ``expire``. ``keep`` publishes nothing.
     phase : str
         Phase of the move afterwards.
     step : int
@@ -262,14 +265,16 @@
         if age >= wait_s:
             return _advance(move, step, f"no sign of harm after {age:.0f} s")
         return _collect(move)
-    if not verdict.has_traffic:
+    if verdict.is_silent and brakes.reporting >= max(1, workers.nodes):
         steps_left = LAST_STEP - move.step
         reserve_s = max(IDLE_PART * total_s, (steps_left + 1) * step_s)
         if now >= move.deadline - reserve_s:
-            reason = "no calls on any route, so none at risk; deadline is near"
+            reason = "all nodes report no calls, so none at risk; deadline is near"
             return _advance(move, step, reason)
-        return _hold(move, "no calls on any route; waiting for calls or deadline")
+        return _hold(move, "all nodes report no calls; waiting until near the deadline")
     if verdict.kind == "no_evidence" and age >= UNEARNED_STEP_S:
+        if not verdict.route:
+            return _hold(move, verdict.reason)
         where = f"{verdict.route} ({verdict.request_class})"
         return _hold(move, f"too few calls on route {where}")
     return _collect(move)
--- a/bamboocove/events.py
+++ b/bamboocove/events.py
@@ -103,6 +103,12 @@
     Event(508, "INFO", "coordinator lease taken with token {token}"),
     Event(509, "WARNING", "coordinator lease lost: {reason}"),
     Event(510, "ERROR", "move {move_id} expired: {reason}", "apply a new move"),
+    Event(
+        511,
+        "WARNING",
+        "move {move_id}: share back to {share}: {reason}",
+        "read the reason; nothing while the versions are compared again",
+    ),
     Event(601, "WARNING", "store unavailable: {reason}", "check the platform"),
     Event(602, "INFO", "store answers again after {seconds} s"),
     Event(603, "WARNING", "answer of store write {operation_id} lost; reading back"),
