Add the operator tool

Cause: operators need to check and apply a text, follow moves and make single calls from a shell, against any of several nodes.

Change: bamboocove check, apply, status, moves, explain, history, call and events with cleo; treq on the reactor for HTTP. Exit status 1 for errors, 2 for misuse, 130 after Ctrl-C. check without a node warns of past deadlines; with a node it plans the edit and reports them as errors, since only the configuration tells which moves have ended.

The tests start the tool and a node with its configuration in memory as processes on loopback; they take about 30 s.

--- /dev/null
+++ b/bamboocove/cli_base.py
@@ -0,0 +1,122 @@
+"""What all commands of the operator tool share."""
+
+import json
+import os
+import sys
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+from attrs import asdict
+from cleo.commands.command import Command
+from cleo.helpers import option
+from cleo.io.outputs.output import Type
+
+from bamboocove.cli_client import NodeClient, check_node_url, run_on_reactor
+from bamboocove.cli_output import format_problems
+from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.protocol.text_source import (
+    MAX_TEXT_BYTES,
+    TextProblem,
+    make_size_problem,
+)
+
+EXIT_OK = 0
+EXIT_ERROR = 1
+EXIT_MISUSE = 2
+NODES_VARIABLE = "BAMBOOCOVE_NODES"
+
+NODE_OPTION = option(
+    "node",
+    description="URL of a node's admin port; may be given several times. "
+    f"Default: the URLs in {NODES_VARIABLE}",
+    flag=False,
+    multiple=True,
+)
+JSON_OPTION = option("json", description="print JSON for programs")
+
+
+class MisuseError(Exception):
+    """The command line cannot be carried out as it is."""
+
+
+def read_file(path: str) -> bytes | TextProblem | ErrorResult:
+    """Read a text, or standard input for ``-``, without reading an oversized one."""
+    try:
+        if path == "-":
+            data, size = sys.stdin.buffer.read(MAX_TEXT_BYTES + 1), 0
+        else:
+            with Path(path).open("rb") as file:
+                size = os.fstat(file.fileno()).st_size
+                data = b"" if size > MAX_TEXT_BYTES else file.read(MAX_TEXT_BYTES + 1)
+    except OSError as error:
+        reason = f"{path}: {error.strerror or error}"
+        return ErrorResult(ErrorKind.NOT_FOUND, reason)
+    if max(size, len(data)) > MAX_TEXT_BYTES:
+        return make_size_problem(max(size, len(data)))
+    return data
+
+
+class OperatorCommand(Command):
+    """Output, options and errors that all commands share."""
+
+    def print_lines(self, lines: Sequence[str]) -> None:
+        """Print lines as they are, without Cleo's mark-up."""
+        for line in lines:
+            self.io.output.write(line, new_line=True, type=Type.RAW)
+
+    def print_result(self, body: Any, lines: Callable[[], Sequence[str]]) -> int:
+        """Print a result for people or for programs."""
+        if self.option("json"):
+            self.print_lines([json.dumps(body, indent=1)])
+        else:
+            self.print_lines(lines())
+        return EXIT_OK
+
+    def fail(self, error: ErrorResult, status: int = EXIT_ERROR) -> int:
+        """Print an error and return the exit status."""
+        if self.option("json"):
+            body = {"error": error.kind.value, "reason": error.reason}
+            self.print_lines([json.dumps(body, indent=1)])
+        else:
+            text = f"error: {error.reason} ({error.kind.value})"
+            self.io.error_output.write(text, new_line=True, type=Type.RAW)
+        return status
+
+    def fail_text(self, path: str, problems: Sequence[TextProblem]) -> int:
+        """Print the problems of a text and return the exit status."""
+        body = {"ok": False, "problems": [asdict(problem) for problem in problems]}
+        self.print_result(body, lambda: format_problems(path, problems))
+        return EXIT_ERROR
+
+    def get_nodes(self) -> list[str]:
+        """Return the URLs of the nodes to try."""
+        words = self.option("node") or os.environ.get(NODES_VARIABLE, "").split()
+        if not words:
+            raise MisuseError(f"no node given: use --node URL or set {NODES_VARIABLE}")
+        nodes = [check_node_url(word) for word in words]
+        for node in nodes:
+            if isinstance(node, ErrorResult):
+                raise MisuseError(node.reason)
+        return nodes
+
+    def run_with_client(self, work: Callable[[NodeClient], Awaitable[int]]) -> int:
+        """Run the part of a command that talks to nodes."""
+        nodes = self.get_nodes()
+        return run_on_reactor(lambda clock: work(NodeClient(nodes, clock)))
+
+    def print_from_node(
+        self,
+        path: str,
+        lines: Callable[[Any], Sequence[str]],
+        query: dict[str, Any] | None = None,
+    ) -> int:
+        """Print what a node answers to a GET."""
+
+        async def work(client: NodeClient) -> int:
+            body = await client.get_json(path, query)
+            if isinstance(body, ErrorResult):
+                return self.fail(body)
+            return self.print_result(body, lambda: lines(body))
+
+        return self.run_with_client(work)
--- a/tests/transport/test_admin.py
+++ b/tests/transport/test_admin.py
@@ -11,30 +11,14 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
-from bamboocove.coordination.edits import (
-    PlannedEdit,
-    StaleEdit,
-    plan_edit,
-    prepare_edit,
-)
 from bamboocove.errors import ANSWERS, ErrorKind, ErrorResult
-from bamboocove.protocol.rows import HistoryRecord
-from bamboocove.protocol.text import parse_text
 from bamboocove.protocol.text_source import MAX_TEXT_BYTES
 from bamboocove.state.codec import from_plain
 from bamboocove.state.config import Config
 from bamboocove.state.members import WorkerRecord
 from bamboocove.transport.admin import MAX_DROPPED_BYTES, AdminServer
-from bamboocove.transport.admin_operations import (
-    AdminOperations,
-    AppliedText,
-    MoveEvent,
-    TextConflict,
-)
+from tests.fake_node import MOVE_TEXT, TEXT, FakeNode
 
-NOW = 1796385600.0
-TEXT = b"tenant: t\nservices: {a: {version: v1}}\n"
-MOVE_TEXT = TEXT + b"moves: [{service: a, to: v2, by: 2026-12-05T05:00:00Z}]\n"
 ANNOUNCEMENT = {
     "service": "a",
     "version": "v1",
@@ -45,52 +29,6 @@
 }
 
 
-class FakeNode:
-    """Keeps a configuration in memory, and the author of its text."""
-
-    def __init__(self):
-        self.config = plan_edit(Config(), parse_text(TEXT), NOW)
-        self.author = "ana"
-        self.workers = []
-        self.drained = False
-        self.result = None
-
-    def announce_worker(self, worker):
-        self.workers.append(worker)
-        return self.result
-
-    def get_status(self):
-        return {"node": "n1"}
-
-    def get_config(self):
-        return self.config
-
-    async def apply_text(self, data, base, author):
-        if isinstance(self.result, Deferred):
-            await self.result
-            self.result = None
-        if self.result is not None:
-            return self.result
-        edit = prepare_edit(self.config, data, base, NOW, {})
-        if isinstance(edit, StaleEdit):
-            return TextConflict(edit.text_revision, self.author, edit.difference)
-        if isinstance(edit, PlannedEdit):
-            self.config, self.author = edit.config, author
-            return AppliedText(edit.config.revision, edit.difference, edit.warnings)
-        return edit
-
-    async def read_history(self, after):
-        if self.result is not None:
-            return self.result
-        return [HistoryRecord(after + 1, "ana", NOW, "first", ("BC701 x",), b"\xff")]
-
-    async def explain_move(self, move_id):
-        return [MoveEvent(2, NOW, "ana", "BC501 x")] if move_id == "m1" else []
-
-    def drain(self):
-        self.drained = True
-
-
 class Response:
     """A response as it was written to the transport."""
 
@@ -110,15 +48,7 @@
 
     def __init__(self):
         self.node = FakeNode()
-        operations = AdminOperations(
-            announce_worker=self.node.announce_worker,
-            get_status=self.node.get_status,
-            get_config=self.node.get_config,
-            apply_text=self.node.apply_text,
-            read_history=self.node.read_history,
-            explain_move=self.node.explain_move,
-            drain=self.node.drain,
-        )
+        operations = self.node.make_operations()
         self.clock = Clock()
         self.site = AdminServer(operations, "10.0.0.5", 0, self.clock).make_site()
 
