--- a/bamboocove/state/members.py
+++ b/bamboocove/state/members.py
@@ -10,6 +10,7 @@
 # A later state in this order wins between records of equal age, so that bad
 # news about a member is not lost when records cross.
 MEMBER_STATES = ("alive", "suspect", "down", "left")
+LIVE_STATES = ("alive", "suspect")
 WORKER_STATES = ("starting", "ready", "draining", "down")
 LIVE_STATES = ("alive", "suspect")
 # Tables that differ are compared bucket by bucket, so that a repair of one
