--- a/bamboocove/cli_output.py
+++ b/bamboocove/cli_output.py
@@ -22,11 +22,14 @@
     for service in services.values():
         depends = ", ".join(service.depends_on) or "nothing"
         lines.append(f"service {service.name} {service.version} depends on {depends}")
+        own = document.route_dependencies_by_service[service.name]
         for route in service.routes:
+            calls = ", ".join(entry.word for entry in own.get(route.name, ()))
             repeat = "idempotent" if route.idempotent else "at most once"
             lines.append(
                 f"  {route.name}: {' '.join(route.methods)} {route.path}, "
                 f"{route.request_class}, {repeat}, {route.timeout_s:g} s"
+                + (f", calls {calls}" if calls else "")
             )
     lines += [
         f"move {move.move_id}: {move.service} to {move.to_version} "
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,6 +9,7 @@
 import threading
 import tracemalloc
 from contextlib import contextmanager
+from pathlib import Path
 
 import pytest
 
@@ -120,6 +121,13 @@
     assert "move a-v2-20261205T0500" in out
 
 
+def test_check_prints_what_a_single_route_calls(capsys):
+    path = Path(__file__).parent.parent / "examples" / "shutterbook.yaml"
+    status, out, _ = run(capsys, "check", path)
+    assert status == 0
+    assert "5 s, calls billing-core/tax-rates, billing-core/clients" in out
+
+
 def test_check_prints_every_error_with_file_line_and_column(capsys, tmp_path):
     path = tmp_path / "bad.yaml"
     path.write_text("tenant: a b\nservices: {a: {version: v/1}}\n")
