--- a/bamboocove/settings.py
+++ b/bamboocove/settings.py
@@ -206,3 +206,16 @@
         lines.append(f"# {setting.help}")
         lines.append(f"{setting.name} = {value}")
     return "\n".join(lines)
+
+
+def format_settings_table() -> str:
+    """Return the table of settings of ``docs/settings.md``."""
+    lines = ["| section | name | default | meaning |", "|---|---|---|---|"]
+    for setting in SETTINGS:
+        default = "(must be set)" if setting.default is None else f"`{setting.default}`"
+        if setting.default == "":
+            default = "(empty)"
+        lines.append(
+            f"| {setting.section} | {setting.name} | {default} | {setting.help} |"
+        )
+    return "\n".join(lines)
