Store task: bootstrap, polling, registration

Cause: nodes need the head of the store and first members without putting a read rate on the platform that grows with the fleet.

The decisions are in coordination/polling.py. Faults of the stand-ins move to standin_faults.py.

--- /dev/null
+++ b/bamboocove/coordination/polling.py
@@ -0,0 +1,214 @@
+"""When a node reads the store, and what it accepts from it."""
+
+from collections.abc import Sequence
+
+from attrs import evolve, frozen
+
+from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.protocol.rows import HeadRecord, HistoryRecord, NodeRecord, Row
+from bamboocove.state.codec import decode, from_plain
+from bamboocove.state.config import Config, Delta, apply_delta
+from bamboocove.state.members import Member
+
+# A node whose peers have told it of no store read for this long reads itself.
+STORE_AGE_LIMIT_S = 10.0
+# Least time between such reads: 5,500 nodes make 183 reads/s of the 2,000.
+FALLBACK_POLL_S = 30.0
+# 5,500 nodes that refresh every 10 min make 9 writes/s.
+REGISTRATION_S = 600.0
+# A row that missed three refreshes belongs to a node that was lost.
+REGISTRATION_LIMIT_S = 3 * REGISTRATION_S
+BACKOFF_BASE_S = 0.5
+BACKOFF_LIMIT_S = 30.0
+
+
+@frozen
+class PollState:
+    """What decides when the head is read.
+
+    Parameters
+    ----------
+    failures : int
+        Failed reads since the last that succeeded.
+    down_since : float
+        Unix time in seconds of the first of them.
+    retry_at : float
+        No read takes place before this time.
+    fallback_at : float or None
+        When a node that is no reader reads for itself; None while its store
+        age is low.
+    last_fallback : float
+        When it last did so.
+    """
+
+    failures: int = 0
+    down_since: float = 0.0
+    retry_at: float = 0.0
+    fallback_at: float | None = None
+    last_fallback: float = float("-inf")
+
+
+def get_backoff(failures: int, fraction: float) -> float:
+    """Return the delay after a number of failures, with full jitter.
+
+    Parameters
+    ----------
+    failures : int
+        Failures in a row, from 1.
+    fraction : float
+        Random number from 0 to 1.
+
+    Examples
+    --------
+    >>> get_backoff(1, 1.0), get_backoff(3, 0.5), get_backoff(99, 1.0)
+    (0.5, 1.0, 30.0)
+    """
+    # The exponent is bounded because a long outage would overflow the float.
+    ceiling = BACKOFF_BASE_S * 2 ** min(failures - 1, 16)
+    return fraction * min(BACKOFF_LIMIT_S, ceiling)
+
+
+def plan_poll(
+    state: PollState, is_reader: bool, store_age_s: float, now: float, fraction: float
+) -> tuple[PollState, bool]:
+    """Decide whether to read the head now.
+
+    Parameters
+    ----------
+    state : PollState
+        State before.
+    is_reader : bool
+        Whether this node is one of the readers of its zone.
+    store_age_s : float
+        Time since a store read that this node knows of; negative if it knows
+        of none.
+    now : float
+        Unix time in seconds.
+    fraction : float
+        Random number from 0 to 1, which spreads the reads of many nodes whose
+        store age rises together.
+
+    Returns
+    -------
+    state : PollState
+        State after.
+    is_due : bool
+        Whether to read.
+    """
+    if is_reader:
+        return evolve(state, fallback_at=None), now >= state.retry_at
+    if 0 <= store_age_s <= STORE_AGE_LIMIT_S:
+        return evolve(state, fallback_at=None), False
+    if state.fallback_at is None:
+        earliest = state.last_fallback + FALLBACK_POLL_S
+        at = max(earliest, now + fraction * FALLBACK_POLL_S)
+        state = evolve(state, fallback_at=at)
+    if now < max(state.fallback_at, state.retry_at):
+        return state, False
+    state = evolve(state, fallback_at=now + FALLBACK_POLL_S, last_fallback=now)
+    return state, True
+
+
+def note_failure(state: PollState, now: float, fraction: float) -> PollState:
+    """Return the state after a read that failed."""
+    failures = state.failures + 1
+    return evolve(
+        state,
+        failures=failures,
+        down_since=state.down_since if state.failures else now,
+        retry_at=now + get_backoff(failures, fraction),
+    )
+
+
+def note_success(state: PollState) -> PollState:
+    """Return the state after a read that succeeded."""
+    return evolve(state, failures=0, down_since=0.0, retry_at=0.0)
+
+
+def check_head(head: HeadRecord, known_revision: int) -> ErrorResult | None:
+    """Refuse a head that is older than one that was read before.
+
+    Returns
+    -------
+    error : ErrorResult or None
+        ``STALE`` if the store went back, for example to a backup.
+    """
+    if head.revision >= known_revision:
+        return None
+    reason = f"head went back from revision {known_revision} to {head.revision}"
+    return ErrorResult(ErrorKind.STALE, reason)
+
+
+def follow_history(
+    config: Config, records: Sequence[HistoryRecord], head: HeadRecord
+) -> Config | ErrorResult:
+    """Apply the deltas of history records to a configuration.
+
+    Returns
+    -------
+    config : Config or ErrorResult
+        ``STALE`` if they do not lead without a gap to the revision of the
+        head or beyond, ``INVALID_CONFIG`` if a digest does not match.
+    """
+    for record in records:
+        delta = decode(Delta, record.delta)
+        if isinstance(delta, ErrorResult):
+            return delta
+        config = apply_delta(config, delta)
+        if isinstance(config, ErrorResult):
+            return config
+        if delta.revision == head.revision and delta.digest != head.digest:
+            reason = f"history of revision {head.revision} is not that of the head"
+            return ErrorResult(ErrorKind.INVALID_CONFIG, reason)
+    if config.revision < head.revision:
+        reason = f"history ends at {config.revision}, before {head.revision}"
+        return ErrorResult(ErrorKind.STALE, reason)
+    return config
+
+
+def compute_floor(
+    head_revision: int | None, peer_revisions: Sequence[int], known_peers: int
+) -> int | None:
+    """Return the lowest revision that a starting node may serve from.
+
+    Parameters
+    ----------
+    head_revision : int or None
+        Revision of the head; None while the store cannot be read.
+    peer_revisions : sequence of int
+        For each peer that was reached, the higher of its own revision and of
+        the one that it remembers this node to have had.
+    known_peers : int
+        Peers that are known, reached or not.
+
+    Returns
+    -------
+    floor : int or None
+        None if too little is known; the node must not serve yet.
+
+    Examples
+    --------
+    >>> compute_floor(None, [5, 7], 9)
+    7
+    >>> compute_floor(None, [7], 9) is None
+    True
+    """
+    if head_revision is not None:
+        return max(head_revision, *peer_revisions, 0)
+    # A peer without a revision is starting too and knows nothing. Counting it
+    # would give nodes that restart together a floor below what they had.
+    informed = sum(1 for revision in peer_revisions if revision > 0)
+    has_reached_all = len(peer_revisions) >= known_peers
+    if informed >= 2 or (informed == 1 and has_reached_all):
+        return max(peer_revisions)
+    return None
+
+
+def select_members(rows: Sequence[Row], now: float) -> list[Member]:
+    """Return the members of registration rows that are recent enough."""
+    records = [from_plain(NodeRecord, row.value) for row in rows]
+    return [
+        record.member
+        for record in records
+        if isinstance(record, NodeRecord) and now - record.at <= REGISTRATION_LIMIT_S
+    ]
--- a/bamboocove/standin.py
+++ b/bamboocove/standin.py
@@ -10,8 +10,9 @@
 from twisted.internet.defer import Deferred
 
 from bamboocove import __version__
+from bamboocove.standin_faults import parse_faults
 from bamboocove.standin_platform import PlatformStandin
-from bamboocove.standin_worker import WorkerOptions, WorkerStandin, parse_faults
+from bamboocove.standin_worker import WorkerOptions, WorkerStandin
 
 HOST_OPTIONS = [
     option("host", None, "IP number to listen on", flag=False, default="127.0.0.1"),
--- a/bamboocove/standin_platform.py
+++ b/bamboocove/standin_platform.py
@@ -6,13 +6,14 @@
 from typing import Any
 
 import cbor2
-from attrs import define, evolve, field, fields, frozen
+from attrs import define, evolve, field
 from klein import Klein
 from twisted.internet.defer import Deferred
 from twisted.web.server import Request, Site
 
 from bamboocove.errors import ErrorResult
 from bamboocove.protocol.rows import ABSENT, Committed, Conflict, Row, Transaction
+from bamboocove.standin_faults import PlatformFaults, RateLimit, update_faults
 from bamboocove.state.codec import from_plain, to_plain
 
 CBOR_TYPE = "application/cbor"
@@ -77,92 +78,6 @@
             self.keys.pop(bisect.bisect_left(self.keys, key))
 
 
-@frozen
-class PlatformFaults:
-    """Faults that are switched on.
-
-    Parameters
-    ----------
-    outage : bool
-        Every request is refused with 503 before any work.
-    silent : bool
-        Requests are accepted and never answered, and have no effect.
-    delay_s : float
-        Time before the work of each request; it is done even if the client
-        has given up by then.
-    lost_answers : int
-        Number of following writes that take effect and whose connection is
-        then closed without an answer; -1 for all.
-    reads_per_s, writes_per_s : float
-        Requests above this rate are refused with 429; 0 for no limit.
-    """
-
-    outage: bool = False
-    silent: bool = False
-    delay_s: float = 0.0
-    lost_answers: int = 0
-    reads_per_s: float = 0.0
-    writes_per_s: float = 0.0
-
-
-def update_faults(faults: Any, changes: Any) -> Any:
-    """Return faults with some fields changed.
-
-    Raises
-    ------
-    ValueError
-        If a field is unknown or a value has another type.
-
-    Examples
-    --------
-    >>> update_faults(PlatformFaults(), {"delay_s": 2}).delay_s
-    2.0
-    """
-    if not isinstance(changes, dict):
-        raise ValueError("not a map")
-    types_by_name = {item.name: item.type for item in fields(type(faults))}
-    checked = {}
-    for name, value in changes.items():
-        kind = types_by_name.get(name)
-        if kind is None:
-            raise ValueError(f"no fault {name}")
-        if kind is float and type(value) is int:
-            value = float(value)
-        if type(value) is not kind:
-            raise ValueError(f"{name} must be of type {kind.__name__}")
-        checked[name] = value
-    return evolve(faults, **checked)
-
-
-@define
-class RateLimit:
-    """Token bucket that holds at most one second's worth of requests.
-
-    Parameters
-    ----------
-    tokens : float
-        Requests that may be made now.
-    updated_at : float
-        Time in seconds of the last request.
-    """
-
-    tokens: float = 0.0
-    updated_at: float = float("-inf")
-
-    def admit(self, rate: float, now: float) -> bool:
-        """Take a token; a rate of 0 admits everything."""
-        if rate <= 0:
-            return True
-        burst = max(rate, 1.0)
-        elapsed = min(now - self.updated_at, burst / rate)
-        self.tokens = min(burst, self.tokens + elapsed * rate)
-        self.updated_at = now
-        if self.tokens < 1:
-            return False
-        self.tokens -= 1
-        return True
-
-
 Work = Callable[[], tuple[int, bytes]]
 
 
--- a/bamboocove/standin_worker.py
+++ b/bamboocove/standin_worker.py
@@ -15,7 +15,7 @@
 from twisted.web.resource import Resource
 from twisted.web.server import NOT_DONE_YET, Request, Site
 
-from bamboocove.standin_platform import update_faults
+from bamboocove.standin_faults import WorkerFaults, find_failure, update_faults
 from bamboocove.state.codec import to_plain
 from bamboocove.transport.platform import BytesProducer
 
@@ -35,37 +35,6 @@
 LARGEST_BODY = 64 * 1024 * 1024
 
 
-@frozen
-class WorkerFaults:
-    """Faults of a worker.
-
-    Parameters
-    ----------
-    failing : float
-        Share of calls that are answered with 500.
-    slow_s : float
-        Time added to each call.
-    failing_after_s : float
-        Every call fails from this time after the fault was set; 0 for never.
-    failing_above : int
-        Calls fail that start while more than this many run; 0 for never.
-    failing_route : str
-        Calls to paths that start with it fail; empty for none.
-    crash_header : str
-        A call with this request header ends the process; empty for none.
-    health_lag_s : float
-        The load header reports the load of this time ago.
-    """
-
-    failing: float = 0.0
-    slow_s: float = 0.0
-    failing_after_s: float = 0.0
-    failing_above: int = 0
-    failing_route: str = ""
-    crash_header: str = ""
-    health_lag_s: float = 0.0
-
-
 @frozen
 class WorkerOptions:
     """What a worker is and how it behaves.
@@ -119,35 +88,6 @@
     return options.work_s * factor + faults.slow_s
 
 
-def find_failure(
-    faults: WorkerFaults, path: str, running: int, fault_age_s: float, fraction: float
-) -> str:
-    """Return why a call fails, or an empty string.
-
-    Parameters
-    ----------
-    faults : WorkerFaults
-        Faults that are switched on.
-    path : str
-        Path of the call.
-    running : int
-        Calls that run, this one included.
-    fault_age_s : float
-        Time since the faults were set.
-    fraction : float
-        Random number from 0 to 1.
-    """
-    if fraction < faults.failing:
-        return "failing"
-    if faults.failing_after_s and fault_age_s >= faults.failing_after_s:
-        return "failing late"
-    if faults.failing_above and running > faults.failing_above:
-        return "failing under load"
-    if faults.failing_route and path.startswith(faults.failing_route):
-        return "failing on this route"
-    return ""
-
-
 @define
 class LoadReport:
     """The load that the header reports, which may lag.
@@ -453,8 +393,3 @@
 
 def _ignore_cancel(failure: Any) -> None:
     failure.trap(CancelledError)
-
-
-def parse_faults(text: str) -> WorkerFaults:
-    """Build faults from a JSON map; raises ValueError."""
-    return update_faults(WorkerFaults(), json.loads(text))
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -10,6 +10,8 @@
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.protocol.rows import Committed, Row, Transaction
 from bamboocove.standin_platform import TableState
+from bamboocove.state.config import Config
+from bamboocove.state.members import MemberTable
 
 DOWN = ErrorResult(ErrorKind.STORE_UNAVAILABLE, "fake store is down")
 LOST = ErrorResult(ErrorKind.STORE_UNKNOWN, "fake store lost the answer")
@@ -145,3 +147,29 @@
             return DOWN
         self.reads += 1
         return self.objects_by_name.get(name)
+
+
+class FakeDistributor:
+    """Distributor that keeps what it is given."""
+
+    def __init__(self):
+        self.members = MemberTable()
+        self.offered: list[Config] = []
+        self.is_reading = True
+        self.last_store_read: float | None = None
+
+    def offer(self, config: Config) -> None:
+        """Take a new revision."""
+        self.offered.append(config)
+
+    def is_reader(self, now: float) -> bool:
+        """Return what the test set."""
+        return self.is_reading
+
+    def report_store_read(self, now: float) -> None:
+        """Take the time of a read."""
+        self.last_store_read = now
+
+    def get_store_age(self, now: float) -> float:
+        """Return the time since the last read, -1 if there was none."""
+        return -1.0 if self.last_store_read is None else now - self.last_store_read
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -8,7 +8,8 @@
 
 from bamboocove.errors import ErrorKind
 from bamboocove.protocol.rows import Check, Committed, Conflict, Transaction, Write
-from bamboocove.standin_platform import PlatformFaults, PlatformStandin
+from bamboocove.standin_faults import PlatformFaults
+from bamboocove.standin_platform import PlatformStandin
 from bamboocove.transport.platform import ObjectClient, TableClient
 from tests.fakes import run_with_reactor
 
--- /dev/null
+++ b/tests/test_polling.py
@@ -0,0 +1,110 @@
+"""Decisions about reading the store."""
+
+import pytest
+
+from bamboocove.coordination.polling import (
+    PollState,
+    check_head,
+    compute_floor,
+    get_backoff,
+    note_failure,
+    note_success,
+    plan_poll,
+)
+from bamboocove.errors import ErrorKind
+from bamboocove.protocol.rows import HeadRecord
+
+
+def count_polls(state, is_reader, age_of, duration_s, fraction=0.5, start=0.0):
+    """Return the times of polls when asked every second."""
+    times = []
+    for now in range(int(start), int(start + duration_s)):
+        state, is_due = plan_poll(state, is_reader, age_of(now), float(now), fraction)
+        if is_due:
+            times.append(now)
+    return times
+
+
+def test_reader_polls_each_time():
+    assert len(count_polls(PollState(), True, lambda now: 0.0, 60)) == 60
+
+
+def test_other_nodes_do_not_poll_while_a_reader_does():
+    """Guards against 5,500 nodes reading a store that takes 2,000 reads/s."""
+    assert count_polls(PollState(), False, lambda now: 9.9, 600) == []
+
+
+@pytest.mark.parametrize("age_of", [lambda now: 10.1, lambda now: -1.0])
+def test_node_without_news_polls_at_most_once_in_30_s(age_of):
+    """Guards against a storm on the store when all readers are lost."""
+    times = count_polls(PollState(), False, age_of, 600)
+    assert times[0] == 15
+    assert all(b - a == 30 for a, b in zip(times, times[1:], strict=False))
+
+
+def test_own_reads_that_lower_the_age_do_not_shorten_the_interval():
+    """Guards against a new draw of the jitter after each read."""
+    state = PollState()
+    last_read = -100.0
+    times = []
+    for now in range(600):
+        state, is_due = plan_poll(state, False, now - last_read, float(now), 0.0)
+        if is_due:
+            times.append(now)
+            last_read = float(now)
+    assert len(times) == 20
+    assert all(b - a >= 30 for a, b in zip(times, times[1:], strict=False))
+
+
+def test_jitter_spreads_the_first_reads():
+    firsts = {
+        count_polls(PollState(), False, lambda now: -1.0, 60, fraction / 10)[0]
+        for fraction in range(10)
+    }
+    assert firsts == set(range(0, 30, 3))
+
+
+def test_failures_delay_the_next_read_and_success_resets():
+    """Guards against a fast retry of a store that is overloaded."""
+    state = PollState()
+    for number in range(11):
+        state = note_failure(state, 90.0 + number, 1.0)
+    assert (state.failures, state.down_since, state.retry_at) == (11, 90.0, 130.0)
+    assert plan_poll(state, True, 0.0, 129.9, 0.0)[1] is False
+    assert plan_poll(state, True, 0.0, 130.0, 0.0)[1] is True
+    state = note_success(state)
+    assert plan_poll(state, True, 0.0, 100.0, 0.0)[1] is True
+
+
+def test_outage_of_any_length_has_a_bounded_delay():
+    assert get_backoff(5000, 1.0) == 30.0
+
+
+def test_head_that_goes_back_is_refused():
+    """Guards against reverting to an older version after a store is restored."""
+    assert check_head(HeadRecord(6, b"", ""), 7).kind == ErrorKind.STALE
+    assert check_head(HeadRecord(7, b"", ""), 7) is None
+
+
+@pytest.mark.parametrize(
+    ("head", "peers", "known", "floor"),
+    [
+        (5, [], 9, 5),
+        (5, [7], 9, 7),
+        (0, [], 0, 0),
+        (None, [], 0, None),
+        (None, [], 9, None),
+        (None, [7], 9, None),
+        (None, [7], 1, 7),
+        (None, [7, 5], 9, 7),
+        (None, [0, 0], 2, None),
+        (None, [0, 7], 9, None),
+        (None, [0, 7], 2, 7),
+    ],
+)
+def test_floor(head, peers, known, floor):
+    """Guards against serving from less than a node had before its restart.
+
+    Peers at revision 0 are starting too, so that they tell nothing.
+    """
+    assert compute_floor(head, peers, known) == floor
--- a/tests/test_standin_worker.py
+++ b/tests/test_standin_worker.py
@@ -10,14 +10,8 @@
 from twisted.web.client import Agent, HTTPConnectionPool
 from twisted.web.server import Site
 
-from bamboocove.standin_worker import (
-    LoadReport,
-    WorkerFaults,
-    WorkerOptions,
-    WorkerStandin,
-    find_failure,
-    parse_faults,
-)
+from bamboocove.standin_faults import WorkerFaults, find_failure, parse_faults
+from bamboocove.standin_worker import LoadReport, WorkerOptions, WorkerStandin
 from bamboocove.transport.platform import BytesProducer
 from tests.fakes import run_with_reactor
 
