Bounds and checks of what peers say

Cause: a long Goodbye delay, an unknown member state, a link to the own address and an accepted link without a name were not handled. Seen: a node whose seed is its own address dialled it 9 times in 30 s. Conclusion: messages of a faulty or newer peer no longer break or stall links.

--- a/bamboocove/link_table.py
+++ b/bamboocove/link_table.py
@@ -7,7 +7,12 @@
 
 from attrs import define, field, frozen
 
-from bamboocove.coordination.backoff import AcceptPacer, admit, compute_delay
+from bamboocove.coordination.backoff import (
+    MAX_RETRY_AFTER_S,
+    AcceptPacer,
+    admit,
+    compute_delay,
+)
 from bamboocove.events import log_event
 from bamboocove.protocol.messages import (
     Goodbye,
@@ -15,6 +20,7 @@
     Message,
     encode_message,
 )
+from bamboocove.state.members import MEMBER_STATES
 from bamboocove.transport.peers import LinkHandlers
 
 # After a mass restart every seed is dialled by thousands of nodes; Hello and
@@ -266,7 +272,8 @@
             return
         peer.heard_at = self.clock.seconds()
         if isinstance(message, Goodbye):
-            peer.goodbye = message
+            retry_after_s = min(max(0.0, message.retry_after_s), MAX_RETRY_AFTER_S)
+            peer.goodbye = Goodbye(retry_after_s)
             link.close("goodbye")
         elif peer.node_id:
             self.callbacks.on_message(peer, message)
@@ -280,8 +287,14 @@
         if node_id == self.own_id:
             if peer.address is not None:
                 self._own_addresses.add((peer.address.host, peer.address.port))
+            else:
+                # The dialling end learns from it that the address is its own.
+                peer.link.send(self.callbacks.make_hello(node_id, PEER))
             peer.link.close("link to itself")
             return
+        if not node_id or hello.member.state not in MEMBER_STATES:
+            peer.link.close("unusable Hello")
+            return
         peer.node_id, peer.incarnation = node_id, hello.member.incarnation
         if peer.address is None:
             peer.purpose = EVIDENCE if hello.purpose == EVIDENCE else PEER
--- a/bamboocove/membership.py
+++ b/bamboocove/membership.py
@@ -32,7 +32,7 @@
     MemberUpdate,
 )
 from bamboocove.settings import Settings
-from bamboocove.state.members import LIVE_STATES, Member, MemberTable
+from bamboocove.state.members import LIVE_STATES, MEMBER_STATES, Member, MemberTable
 
 # Records that change within this time travel in one message.
 FLUSH_S = 0.05
@@ -104,7 +104,8 @@
 
     def take_records(self, records: Iterable[Member], source: str | None) -> None:
         """Merge records, pass on what was news, refute what is false."""
-        records = list(records)
+        # A newer release may have states that this one cannot order.
+        records = [record for record in records if record.state in MEMBER_STATES]
         for record in records:
             if record.node_id == self.own.node_id:
                 self._refute(record)
@@ -165,6 +166,8 @@
         if peer.node_id:
             self._gossip.pending_by_peer.pop(peer.node_id, None)
         node_id = peer.node_id or (peer.address.node_id if peer.address else "")
+        if not node_id:
+            return
         if peer.goodbye is not None and peer.goodbye.retry_after_s > 0.0:
             # It is alive and asked for patience.
             wait_s = peer.goodbye.retry_after_s
--- a/tests/coordination/test_distribution.py
+++ b/tests/coordination/test_distribution.py
@@ -6,6 +6,7 @@
 
 from bamboocove.coordination.distribution import (
     KEPT_REVISIONS,
+    MAX_REMEMBERED,
     REFUSED_RETRY_S,
     REQUEST_TIMEOUT_S,
     Distribution,
@@ -267,6 +268,22 @@
     assert [delta.revision for delta in send.message.deltas] == [3, 4, 5]
 
 
+def test_whole_configuration_is_sent_where_deltas_end_too_early():
+    """Guards against deltas that lead to a revision that is not in force."""
+    state = make_state(3)
+    take_full(state, "a", make_config(9), 0.0, accept)
+    (send,) = answer_request(state, "b", ConfigRequest(1))
+    assert send.message == ConfigFull(make_config(9))
+
+
+def test_deltas_that_overlap_what_is_in_force_are_used():
+    """Guards against a second request after an answer that came late."""
+    source, state = make_state(4), make_state(3, {"a": 4})
+    (send,) = answer_request(source, "s", ConfigRequest(1))
+    assert take_deltas(state, "a", send.message, 0.0, accept) == []
+    assert state.config == make_config(4)
+
+
 def test_bad_digest_leads_to_a_whole_configuration():
     """Guards against a node that is stuck behind a delta that cannot apply."""
     state = make_state(1, {"a": 2})
@@ -335,6 +352,16 @@
     assert state.revision_by_peer["a"] == 0
 
 
+def test_remembered_neighbours_are_bounded():
+    """Guards against memory that grows with each host that was ever linked."""
+    state = make_state(1)
+    for index in range(MAX_REMEMBERED + 10):
+        note_revision(state, f"n{index}", 1, 0.0)
+        forget_peer(state, f"n{index}", 0.0)
+    assert len(state.acknowledged_by_id) == MAX_REMEMBERED
+    assert f"n{MAX_REMEMBERED + 9}" in state.acknowledged_by_id
+
+
 def test_unchanged_services_are_shared():
     """Guards against digests of every service after each full configuration."""
     routes = (Route("r", "/r"),)
--- a/tests/test_link_table.py
+++ b/tests/test_link_table.py
@@ -1,9 +1,18 @@
 """Tests of bamboocove.link_table in fleets of distributors."""
 
+import pytest
+from attrs import evolve
+
+from bamboocove import link_table
 from bamboocove.coordination.backoff import AcceptPacer
 from bamboocove.protocol.messages import (
     Goodbye,
+    Heartbeat,
+    Hello,
 )
+from bamboocove.state.members import Member
+from bamboocove.transport.peers import LinkHandlers
+from tests.fake_links import FakeNetwork
 from tests.fleet import Fleet, make_fleet
 
 
@@ -33,3 +42,96 @@
     for port in fleet.nodes:
         assert set(fleet.get_states(port)) == names
         assert set(fleet.get_states(port).values()) == {"alive"}
+
+
+class OpenLink:
+    """A link to a node that the test plays itself."""
+
+    def __init__(self, fleet, port):
+        self.received = []
+        self.closed = []
+        self.network = FakeNetwork(fleet.hub, 99)
+        self.link = self.network.dial(
+            "127.0.0.1",
+            port,
+            LinkHandlers(
+                lambda link: None,
+                lambda link, message: self.received.append(message),
+                lambda link, reason: self.closed.append(reason),
+            ),
+        )
+        fleet.run(0.1)
+
+
+def make_hello(**values):
+    member = Member("x", 1, 1, "a", "r", "127.0.0.1", 99)
+    return Hello(evolve(member, **values), 0)
+
+
+@pytest.mark.parametrize(
+    "message",
+    [
+        Goodbye(1.0),
+        Heartbeat(1, 0.0, 0),
+        make_hello(state="odd"),
+        make_hello(node_id=""),
+    ],
+)
+def test_link_starts_with_a_usable_hello(message):
+    """Guards against peers without a name, whose messages cannot be attributed."""
+    fleet = make_fleet(1)
+    peer = OpenLink(fleet, 1)
+    peer.link.send(message)
+    fleet.run(0.1)
+    assert peer.closed and not fleet.get_links(1) and peer.received == []
+
+
+def test_silent_link_is_closed():
+    """Guards against links that a vanished peer leaves open."""
+    fleet = make_fleet(1)
+    peer = OpenLink(fleet, 1)
+    peer.link.send(make_hello())
+    fleet.run(10.0)
+    assert "x" in fleet.get_links(1)
+    fleet.run(5.0)
+    assert "x" not in fleet.get_links(1)
+
+
+def test_long_delay_of_a_server_is_capped():
+    """Guards against a peer that is never dialled again."""
+    fleet = make_fleet(2)
+    fleet.get_links(1)["n2"].link.send(Goodbye(1e9))
+    fleet.run(60.0)
+    assert "n2" in fleet.get_links(1)
+
+
+def test_number_of_accepted_links_is_bounded(monkeypatch):
+    """Guards against a node that runs out of memory when thousands dial it."""
+    monkeypatch.setattr(link_table, "MAX_ACCEPTED_LINKS", 3)
+    fleet = make_fleet(1)
+    peers = [OpenLink(fleet, 1) for _ in range(5)]
+    goodbyes = [peer for peer in peers if peer.received]
+    assert len(goodbyes) == 2
+    assert all(isinstance(peer.received[0], Goodbye) for peer in goodbyes)
+
+
+def test_link_to_itself_is_not_repeated():
+    """Guards against a seed that dials its own address for ever."""
+    fleet = Fleet()
+    fleet.start(1, seeds=[1])
+    fleet.run(30.0)
+    assert len(fleet.networks[1].links) == 2
+    assert fleet.nodes[1]._links.is_empty
+
+
+def test_links_that_are_not_needed_are_closed():
+    """Guards against links to seeds and probes that stay and cost heartbeats."""
+    fleet = make_fleet(20)
+    fleet.run(20.0)
+    dialled = sum(
+        peer.address is not None
+        for port in fleet.nodes
+        for peer in fleet.get_links(port).values()
+    )
+    assert dialled <= 3 * 20
+    assert len(fleet.get_links(1)) < 12
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -2,6 +2,7 @@
 
 from attrs import evolve
 
+from bamboocove.protocol.messages import MemberUpdate
 from tests.fleet import WORKER, make_fleet
 
 
@@ -97,3 +98,13 @@
     fleet.clock.advance(60.0)
     fleet.run(1.0)
     assert set(fleet.get_states(1).values()) == {"alive"}
+
+
+def test_unknown_state_is_ignored():
+    """Guards against links that break on a record of a newer release."""
+    fleet = make_fleet(3)
+    record = evolve(fleet.nodes[2].member, sequence=99, state="resting")
+    fleet.nodes[1]._links.send_all(MemberUpdate((record,)))
+    fleet.run(2.0)
+    assert fleet.get_states(3)["n2"] == "alive"
+    assert fleet.nodes[2].member.sequence < 99
