Tests of a drain with a call in flight and of announcements

Cause: no test stopped a worker process during a call, and none showed that a worker is announced to a node that comes back.

--- a/bamboocove/transport/platform.py
+++ b/bamboocove/transport/platform.py
@@ -137,9 +137,9 @@
             Agent(clock, connectTimeout=timeout_s, pool=self._pool)
         )
 
-    async def close(self) -> None:
-        """Close the pooled connections."""
-        await self._pool.closeCachedConnections()
+    def close(self) -> Deferred:
+        """Close the pooled connections; the Deferred fires when that is done."""
+        return self._pool.closeCachedConnections()
 
     async def _read(self, path: str) -> _Response | ErrorResult:
         response = await self._request("GET", path, None)
@@ -295,7 +295,10 @@
         if not isinstance(plain, dict):
             return ErrorResult(ErrorKind.STORE_UNKNOWN, "answer is not a map")
         if response.status == CONFLICT:
-            return Conflict.of(str(plain.get("key")), int(plain.get("version", 0)))
+            version = plain.get("version")
+            if not isinstance(version, int):
+                return ErrorResult(ErrorKind.CONFLICT, "a check failed")
+            return Conflict.of(str(plain.get("key")), version)
         committed = from_plain(Committed, {"versions_by_key": plain.get("versions")})
         if isinstance(committed, ErrorResult):
             return ErrorResult(ErrorKind.STORE_UNKNOWN, committed.reason)
--- a/tests/test_standin.py
+++ b/tests/test_standin.py
@@ -4,8 +4,10 @@
 import signal
 import subprocess
 import sys
+import time
 import urllib.error
 import urllib.request
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -61,6 +63,18 @@
     assert process.wait(STOP_S) == 0
 
 
+def test_call_in_flight_at_sigterm_is_answered(start):
+    """Guards against a planned stop that loses an answer."""
+    process, ready = start("worker", "--drain", "0", "--work", "0.5")
+    with ThreadPoolExecutor(1) as pool:
+        call = pool.submit(fetch, ready["port"], "/x?bytes=1000000")
+        while fetch(ready["port"], "/counters")["running"] == 0:
+            time.sleep(0.01)
+        process.send_signal(signal.SIGTERM)
+        assert call.result(STOP_S)["service"] == "orders"
+    assert process.wait(STOP_S) == 0
+
+
 def test_poison_request_ends_the_process_without_an_answer(start):
     process, ready = start("worker", "--faults", '{"crash_header": "x-poison"}')
     with pytest.raises((urllib.error.URLError, ConnectionError)):
--- a/tests/test_standin_worker.py
+++ b/tests/test_standin_worker.py
@@ -203,12 +203,33 @@
     }
 
 
-def test_absent_node_does_not_stop_a_worker():
-    async def body(harness):
-        await deferLater(harness.reactor, 0.1, lambda: None)
+def test_worker_goes_on_announcing_while_its_node_is_away():
+    """Guards against a worker that no node knows after the node was replaced."""
+    app = Klein()
+    states = []
+
+    @app.route("/workers", methods=["POST"])
+    def take(request):
+        states.append(json.loads(request.content.read())["state"])
+        return b""
+
+    async def body(reactor):
+        site = Site(app.resource(), reactor=reactor)
+        port = reactor.listenTCP(0, site)
+        number = port.getHost().port
+        await port.stopListening()
+        harness = Harness(reactor, admin_url=f"http://{HOST}:{number}")
+        await deferLater(reactor, 0.2, lambda: None)
         assert (await harness.call())[0] == 200
+        assert states == []
+        port = reactor.listenTCP(number, site)
+        while not states:
+            await deferLater(reactor, 0.01, lambda: None)
+        await harness.close()
+        await port.stopListening()
 
-    run_with_worker(body, admin_url=f"http://{HOST}:1")
+    run_with_reactor(body)
+    assert states[0] == "ready"
 
 
 def test_faults_are_changed_over_http():
