Bound and escape words in messages, and check the form of answers

Cause: some messages repeated a word of the text in full, control characters of ASCII words were not escaped, libyaml's own limit of nesting gave another message than ours, and an answer of another form ended the tool with a traceback.

--- a/bamboocove/cli_base.py
+++ b/bamboocove/cli_base.py
@@ -117,6 +117,10 @@
             body = await client.get_json(path, query)
             if isinstance(body, ErrorResult):
                 return self.fail(body)
-            return self.print_result(body, lambda: lines(body))
+            try:
+                return self.print_result(body, lambda: lines(body))
+            except (AttributeError, KeyError, TypeError, ValueError) as error:
+                reason = f"answer to {path} is not as expected: {error!r}"
+                return self.fail(ErrorResult(ErrorKind.INVALID_MESSAGE, reason))
 
         return self.run_with_client(work)
--- a/bamboocove/cli_text.py
+++ b/bamboocove/cli_text.py
@@ -107,20 +107,29 @@
         path, base = self.argument("file"), self.option("base")
         if base is not None and not (base.isascii() and base.isdigit()):
             raise MisuseError(f"--base {base!r} is not a revision")
+        author = self.get_author()
         data = read_file(path)
         if isinstance(data, ErrorResult):
             return self.fail(data)
         if isinstance(data, TextProblem):
             return self.fail_text(path, [data])
-        return self.run_with_client(lambda client: self.apply(client, path, data, base))
+        return self.run_with_client(
+            lambda client: self.apply(client, path, data, base, author)
+        )
+
+    def get_author(self) -> str:
+        """Return who applies the text."""
+        try:
+            return self.option("author") or getpass.getuser()
+        except (KeyError, OSError):
+            raise MisuseError("the user has no name; use --author") from None
 
     async def apply(
-        self, client: NodeClient, path: str, data: bytes, base: str | None
+        self, client: NodeClient, path: str, data: bytes, base: str | None, author: str
     ) -> int:
         """Send the text, or say which base there is now."""
         if base is None:
             return await self.refuse_without_base(client)
-        author = self.option("author") or getpass.getuser()
         reply = await client.send(
             "POST", "/config", {"base": base, "author": author}, data
         )
--- a/bamboocove/protocol/text.py
+++ b/bamboocove/protocol/text.py
@@ -13,7 +13,7 @@
     TextDocument,
 )
 from bamboocove.protocol.text_reader import NULL_TAG, Reader
-from bamboocove.protocol.text_source import TextProblem, compose_text
+from bamboocove.protocol.text_source import TextProblem, compose_text, shorten
 from bamboocove.protocol.text_values import (
     IDEMPOTENT_METHODS,
     BadWord,
@@ -36,7 +36,9 @@
 
 def _read_flag(word: str) -> bool | BadWord:
     if word not in ("true", "false"):
-        return BadWord(f"{word!r} is neither true nor false", "write true or false")
+        return BadWord(
+            f"{shorten(word)!r} is neither true nor false", "write true or false"
+        )
     return word == "true"
 
 
@@ -46,7 +48,7 @@
             return word
         otherwise = f"use one of {', '.join(REQUEST_CLASSES)}"
         remedy = reader.suggest(word, REQUEST_CLASSES, otherwise)
-        return BadWord(f"{word!r} is not a request class", remedy)
+        return BadWord(f"{shorten(word)!r} is not a request class", remedy)
 
     return check_class
 
--- a/bamboocove/protocol/text_reader.py
+++ b/bamboocove/protocol/text_reader.py
@@ -6,7 +6,7 @@
 import yaml
 from attrs import define, field
 
-from bamboocove.protocol.text_source import TextProblem, make_problem
+from bamboocove.protocol.text_source import TextProblem, make_problem, shorten
 from bamboocove.protocol.text_values import BadWord, suggest
 
 # A suggestion compares the word with every known name.
@@ -90,7 +90,7 @@
                 continue
             if key.value in lines_by_key:
                 line = lines_by_key[key.value]
-                message = f"{key.value!r} is already in {what}, at line {line}"
+                message = f"{shorten(key.value)!r} is already in {what}, at line {line}"
                 self.add(key, message, "rename or remove one of them")
                 continue
             lines_by_key[key.value] = key.start_mark.line + 1
@@ -107,7 +107,7 @@
                 continue
             remedy = f"use one of {', '.join(known)}"
             remedy = self.suggest(key.value, known, remedy)
-            self.add(key, f"unknown field {key.value!r} in {what}", remedy)
+            self.add(key, f"unknown field {shorten(key.value)!r} in {what}", remedy)
         if isinstance(node, yaml.MappingNode):
             for name in known[:required]:
                 if name not in values:
--- a/bamboocove/protocol/text_source.py
+++ b/bamboocove/protocol/text_source.py
@@ -11,6 +11,7 @@
 # The text needs 6 levels; composing recurses once for each level.
 MAX_DEPTH = 16
 MAX_WORD = 40
+TOO_DEEP = f"text is nested more than {MAX_DEPTH} levels deep"
 
 # The characters that YAML does not allow unescaped, and the byte order mark.
 _NOT_ALLOWED = re.compile(
@@ -48,15 +49,20 @@
 
 
 def shorten(word: str) -> str:
-    """Return a word for a message, on one line and of bounded length.
+    r"""Return a word for a message, on one line and of bounded length.
+
+    Characters that a terminal could act on are escaped.
 
     Examples
     --------
     >>> shorten("a" * 50) == "a" * 40 + "..."
     True
+    >>> shorten("a\x1b[1mb")
+    'a\\x1b[1mb'
     """
-    word = word.encode("unicode_escape").decode("ascii") if not word.isascii() else word
-    word = " ".join(word.split())
+    word = word[: MAX_WORD + 1]
+    if not (word.isascii() and word.isprintable()):
+        word = word.encode("unicode_escape").decode("ascii")
     return word if len(word) <= MAX_WORD else word[:MAX_WORD] + "..."
 
 
@@ -167,9 +173,8 @@
         if isinstance(event, yaml.CollectionStartEvent):
             depth += 1
             if depth > MAX_DEPTH:
-                message = f"text is nested more than {MAX_DEPTH} levels deep"
                 return _make_problem_at(
-                    text, index, message, "compare with docs/text.md"
+                    text, index, TOO_DEEP, "compare with docs/text.md"
                 )
     return None
 
@@ -179,6 +184,9 @@
     detail = getattr(error, "problem", None) or str(error).splitlines()[0]
     message = f"not valid YAML: {detail}"
     remedy = "check indentation, quotes and brackets here"
+    # libyaml has a limit of its own, which it can reach before the first event.
+    if "nesting" in detail:
+        message, remedy = TOO_DEEP, "compare with docs/text.md"
     if mark is None:
         return TextProblem(1, 1, "", message, remedy)
     word = _WORD.match(text, mark.index) if mark.index <= len(text) else None
--- a/tests/fake_node.py
+++ b/tests/fake_node.py
@@ -104,6 +104,8 @@
         if request.path == b"/none":
             error = ErrorResult(ErrorKind.NO_ROUTE, "no route")
             return answer_error(request, error)
+        if request.path.startswith(b"/json"):
+            return b'[{"a": 1}]'
         headers = ("bamboocove-service", "idempotency-key", "bamboocove-deadline-ms")
         received = [request.method.decode(), request.uri.decode()]
         received += [request.getHeader(name) or "-" for name in headers]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -205,6 +205,17 @@
     assert err.count("\n") == 1
 
 
+def test_user_without_a_name_is_asked_for_an_author(capsys, monkeypatch, text):
+    """Some hosts run the tool under a user id that has no entry."""
+
+    def fail():
+        raise KeyError("uid not found")
+
+    monkeypatch.setattr("getpass.getuser", fail)
+    status, _, err = run(capsys, "apply", text, "--base", "1", "--node", CLOSED)
+    assert (status, "--author" in err) == (2, True)
+
+
 def test_missing_file_is_an_error(capsys, tmp_path):
     status, _, err = run(capsys, "check", tmp_path / "none.yaml")
     assert status == 1
@@ -370,6 +381,16 @@
     assert "is it an admin port?" in err
 
 
+def test_answer_of_another_form_is_an_error(node):
+    """A node of another release, or another server, may answer other JSON."""
+    _, out, _ = run_tool("status", "--node", node, "--json")
+    call_port = json.loads(out)["call_port"]
+    url = f"http://127.0.0.1:{call_port}/json"
+    status, _, err = run_tool("history", "--node", url)
+    assert status == 1
+    assert "not as expected" in err
+
+
 def test_interrupt_ends_with_130_and_without_a_traceback():
     """The node here takes the request and never answers."""
     with socket.create_server(("127.0.0.1", 0)) as listener:
