Log who applied a text, or why it was refused

Cause: events 701 and 702 of the catalogue were logged nowhere.

Change: the admin interface logs them after each edit; an edit that changes nothing is not logged.

Seen: both guards were taken out once; the test failed for each.

--- a/bamboocove/transport/admin.py
+++ b/bamboocove/transport/admin.py
@@ -13,7 +13,7 @@
 from werkzeug.exceptions import HTTPException, NotFound
 
 from bamboocove.errors import ANSWERS, ErrorKind, ErrorResult, RunState
-from bamboocove.events import logger
+from bamboocove.events import log_event, logger
 from bamboocove.protocol.rows import HistoryRecord
 from bamboocove.protocol.text_source import MAX_TEXT_BYTES
 from bamboocove.state.codec import to_plain
@@ -141,6 +141,20 @@
     return outer
 
 
+def _log_apply(author: str, result: ApplyResult) -> None:
+    if isinstance(result, AppliedText):
+        if result.difference:
+            log_event(701, author=author, revision=result.revision)
+        return
+    if isinstance(result, TextConflict):
+        reason = f"{result.author} was first, at revision {result.revision}"
+    elif isinstance(result, list):
+        reason = f"{len(result)} problems, first {result[0]}"
+    else:
+        reason = str(result)
+    log_event(702, author=author, reason=reason)
+
+
 def _answer_apply(request: Request, result: ApplyResult) -> bytes:
     if isinstance(result, AppliedText):
         return answer_json(request, 200, asdict(result))
@@ -234,6 +248,7 @@
             if isinstance(checked, ErrorResult):
                 return answer_error(request, checked)
         result = await _shield(operations.apply_text(data, base, author))
+        _log_apply(author, result)
         return _answer_apply(request, result)
 
     @app.route("/drain", methods=["POST"])
--- a/tests/transport/test_admin.py
+++ b/tests/transport/test_admin.py
@@ -5,6 +5,7 @@
 
 import pytest
 from attrs import evolve
+from logbook import TestHandler as LogHandler
 from twisted.internet.defer import Deferred
 from twisted.internet.error import ConnectionDone
 from twisted.internet.task import Clock
@@ -167,6 +168,23 @@
     assert response.body["run"] == "unknown"
 
 
+def test_outcome_of_an_edit_is_logged_with_its_author(client):
+    with LogHandler() as log:
+        client.send("POST", "/config?base=1&author=ana", MOVE_TEXT)
+        client.send("POST", "/config?base=2&author=ana", MOVE_TEXT)
+        client.send("POST", "/config?base=1&author=bor", TEXT)
+        client.send("POST", "/config?base=2&author=eva", b"tenant: t\n")
+        client.node.result = ErrorResult(ErrorKind.STORE_UNAVAILABLE, "down")
+        client.send("POST", "/config?base=2&author=eva", TEXT)
+    assert [record.message for record in log.records] == [
+        "BC701 text of ana accepted as revision 2",
+        "BC702 text of bor refused: ana was first, at revision 2",
+        "BC702 text of eva refused: 1 problems, first 1:1: the text has no "
+        "services; add services:",
+        "BC702 text of eva refused: store_unavailable: down",
+    ]
+
+
 @pytest.mark.parametrize(
     "query",
     [
