Whole path in separate processes: node, movement task, demo

A node is assembled from its tasks; the demo starts a platform stand-in, 12 nodes and 21 workers in 3 availability zones.

A node applies nothing before its floor is known, which comes from the store or, while that is down, from peers. The watch time at 100% is a setting.

--- a/bamboocove/coordination/coordinator.py
+++ b/bamboocove/coordination/coordinator.py
@@ -16,6 +16,7 @@
 )
 from bamboocove.coordination.moves import (
     NOTES,
+    WATCH_S,
     BrakeCounts,
     Decision,
     WorkerCounts,
@@ -142,8 +143,9 @@
         TCP port to which nodes send evidence.
     ports : CoordinatorPorts
         The rest of the node.
-    lease_s, step_s : float
-        Lease time and least time on a step in seconds.
+    lease_s, step_s, watch_s : float
+        Lease time, least time on a step, and time that a version is watched
+        at 100%, in seconds.
     """
 
     node_id: str
@@ -152,6 +154,7 @@
     ports: CoordinatorPorts
     lease_s: float = 10.0
     step_s: float = 5.0
+    watch_s: float = WATCH_S
     lease: HeldLease | None = None
     states_by_move: dict[str, MoveState] = field(factory=dict)
     _tried_at: float = float("-inf")
@@ -291,6 +294,7 @@
             brakes,
             estimate_remaining_s(judgement),
             self.step_s,
+            self.watch_s,
         )
         is_warned = state.warned_deadline == move.deadline
         if decision.kind in NOTES and decision.warning and not is_warned:
--- a/bamboocove/coordination/distribution.py
+++ b/bamboocove/coordination/distribution.py
@@ -63,6 +63,10 @@
         Digest of it.
     floor : int
         Lowest revision that may be applied.
+    is_floor_known : bool
+        Whether the floor covers the past of this node. Until then nothing is
+        requested or applied, because a peer that lags could deliver an older
+        revision than this node had before a restart.
     deltas_by_base : dict of int to Delta
         Deltas of the last ``KEPT_REVISIONS`` revisions by base revision.
     revision_by_peer : dict of str to int
@@ -81,6 +85,7 @@
     config: Config = field(factory=Config)
     digest: bytes = b""
     floor: int = 0
+    is_floor_known: bool = True
     deltas_by_base: dict[int, Delta] = field(factory=dict)
     revision_by_peer: dict[str, int] = field(factory=dict)
     acknowledged_by_id: dict[str, int] = field(factory=dict)
@@ -130,7 +135,7 @@
 def _request_missing(
     state: Distribution, now: float, last_choice: str = ""
 ) -> list[Send]:
-    if state.request is not None:
+    if state.request is not None or not state.is_floor_known:
         return []
     known = max(state.config.revision, state.floor - 1)
     if now - state.refused_at < REFUSED_RETRY_S:
@@ -232,6 +237,8 @@
     state: Distribution, config: Config, apply_config: ApplyConfig
 ) -> ErrorResult | None:
     held = state.config.revision
+    if not state.is_floor_known:
+        return ErrorResult(ErrorKind.STALE, "the floor is not known yet")
     if config.revision <= held or config.revision < state.floor:
         reason = f"revision {config.revision}, in force {held}, floor {state.floor}"
         return ErrorResult(ErrorKind.STALE, reason)
--- a/bamboocove/coordination/moves.py
+++ b/bamboocove/coordination/moves.py
@@ -168,6 +168,7 @@
     brakes: BrakeCounts = BrakeCounts(),
     remaining_s: float = 0.0,
     step_s: float = STEP_S,
+    watch_s: float = WATCH_S,
 ) -> Decision:
     """Decide the next step of a move.
 
@@ -187,6 +188,8 @@
         Seconds in which the remaining steps can be earned; 0 if unknown.
     step_s : float
         Least time on each step.
+    watch_s : float
+        Time after 100% during which the old version stays available.
     """
     if move.is_ended:
         return _keep(move)
@@ -195,7 +198,7 @@
     if brakes.is_widespread and move.step >= 0:
         return _answer_brakes(move, brakes)
     if move.phase == "finishing" or move.step >= LAST_STEP:
-        return _plan_watch(move, verdict, now, workers, step_s)
+        return _plan_watch(move, verdict, now, workers, step_s, watch_s)
     if now >= move.deadline:
         return _end(
             move, "expire", f"deadline passed at {move.share:.0%}: {move.reason}"
@@ -215,7 +218,12 @@
 
 
 def _plan_watch(
-    move: Move, verdict: Verdict, now: float, workers: WorkerCounts, step_s: float
+    move: Move,
+    verdict: Verdict,
+    now: float,
+    workers: WorkerCounts,
+    step_s: float,
+    watch_s: float,
 ) -> Decision:
     age = now - move.changed_at
     if move.step == LAST_STEP:
@@ -223,13 +231,13 @@
             step = LAST_STEP - 1
             reason = "more bad calls than the old version had; comparing again"
             return Decision("step_back", "finishing", step, STEP_SHARES[step], reason)
-        if age < WATCH_S or workers.new_ready < max(1, workers.old):
+        if age < watch_s or workers.new_ready < max(1, workers.old):
             return _keep(move)
         reason = f"no worse than {move.from_version} for {age:.0f} s at 100%"
         return Decision("finish", "done", LAST_STEP, 1.0, reason)
     if verdict.kind == "good" and not verdict.is_suspect and age >= step_s:
         return _advance(move, LAST_STEP, verdict.reason)
-    if now >= move.deadline and age >= WATCH_S:
+    if now >= move.deadline and age >= watch_s:
         return _end(move, "expire", f"not shown good after 100%: {verdict.reason}")
     return _keep(move)
 
--- /dev/null
+++ b/bamboocove/demo.py
@@ -0,0 +1,359 @@
+"""Demo of the main job: a good move that finishes and a bad one taken back."""
+
+import json
+import sys
+from collections import Counter
+from datetime import UTC, datetime
+from itertools import count
+from random import Random
+from typing import Any
+
+import treq
+from attrs import define, field
+from cleo.application import Application
+from cleo.commands.command import Command
+from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.error import ConnectError, ConnectionLost
+from twisted.internet.task import LoopingCall, deferLater, react
+from twisted.web.client import ResponseFailed
+
+from bamboocove import __version__
+from bamboocove.fleet import Fleet, NodeProcess
+from bamboocove.state.config import ENDED_PHASES
+
+ZONES = ("ljubljana-1", "ljubljana-2", "ljubljana-3")
+WORKERS_BY_SERVICE = {"orders": 5, "rounds": 4, "ledger": 3}
+# Shorter than the defaults, so that the demo ends within a minute.
+SETTINGS = {
+    ("moves", "step_s"): "1",
+    ("moves", "watch_s"): "5",
+    ("moves", "window_s"): "0.5",
+}
+CALL_INTERVAL_S = 0.004
+CALL_TIMEOUT_S = 5.0
+PAYMENT_EVERY = 50
+WAIT_S = 0.25
+WAIT_LIMIT_S = 75.0
+DEADLINE_S = 60.0
+
+TEXT = """\
+tenant: kozje-mleko
+services:
+  orders:
+    version: v1
+    depends_on: [ledger]
+    routes:
+      read-order: {path: /orders, class: prompt, timeout: 2s}
+      browse: {path: /cheeses, timeout: 2s}
+  rounds:
+    version: v1
+    depends_on: [orders]
+    routes:
+      read-round: {path: /rounds, class: prompt, timeout: 2s}
+      list-stops: {path: /stops, timeout: 2s}
+  ledger:
+    version: v1
+    routes:
+      read-account: {path: /accounts, class: deferrable, timeout: 2s}
+      pay: {path: /payments, methods: [POST], idempotent: false, timeout: 5s}
+"""
+MOVE = """\
+  - service: {service}
+    to: {version}
+    by: {deadline}
+"""
+PATHS = (
+    ("orders", "/orders/17"),
+    ("orders", "/cheeses"),
+    ("rounds", "/rounds/4"),
+    ("rounds", "/stops"),
+    ("ledger", "/accounts/9"),
+)
+
+
+@define
+class CallLog:
+    """Outcomes of the demo's own calls.
+
+    Parameters
+    ----------
+    statuses : Counter
+        Calls by service, version and status.
+    payments : int
+        Payments that were sent, each with a key of its own.
+    """
+
+    statuses: Counter = field(factory=Counter)
+    payments: int = 0
+
+
+def say(text: str) -> None:
+    """Print a line of progress with the time."""
+    now = datetime.now(UTC)
+    print(f"{now:%H:%M:%S} {text}", flush=True)
+
+
+def make_text(moves: tuple[tuple[str, str, float], ...]) -> str:
+    """Return the operators' text with moves as (service, version, deadline)."""
+    if not moves:
+        return TEXT
+    lines = ["moves:\n"]
+    for service, version, deadline in moves:
+        by = datetime.fromtimestamp(deadline, UTC).isoformat(timespec="seconds")
+        lines.append(MOVE.format(service=service, version=version, deadline=by))
+    return TEXT + "".join(lines)
+
+
+@define(eq=False)
+class Demo:
+    """State of one run.
+
+    Parameters
+    ----------
+    reactor : reactor
+        Twisted reactor.
+    fleet : Fleet
+        The processes.
+    """
+
+    reactor: Any
+    fleet: Fleet
+    random: Random = field(factory=lambda: Random(1))
+    log: CallLog = field(factory=CallLog)
+    in_flight: set[Deferred] = field(factory=set)
+
+    @property
+    def nodes(self) -> list[NodeProcess]:
+        """All nodes in the order in which they were started."""
+        return list(self.fleet.nodes_by_id.values())
+
+    async def fetch(self, node: NodeProcess, path: str) -> Any:
+        """Return the JSON answer of a node's admin interface."""
+        response = await treq.get(node.admin_url + path, timeout=CALL_TIMEOUT_S)
+        return await response.json()
+
+    async def start(self) -> None:
+        """Start the platform, the nodes and their workers."""
+        await self.fleet.start_platform()
+        say("platform stand-in is up")
+        hosts = [
+            (service, index)
+            for service, workers in WORKERS_BY_SERVICE.items()
+            for index in range(workers)
+        ]
+        starts = [
+            Deferred.fromCoroutine(
+                self.fleet.start_node(
+                    f"{service}-{index}", ZONES[position % len(ZONES)]
+                )
+            )
+            for position, (service, index) in enumerate(hosts)
+        ]
+        await DeferredList(starts, fireOnOneErrback=True)
+        say(f"{len(hosts)} nodes are up in {len(ZONES)} availability zones")
+        await self.start_workers("orders", "v1")
+        await self.start_workers("rounds", "v1")
+        await self.start_workers("ledger", "v1")
+
+    async def start_workers(self, service: str, version: str, *options: str) -> None:
+        """Start one worker beside each node of a service."""
+        starts = [
+            Deferred.fromCoroutine(
+                self.fleet.start_worker(node, service, version, *options)
+            )
+            for node in self.nodes
+            if node.node_id.startswith(service)
+        ]
+        await DeferredList(starts, fireOnOneErrback=True)
+        say(f"{len(starts)} workers of {service} {version} are up")
+
+    async def apply(self, text: str) -> int:
+        """Apply a text, wait until it is in force everywhere, return the revision."""
+        base = (await self.fetch(self.nodes[0], "/status"))["text_revision"]
+        started_at = self.reactor.seconds()
+        response = await treq.post(
+            f"{self.nodes[0].admin_url}/config?base={base}&author=demo",
+            data=text.encode(),
+        )
+        answer = await response.json()
+        if response.code != 200:
+            raise RuntimeError(f"the text was refused: {answer}")
+        revision = answer["revision"]
+        await self.wait_for_revision(revision)
+        elapsed_s = self.reactor.seconds() - started_at
+        say(
+            f"text accepted as revision {revision}, in force on all nodes after "
+            f"{elapsed_s:.1f} s"
+        )
+        return revision
+
+    async def wait_for_revision(self, revision: int) -> None:
+        """Wait until every node has a revision or a newer one in force."""
+        deadline = self.reactor.seconds() + WAIT_LIMIT_S
+        while self.reactor.seconds() < deadline:
+            revisions = [
+                (await self.fetch(node, "/status"))["revision"] for node in self.nodes
+            ]
+            if min(revisions) >= revision:
+                return
+            await deferLater(self.reactor, WAIT_S)
+        raise RuntimeError(f"not all nodes have revision {revision}: {revisions}")
+
+    async def wait_for_moves(self, services: tuple[str, ...]) -> dict[str, str]:
+        """Print the steps of moves until all ended; return the phases by service."""
+        seen: dict[str, tuple[str, float]] = {}
+        deadline = self.reactor.seconds() + WAIT_LIMIT_S
+        while self.reactor.seconds() < deadline:
+            moves = [
+                move
+                for move in await self.fetch(self.nodes[0], "/moves")
+                if move["service"] in services
+            ]
+            for move in moves:
+                self._report_move(move, seen)
+            if all(move["phase"] in ENDED_PHASES for move in moves):
+                return {move["service"]: move["phase"] for move in moves}
+            await deferLater(self.reactor, WAIT_S)
+        raise RuntimeError(f"a move did not end: {seen}")
+
+    def _report_move(self, move: dict[str, Any], seen: dict[str, Any]) -> None:
+        state = (move["phase"], move["share"])
+        if seen.get(move["move_id"]) == state:
+            return
+        seen[move["move_id"]] = state
+        say(
+            f"  {move['move_id']}: {move['phase']}, share {move['share']:.0%},"
+            f" {move['reason']}"
+        )
+
+    async def explain(self) -> None:
+        """Print the answers of the system, as ``bamboocove explain`` does."""
+        for move in await self.fetch(self.nodes[0], "/moves"):
+            say(f"ANSWER {move['move_id']} is {move['phase']}: {move['reason']}")
+            events = await self.fetch(self.nodes[0], f"/explain/{move['move_id']}")
+            for event in events:
+                say(f"  revision {event['revision']}: {event['text']}")
+
+    # Calls.
+
+    def start_calls(self) -> LoopingCall:
+        """Send calls to the nodes at a fixed rate."""
+        numbers = count()
+        loop = LoopingCall(lambda: self._send_call(next(numbers)))
+        loop.start(CALL_INTERVAL_S, now=False)
+        return loop
+
+    def _send_call(self, number: int) -> None:
+        call = Deferred.fromCoroutine(self._call(number))
+        self.in_flight.add(call)
+        call.addBoth(lambda _: self.in_flight.discard(call))
+
+    async def _call(self, number: int) -> None:
+        node = self.random.choice(self.nodes)
+        service, path = PATHS[number % len(PATHS)]
+        method = "GET"
+        headers = {"bamboocove-service": service}
+        if number % PAYMENT_EVERY == 0:
+            service, path, method = "ledger", "/payments", "POST"
+            headers = {
+                "bamboocove-service": service,
+                "idempotency-key": f"pay-{number}",
+            }
+            self.log.payments += 1
+        try:
+            response = await treq.request(
+                method, node.call_url + path, headers=headers, timeout=CALL_TIMEOUT_S
+            )
+            await response.content()
+            status = str(response.code)
+        except (ConnectError, ConnectionLost, ResponseFailed, TimeoutError) as error:
+            status = type(error).__name__
+        self.log.statuses[service, status] += 1
+
+    async def count_runs(self) -> Counter:
+        """Return how often each idempotency key ran, over all workers."""
+        runs: Counter = Counter()
+        for worker in self.fleet.workers:
+            response = await treq.get(f"http://127.0.0.1:{worker.port}/counters")
+            counters = await response.json()
+            runs.update(counters.get("runs_by_key", {}))
+        return runs
+
+
+async def run_demo(demo: Demo) -> int:
+    """Run all steps; return the exit status."""
+    await demo.start()
+    await demo.apply(make_text(()))
+    calls = demo.start_calls()
+    say("callers send 250 calls a second, one in 50 a payment")
+    say("a good version, orders v2, and a bad one, rounds v2, which fails on one route")
+    faults = json.dumps({"failing_route": "/stops"})
+    await demo.start_workers("orders", "v2")
+    await demo.start_workers("rounds", "v2", "--faults", faults)
+    by = demo.reactor.seconds() + DEADLINE_S
+    moves = (("orders", "v2", by), ("rounds", "v2", by))
+    await demo.apply(make_text(moves))
+    phases = await demo.wait_for_moves(("orders", "rounds"))
+    calls.stop()
+    await DeferredList(list(demo.in_flight))
+    await demo.explain()
+    return await summarize(demo, phases["orders"], phases["rounds"])
+
+
+async def summarize(demo: Demo, good: str, bad: str) -> int:
+    """Print the summary; return 0 if all went as the demo promises."""
+    for (service, status), calls in sorted(demo.log.statuses.items()):
+        say(f"calls to {service} with status {status}: {calls}")
+    runs = await demo.count_runs()
+    doubled = [key for key, number in runs.items() if number > 1]
+    say(
+        f"payments: {demo.log.payments} sent, {len(runs)} run, {len(doubled)} run twice"
+    )
+    succeeded = good == "done" and bad == "reverted" and not doubled
+    say("demo finished as expected" if succeeded else "DEMO FAILED")
+    return 0 if succeeded else 1
+
+
+async def run_fleet(reactor: Any, statuses: list[int]) -> None:
+    """Run the demo and end its processes whatever happens."""
+    fleet = Fleet(reactor, SETTINGS)
+    reactor.addSystemEventTrigger("before", "shutdown", fleet.kill)
+    started_at = reactor.seconds()
+    try:
+        statuses.append(await run_demo(Demo(reactor, fleet)))
+    finally:
+        say("stopping all processes")
+        await fleet.stop()
+        say(f"took {reactor.seconds() - started_at:.0f} s")
+
+
+class DemoCommand(Command):
+    """Runs the demo."""
+
+    name = "run"
+    description = "start stand-ins and nodes, show a good and a bad move"
+
+    def handle(self) -> int:  # noqa: D102
+        statuses: list[int] = []
+        try:
+            react(
+                lambda reactor: Deferred.fromCoroutine(run_fleet(reactor, statuses)), ()
+            )
+        except SystemExit as error:
+            if error.code:
+                return int(error.code)
+        return statuses[0] if statuses else 130
+
+
+def main() -> None:
+    """Run the command line."""
+    application = Application("bamboocove-demo", __version__)
+    command = DemoCommand()
+    application.add(command)
+    application._default_command = command.name
+    application._single_command = True
+    application.run()
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bamboocove/distributor.py
+++ b/bamboocove/distributor.py
@@ -45,7 +45,6 @@
 )
 from bamboocove.settings import Settings
 from bamboocove.state.config import Config
-from bamboocove.state.evidence import Evidence
 from bamboocove.state.members import Member, MemberTable, WorkerRecord
 from bamboocove.transport.peers import PeerNetwork
 
@@ -175,6 +174,16 @@
         """Record of this node."""
         return self._membership.own
 
+    @property
+    def members(self) -> MemberTable:
+        """The member table that the tasks share."""
+        return self._members
+
+    @property
+    def has_floor(self) -> bool:
+        """Whether the floor of this node is known."""
+        return self.distribution.is_floor_known
+
     @property
     def coordinator(self) -> CoordinatorNotice | None:
         """The newest notice of who holds the coordinator lease."""
@@ -189,21 +198,29 @@
     def offer(self, config: Config) -> ErrorResult | None:
         """Put a configuration of the store or coordinator in force and offer it.
 
+        It was the head of the store, which also makes it the floor.
+
         Returns
         -------
         error : ErrorResult or None
             ``STALE`` if it is not newer than the one in force or is below the
             floor, otherwise why it cannot be applied.
         """
+        self.set_floor(config.revision)
         sends = offer_config(self.distribution, config, self._apply)
         if isinstance(sends, ErrorResult):
             return sends
         self._send(sends)
         return None
 
+    def await_floor(self) -> None:
+        """Apply nothing until ``set_floor`` or ``offer`` is called."""
+        self.distribution.is_floor_known = False
+
     def set_floor(self, revision: int) -> None:
         """Raise the lowest revision that is applied."""
         raise_floor(self.distribution, revision)
+        self.distribution.is_floor_known = True
 
     def get_floor(self) -> int:
         """Return the lowest revision that is applied, as far as known."""
@@ -222,9 +239,9 @@
         else:
             self._links.send_all(message)
 
-    def send_evidence(self, evidence: Iterable[Evidence]) -> bool:
-        """Send evidence to the coordinator; False if it was dropped."""
-        return self._notices.send_evidence(evidence)
+    def send_evidence(self, report: EvidenceReport) -> bool:
+        """Send a report to the coordinator; False if it was dropped."""
+        return self._notices.send_evidence(report)
 
     def is_reader(self, now: float) -> bool:
         """Whether this node is one of those that read the store for its zone."""
--- a/bamboocove/notices.py
+++ b/bamboocove/notices.py
@@ -1,6 +1,6 @@
 """Notices of the peer task: the coordinator, suspect requests, evidence."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from attrs import define, field
@@ -17,7 +17,6 @@
     EvidenceReport,
     SuspectNotice,
 )
-from bamboocove.state.evidence import Evidence
 
 MAX_KNOWN_FINGERPRINTS = 10_000
 # Reports that wait for a link to the coordinator; the oldest is dropped.
@@ -81,8 +80,8 @@
         if source:
             self.call_handler(notice)
 
-    def send_evidence(self, evidence: Iterable[Evidence]) -> bool:
-        """Send evidence to the coordinator, dialling it if there is no link.
+    def send_evidence(self, report: EvidenceReport) -> bool:
+        """Send a report to the coordinator, dialling it if there is no link.
 
         Returns
         -------
@@ -90,7 +89,6 @@
             False if no coordinator is known or it cannot be reached now; the
             report is dropped then, as evidence is judged in its window.
         """
-        report = EvidenceReport(tuple(evidence))
         if self.coordinator is None:
             return False
         if self.coordinator.node_id == self.own_id:
--- a/bamboocove/operations.py
+++ b/bamboocove/operations.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Collection, Mapping
 from uuid import uuid4
 
-from attrs import define, frozen
+from attrs import define
 
 from bamboocove.coordination.edits import PlannedEdit, StaleEdit, prepare_edit
 from bamboocove.coordination.publishing import (
@@ -13,10 +13,11 @@
     read_history,
 )
 from bamboocove.errors import ErrorKind, ErrorResult
-from bamboocove.events import format_event, log_event
+from bamboocove.events import format_event
 from bamboocove.protocol.rows import HistoryRecord
 from bamboocove.protocol.text_source import TextProblem
 from bamboocove.state.config import Config
+from bamboocove.transport.admin_operations import TextConflict
 from bamboocove.transport.platform import ObjectClient, TableClient
 
 # An edit competes with the steps of moves, which change the head about once
@@ -24,26 +25,7 @@
 PUBLISH_ATTEMPTS = 4
 
 
-@frozen
-class EditConflict:
-    """The text changed since the revision that an edit was made from.
-
-    Parameters
-    ----------
-    text_revision : int
-        Text revision in force.
-    author : str
-        Who made it.
-    difference : list of str
-        What the refused text would change now.
-    """
-
-    text_revision: int
-    author: str
-    difference: list[str]
-
-
-EditResult = PlannedEdit | EditConflict | list[TextProblem] | ErrorResult
+EditResult = PlannedEdit | TextConflict | list[TextProblem] | ErrorResult
 
 
 @define(eq=False)
@@ -83,7 +65,7 @@
 
         Returns
         -------
-        result : PlannedEdit, EditConflict, list of TextProblem or ErrorResult
+        result : PlannedEdit, TextConflict, list of TextProblem or ErrorResult
             What was published, or why nothing was. ``STORE_UNKNOWN`` if the
             edit may have been published.
         """
@@ -103,9 +85,8 @@
         edit = prepare_edit(head.config, data, base, now, self.get_announced())
         if isinstance(edit, StaleEdit):
             winner = await self._find_author(edit.text_revision)
-            return EditConflict(edit.text_revision, winner, edit.difference)
+            return TextConflict(edit.text_revision, winner, edit.difference)
         if not isinstance(edit, PlannedEdit):
-            log_event(702, author=author, reason=f"{len(edit)} problems in the text")
             return edit
         if edit.config is head.config:
             return edit
@@ -120,14 +101,16 @@
             author=author,
             at=now,
             summary="; ".join(edit.difference),
-            events=(format_event(701, author=author, revision=revision),),
+            events=(
+                format_event(701, author=author, revision=revision),
+                *_describe_moves(head.config, edit.config),
+            ),
         )
         published = await publish(
             self.table, self.objects, head, edit.config, record, uuid4().hex
         )
         if isinstance(published, ErrorResult):
             return published
-        log_event(701, author=author, revision=revision)
         self.offer(published.config)
         return edit
 
@@ -138,5 +121,20 @@
         return records[0].author
 
 
+def _describe_moves(old: Config, new: Config) -> list[str]:
+    """Return the events of moves that an edit adds or withdraws."""
+    events = []
+    for move_id, move in sorted(new.moves_by_id.items()):
+        before = old.moves_by_id.get(move_id)
+        if before is None:
+            service, version = move.service, move.to_version
+            events.append(
+                format_event(501, move_id=move_id, service=service, version=version)
+            )
+        elif move.is_ended and not before.is_ended:
+            events.append(format_event(505, move_id=move_id, reason=move.reason))
+    return events
+
+
 def _is_conflict(result: EditResult) -> bool:
     return isinstance(result, ErrorResult) and result.kind is ErrorKind.CONFLICT
--- a/bamboocove/settings.py
+++ b/bamboocove/settings.py
@@ -121,6 +121,7 @@
     Setting("moves", "lease_s", "10", _check_positive, "coordinator lease time"),
     Setting("moves", "window_s", "1", _check_positive, "length of evidence windows"),
     Setting("moves", "step_s", "5", _check_positive, "least time on each step"),
+    Setting("moves", "watch_s", "300", _check_positive, "watch time at 100%"),
     Setting("metrics", "statsd", "", _check_addresses, "host:port of statsd, if any"),
     Setting("logs", "level", "INFO", _check_level, "lowest level that is logged"),
 )
--- a/tests/test_notices.py
+++ b/tests/test_notices.py
@@ -46,6 +46,10 @@
     assert fleet.handled[3].count(notice) == 2
 
 
+def make_report(node_id):
+    return EvidenceReport((make_evidence(node_id),))
+
+
 def make_evidence(node_id):
     counts = OutcomeCounts(5, 1, 0)
     return Evidence("m", node_id, 1, "r", "normal", 0.0, 1.0, counts, counts)
@@ -59,8 +63,12 @@
     far = next(port for port in fleet.nodes if "n1" not in fleet.get_links(port))
     near = next(port for port in fleet.nodes if "n1" in fleet.get_links(port))
     for port in (1, far, near):
-        assert fleet.nodes[port].send_evidence([make_evidence(f"n{port}")])
-        assert fleet.nodes[port].send_evidence([make_evidence(f"n{port}")])
+        assert fleet.nodes[port].send_evidence(
+            EvidenceReport((make_evidence(f"n{port}"),))
+        )
+        assert fleet.nodes[port].send_evidence(
+            EvidenceReport((make_evidence(f"n{port}"),))
+        )
     fleet.hub.messages.clear()
     fleet.run(5.0)
     reports = [item for item in fleet.handled[1] if isinstance(item, EvidenceReport)]
@@ -79,9 +87,9 @@
 def test_evidence_for_an_unreachable_coordinator_is_dropped():
     """Guards against evidence that is kept without bound."""
     fleet = make_fleet(2)
-    assert not fleet.nodes[2].send_evidence([make_evidence("n2")])
+    assert not fleet.nodes[2].send_evidence(make_report("n2"))
     fleet.nodes[2].broadcast(CoordinatorNotice("gone", "127.0.0.1", 99, 1))
     for _ in range(100):
-        fleet.nodes[2].send_evidence([make_evidence("n2")])
+        fleet.nodes[2].send_evidence(make_report("n2"))
         fleet.run(0.1)
     assert len(fleet.nodes[2]._notices._waiting) <= 8
