Spare keyed calls old connections, and workers deferrable retries

A request written to an idle connection that the worker closes at that moment ends as unknown, which a caller with a payment cannot resolve: keyed calls take connections used in the last 0.5 s or a new one. A deferrable call that a worker shed is not sent to another one. Each rule has a test that fails without it.

--- a/bamboocove/dispatcher.py
+++ b/bamboocove/dispatcher.py
@@ -25,11 +25,15 @@
     record_failure,
     record_success,
 )
-from bamboocove.transport.clients import ClientConnection, ConnectionPool
+from bamboocove.transport.clients import IDLE_S, ClientConnection, ConnectionPool
 
 # Shorter than the timeout of prompt routes, so that a call to a host that is
 # gone can still be sent to another worker. Workers connect in about 1 ms.
 CONNECT_TIMEOUT_S = 0.25
+# A request written to a connection that the worker closes at that moment has an
+# unknown outcome. For a call that must not run twice a new connection costs
+# less than that.
+KEYED_IDLE_S = 0.5
 
 
 class Dispatcher:
@@ -143,7 +147,8 @@
         call.attempts += 1
         call.attempt_at = now
         upstream.in_flight += 1
-        connection = self.pool.take(upstream.address)
+        max_idle_s = IDLE_S if call.key is None else KEYED_IDLE_S
+        connection = self.pool.take(upstream.address, max_idle_s)
         if connection is not None:
             call.dispatch(connection, now)
             return
@@ -216,7 +221,9 @@
         call.refused_by.append(call.upstream)
         self._leave_upstream(call)
         delay_s = None
-        if call.is_replayable:
+        # A worker that sheds load is left to the calls of the higher classes.
+        is_yielding = is_shed and call.match.route.request_class == "deferrable"
+        if call.is_replayable and not is_yielding:
             remaining_s = call.deadline - now
             delay_s = plan_retry(
                 self.budget, call.attempts, remaining_s, is_shed, self._random
--- a/bamboocove/transport/clients.py
+++ b/bamboocove/transport/clients.py
@@ -290,13 +290,18 @@
         factory=dict
     )
 
-    def take(self, address: Address) -> ClientConnection | None:
-        """Return an idle connection, the one that was used last."""
+    def take(
+        self, address: Address, max_idle_s: float = IDLE_S
+    ) -> ClientConnection | None:
+        """Return an idle connection, the one that was used last.
+
+        If it has been idle for too long, it is closed and None is returned.
+        """
         idle = self._idle_by_address.get(address)
         if not idle:
             return None
         connection, since = idle.pop()
-        if self.clock.seconds() - since > IDLE_S:
+        if self.clock.seconds() - since > max_idle_s:
             connection.abort()
             return None
         return connection
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -6,7 +6,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 
-from bamboocove import claims, proxy
+from bamboocove import claims, dispatcher, proxy
 from bamboocove.coordination import suspects
 from bamboocove.protocol.messages import SuspectNotice
 from bamboocove.state.config import Move
@@ -252,6 +252,30 @@
         assert len(first.exchanges) + len(second.exchanges) == ran + 1
 
 
+def test_shed_deferrable_call_is_not_retried(mesh):
+    """Guards against deferrable retries at workers that shed load."""
+    first, second = mesh.add_worker(), mesh.add_worker()
+    first.answer, second.answer = first.shed, second.shed
+    mesh.start()
+    data = mesh.call(request(path="/reports"))
+    assert data.startswith(b"HTTP/1.1 503 ")
+    assert len(first.exchanges) + len(second.exchanges) == 1
+
+
+def test_keyed_call_avoids_idle_connections(mesh, monkeypatch):
+    """Guards against an unknown outcome because the worker closed meanwhile."""
+    monkeypatch.setattr(dispatcher, "KEYED_IDLE_S", 0.0)
+    worker = mesh.add_worker()
+    mesh.start()
+    mesh.call(request())
+    mesh.call(request())
+    mesh.call(confirm())
+    first, second, third = (held.connection for held in worker.exchanges)
+    assert first is second
+    assert third is not second
+    spin(lambda: len(worker.server.connections) == 1)
+
+
 def test_refusal_by_all_workers_is_passed_on(mesh):
     """Guards against "unknown" for a request that was certainly not run."""
     worker = mesh.add_worker()
