Check the invariants of a call under random faults

Workers answer late, refuse, cut and lose connections; callers pipeline nothing but give up, hang up and send bodies of several sizes. Each response must be whole and the caller's own, a refusal reported as not run must not have run, and no request may run twice.

--- /dev/null
+++ b/tests/test_crossing.py
@@ -0,0 +1,169 @@
+"""Random faults of workers and callers against the invariants of a call."""
+
+import random
+from collections import Counter
+
+import pytest
+from twisted.internet import reactor
+
+from bamboocove.coordination import suspects
+from tests.callpath import (
+    Caller,
+    make_config,
+    make_member,
+    make_proxy,
+    make_table,
+    spin,
+)
+from tests.callpath import run as run_coroutine
+from tests.test_proxy import Worker, request
+
+CALLS = 250
+CALLERS = 12
+
+
+class FaultyWorker(Worker):
+    """A worker that answers late, refuses, loses or cuts connections."""
+
+    def __init__(self, source, runs):
+        super().__init__()
+        self.source = source
+        self.runs = runs
+        self.answer = self.answer_somehow
+
+    def answer_somehow(self, exchange):
+        draw = self.source.random()
+        if draw < 0.1:
+            self.shed(exchange)
+            return
+        self.runs[exchange.target] += 1
+        body = []
+
+        def end():
+            if draw < 0.15:
+                exchange.abort()
+            else:
+                delay_s = self.source.choice((0.0, 0.001, 0.01, 0.1))
+                reactor.callLater(delay_s, self.finish, exchange, body, draw)
+
+        exchange.receive(body.append, end)
+
+    def finish(self, exchange, body, draw):
+        data = exchange.target + b" " + b"".join(body)
+        if draw < 0.2:
+            exchange.start(200, [], len(data) + 1)
+            exchange.write(data)
+            exchange.abort()
+        elif draw < 0.6:
+            exchange.start(200, [], len(data))
+            exchange.write(data[:5])
+            reactor.callLater(0.002, exchange.finish, data[5:])
+        else:
+            exchange.respond(200, [], data)
+
+
+class RandomCaller:
+    """Sends one call after the other and checks each answer."""
+
+    def __init__(self, port, name, source, runs, answers):
+        self.port = port
+        self.name = name
+        self.source = source
+        self.runs = runs
+        self.answers = answers
+        self.sent = 0
+        self.caller = None
+        self.send()
+
+    def send(self):
+        if self.caller is None:
+            self.caller = Caller(self.port)
+        source = self.source
+        self.sent += 1
+        body = b"x" * source.choice((0, 5, 3000, 100_000))
+        headers = {"bamboocove_deadline_ms": source.choice((30, 1000))}
+        if source.random() < 0.3:
+            path = f"/confirmations/{self.name}-{self.sent}"
+            headers["idempotency_key"] = f"{self.name}-{self.sent}"
+            self.data = request("POST", path, body, **headers)
+        else:
+            path = f"/orders/{self.name}-{self.sent}"
+            self.data = request("PUT", path, body, **headers)
+        self.target = path.encode()
+        self.expected = self.target + b" " + body
+        self.turns_left = source.randrange(50) if source.random() < 0.1 else None
+        self.caller.data = b""
+
+    def step(self):
+        caller = self.caller
+        if self.data:
+            try:
+                self.data = self.data[caller.socket.send(self.data) :]
+            except BlockingIOError:
+                pass
+            except OSError:
+                self.data = b""
+        caller._read()
+        head, _, body = caller.data.partition(b"\r\n\r\n")
+        length = head.lower().partition(b"content-length: ")[2].partition(b"\r")[0]
+        if length and len(body) >= int(length):
+            assert len(body) == int(length), "bytes of another response"
+            self.check(head, body)
+            self.go_on(b"connection: close" in head)
+        elif caller.is_closed:
+            self.answers["cut"] += 1
+            self.go_on(True)
+        elif self.turns_left is not None:
+            self.turns_left -= 1
+            if self.turns_left < 0:
+                self.go_on(True)
+
+    def check(self, head, body):
+        if head.startswith(b"HTTP/1.1 200"):
+            assert body == self.expected
+            self.answers["complete"] += 1
+        elif b"bamboocove-run: not-run" in head:
+            assert not self.runs[self.target]
+            self.answers["not-run"] += 1
+        else:
+            self.answers["unknown"] += 1
+
+    def go_on(self, is_closed):
+        if is_closed:
+            self.caller.close()
+            self.caller = None
+        self.send()
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_response_is_crossed_and_no_refusal_is_false(seed, monkeypatch):
+    """Guards against crossed or cut responses, false "not run" and double runs."""
+    monkeypatch.setattr(suspects, "DOUBT_S", 0.01)
+    source, runs, answers = random.Random(seed), Counter(), Counter()
+    workers = [FaultyWorker(source, runs) for _ in range(3)]
+    members = make_table(
+        *[make_member(index, held.port) for index, held in enumerate(workers)],
+        make_member(9, 1),
+    )
+    proxy = make_proxy(members, make_config(), calls__retry_ratio="0.5")
+    port = run_coroutine(proxy.start())
+    callers = [
+        RandomCaller(port, f"{seed}-{index}", source, runs, answers)
+        for index in range(CALLERS)
+    ]
+
+    def step():
+        for held in callers:
+            held.step()
+        return answers.total() >= CALLS
+
+    spin(step, 20.0)
+    for held in callers:
+        held.caller.close()
+    assert max(runs.values()) == 1
+    assert answers["complete"] > 0
+    spin(lambda: not proxy.in_flight)
+    assert all(not held["in_flight"] for held in proxy.get_upstream_report())
+    run_coroutine(proxy.drain())
+    for worker in workers:
+        worker.close()
