--- a/bench/hop.py
+++ b/bench/hop.py
@@ -131,6 +131,7 @@
         reactor.run()
 
 
+TARGETS = ("proxy", "forwarder")
 ROLES = {"worker": run_worker, "proxy": run_proxy, "forwarder": run_forwarder}
 
 
@@ -311,6 +312,9 @@
     parser.add_argument("--rate", type=float, default=300, help="calls/s per target")
     parser.add_argument("--seconds", type=float, default=10)
     parser.add_argument("--json", action="store_true")
+    parser.add_argument(
+        "--targets", nargs="*", choices=TARGETS, default=TARGETS, help="besides direct"
+    )
     parser.add_argument("--role", choices=ROLES, help=argparse.SUPPRESS)
     parser.add_argument("--port", type=int, default=0, help=argparse.SUPPRESS)
     options = parser.parse_args()
@@ -324,7 +328,7 @@
         worker, port = start_role("worker")
         processes.append(worker)
         targets = [Target("direct", port, worker.pid)]
-        for name in ("proxy", "forwarder"):
+        for name in options.targets:
             process, own_port = start_role(name, port)
             processes.append(process)
             targets.append(Target(name, own_port, process.pid))
