Keep encodings of services in slots that are no fields

Cause: as attrs fields the kept bytes would appear in attrs.asdict and so in the operators' JSON. Change: they are slots of a base class; Distributor.config gives the configuration in force.

--- a/bamboocove/distributor.py
+++ b/bamboocove/distributor.py
@@ -175,6 +175,11 @@
         """Record of this node."""
         return self._membership.own
 
+    @property
+    def config(self) -> Config:
+        """The configuration in force; revision 0 while there is none."""
+        return self.distribution.config
+
     @property
     def coordinator(self) -> CoordinatorNotice | None:
         """The newest notice of who holds the coordinator lease."""
@@ -263,7 +268,7 @@
         self._membership.beat(now)
         age_s = self.get_store_age(now)
         heartbeat = Heartbeat(
-            revision=self.distribution.config.revision,
+            revision=self.config.revision,
             store_age_s=_round_age(age_s),
             members_digest=self._members.digest,
         )
@@ -280,7 +285,7 @@
     def _make_hello(self, node_id: str, purpose: str) -> Hello:
         return Hello(
             member=self.member,
-            revision=self.distribution.config.revision,
+            revision=self.config.revision,
             revision_seen_of_you=self.distribution.acknowledged_by_id.get(node_id, 0),
             purpose=purpose,
         )
--- a/bamboocove/state/config.py
+++ b/bamboocove/state/config.py
@@ -52,8 +52,14 @@
     timeout_s: float = field(default=5.0, converter=float)
 
 
+class _Encoded:
+    # Slots for the encoding and the digest of an immutable object. They are no
+    # attrs fields, so that they take no part in comparison, copies or output.
+    __slots__ = ("_digest", "_encoded")
+
+
 @frozen
-class Service:
+class Service(_Encoded):
     """One service and what it depends on.
 
     Parameters
@@ -72,12 +78,10 @@
     version: str
     depends_on: tuple[str, ...] = ()
     routes: tuple[Route, ...] = ()
-    _encoded: bytes | None = field(init=False, default=None, eq=False, repr=False)
-    _digest: bytes | None = field(init=False, default=None, eq=False, repr=False)
 
 
 @frozen
-class Move:
+class Move(_Encoded):
     """Traffic of one service moving from one version to another.
 
     Parameters
@@ -111,8 +115,6 @@
     reason: str = ""
     started_at: float = field(default=0.0, converter=float)
     changed_at: float = field(default=0.0, converter=float)
-    _encoded: bytes | None = field(init=False, default=None, eq=False, repr=False)
-    _digest: bytes | None = field(init=False, default=None, eq=False, repr=False)
 
     @property
     def is_ended(self) -> bool:
@@ -179,14 +181,18 @@
 def _get_encoded(item: Service | Move) -> bytes:
     # Encoding is the expensive part: 20 ms for 370 services of 4 routes. The
     # objects are immutable and shared by successive revisions.
-    if item._encoded is None:
-        object.__setattr__(item, "_encoded", encode(item))
-    return item._encoded
-
-
-def _compute_item_digest(item: Service | Move) -> bytes:
-    digest = hashlib.sha256(_get_encoded(item)).digest()
-    object.__setattr__(item, "_digest", digest)
+    data = getattr(item, "_encoded", None)
+    if data is None:
+        data = encode(item)
+        object.__setattr__(item, "_encoded", data)
+    return data
+
+
+def _get_digest(item: Service | Move) -> bytes:
+    digest = getattr(item, "_digest", None)
+    if digest is None:
+        digest = hashlib.sha256(_get_encoded(item)).digest()
+        object.__setattr__(item, "_digest", digest)
     return digest
 
 
@@ -194,8 +200,7 @@
     # Digests have a fixed length, and the list of keys states its own length,
     # so that no two contents give the same bytes.
     keys = sorted(items_by_key)
-    items = [items_by_key[key] for key in keys]
-    digests = [item._digest or _compute_item_digest(item) for item in items]
+    digests = [_get_digest(items_by_key[key]) for key in keys]
     content = b"".join(digests) + cbor2.dumps(keys)
     return hashlib.sha256(content).digest()
 
--- a/tests/state/test_config.py
+++ b/tests/state/test_config.py
@@ -1,6 +1,6 @@
 """Tests of bamboocove.state.config."""
 
-from attrs import evolve
+from attrs import asdict, evolve
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
@@ -89,6 +89,20 @@
     assert len({compute_digest(variant) for variant in variants}) == len(variants)
 
 
+def test_kept_encodings_do_not_show():
+    """Guards against bytes in the operators' JSON and copies of a stale digest."""
+    service = Service("s", "v1", (), (Route("r", "/r"),))
+    plain = asdict(service)
+    compute_digest(Config(1, "t", 1, {"s": service}))
+    assert asdict(service) == plain
+    assert service == Service("s", "v1", (), (Route("r", "/r"),))
+    assert "_digest" not in repr(service) and not hasattr(service, "__dict__")
+    changed = evolve(service, version="v2")
+    assert encode_config(Config(1, "t", 1, {"s": changed})) == encode(
+        Config(1, "t", 1, {"s": changed})
+    )
+
+
 def test_whole_numbers_and_fractions_have_one_encoding():
     """Guards against a digest that differs after decoding: 5 becomes 5.0."""
     service = Service("s", "v", (), (Route("r", "/", timeout_s=5),))
