Release idempotency claims without deleting their rows

Cause: a claim whose request was not run was deleted under a check of its row version. If the answer to the deletion was lost, the deletion was sent again. Versions start anew after a deletion, so the second copy could match and remove the claim that another node had taken meanwhile; a third request with the key would then have run as well.

Change: the row is kept in the state released, and a new claim replaces it under a check of its version, which only rises.

Seen: test_repeated_removal_keeps_the_claim_of_another_node failed for release and for withdrawal before the change and passes after it. Ruled out: a guard by operation id alone, because a transaction checks versions only.

--- a/bamboocove/coordination/idempotency.py
+++ b/bamboocove/coordination/idempotency.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import frozen
+from attrs import evolve, frozen
 
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.protocol.rows import (
@@ -19,6 +19,9 @@
 from bamboocove.state.codec import from_plain, to_plain
 
 MAX_KEY_BYTES = 200
+# A released row takes one more attempt; a second one can only be lost to
+# another request with the same key.
+CLAIM_ATTEMPTS = 3
 # Largest response body that is kept for a second request with the same key.
 MAX_OUTCOME_BODY_BYTES = 4 * 1024
 # After the caller's time has passed by this much, a claim without an outcome
@@ -57,8 +60,10 @@
         Node that dispatches the request.
     expires_at : float
         Unix time in seconds after which a claim without an outcome is unknown.
-    state : {"claimed", "done", "unknown"}
-        How far it is.
+    state : {"claimed", "done", "unknown", "released"}
+        How far it is. A released claim keeps its row: after a deletion the
+        versions of the row could start again, and a late copy of the removal
+        would then remove the claim of another node.
     outcome : Outcome or None
         The response, once it is done.
     """
@@ -149,27 +154,42 @@
         with ``withdraw_claim``.
     """
     row_key = idempotency_key(service, key)
-    transaction = Transaction(
-        operation_id, (Check(row_key, ABSENT),), (Write(row_key, to_plain(record)),)
-    )
-    result = await table.transact(transaction)
-    if isinstance(result, Committed):
-        return Claim(row_key, result.versions_by_key[row_key], record)
-    if result.kind not in (ErrorKind.CONFLICT, ErrorKind.STORE_UNKNOWN):
-        return ErrorResult(ErrorKind.STORE_UNAVAILABLE, result.reason)
-    row = await table.get(row_key)
-    if isinstance(row, ErrorResult):
-        # After a conflict the row is someone else's and nothing is left behind.
-        kind = ErrorKind.STORE_UNAVAILABLE
+    version = ABSENT
+    for _ in range(CLAIM_ATTEMPTS):
+        transaction = Transaction(
+            operation_id,
+            (Check(row_key, version),),
+            (Write(row_key, to_plain(record)),),
+        )
+        result = await table.transact(transaction)
+        if isinstance(result, Committed):
+            return Claim(row_key, result.versions_by_key[row_key], record)
+        if result.kind not in (ErrorKind.CONFLICT, ErrorKind.STORE_UNKNOWN):
+            return ErrorResult(ErrorKind.STORE_UNAVAILABLE, result.reason)
+        row = await table.get(row_key)
+        if isinstance(row, ErrorResult):
+            # After a conflict the row is someone else's and nothing is left behind.
+            kind = ErrorKind.STORE_UNAVAILABLE
+            if result.kind is ErrorKind.STORE_UNKNOWN:
+                kind = ErrorKind.STORE_UNKNOWN
+            return ErrorResult(kind, row.reason)
+        if row is None:
+            return ErrorResult(ErrorKind.STORE_UNKNOWN, "claim cannot be read back")
+        if row.operation_id == operation_id:
+            return Claim(row_key, row.version, record)
+        if not _is_released(row):
+            return _judge_row(row, record, now)
         if result.kind is ErrorKind.STORE_UNKNOWN:
-            kind = ErrorKind.STORE_UNKNOWN
-        return ErrorResult(kind, row.reason)
-    if row is None:
-        # The write did not arrive yet or was removed since.
-        return ErrorResult(ErrorKind.STORE_UNKNOWN, "claim cannot be read back")
-    if row.operation_id == operation_id:
-        return Claim(row_key, row.version, record)
-    return _judge_row(row, record, now)
+            reason = "claim of a released key cannot be read back"
+            return ErrorResult(ErrorKind.STORE_UNKNOWN, reason)
+        version = row.version
+    reason = "other requests with this key come and go"
+    return ErrorResult(ErrorKind.KEY_IN_PROGRESS, reason)
+
+
+def _is_released(row: Row) -> bool:
+    held = from_plain(ClaimRecord, row.value)
+    return isinstance(held, ClaimRecord) and held.state == "released"
 
 
 def _judge_row(row: Row, record: ClaimRecord, now: float) -> Outcome | ErrorResult:
@@ -243,14 +263,15 @@
 async def release_claim(
     table: Any, claim: Claim, operation_id: str
 ) -> ErrorResult | None:
-    """Remove the claim of a request that was not run."""
-    return await _replace(table, claim, None, operation_id)
+    """Free the key of a request that was not run."""
+    released = evolve(claim.record, state="released")
+    return await _replace(table, claim, to_plain(released), operation_id)
 
 
 async def withdraw_claim(
     table: Any, row_key: str, claim_operation_id: str, operation_id: str
 ) -> ErrorResult | None:
-    """Remove a claim whose write was never confirmed.
+    """Free a key whose claim was never confirmed.
 
     Returns
     -------
@@ -265,13 +286,10 @@
         return ErrorResult(ErrorKind.NOT_FOUND, "no claim")
     if row.operation_id != claim_operation_id:
         return None
-    transaction = Transaction(
-        operation_id, (Check(row_key, row.version),), (Write(row_key, None),)
-    )
-    result = await table.transact(transaction)
-    if isinstance(result, Committed) or result.kind is ErrorKind.CONFLICT:
-        return None
-    return result
+    record = from_plain(ClaimRecord, row.value)
+    if isinstance(record, ErrorResult):
+        return record
+    return await release_claim(table, Claim(row_key, row.version, record), operation_id)
 
 
 async def repeat(
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -84,7 +84,28 @@
     held = claim(table)
     assert isinstance(held, Claim)
     assert result_of(release_claim(table, held, "op2")) is None
-    assert not table.rows
+    assert isinstance(claim(table, operation_id="op3"), Claim)
+
+
+@pytest.mark.parametrize("remove", ["release", "withdraw"])
+def test_repeated_removal_keeps_the_claim_of_another_node(remove):
+    """Guards against a second run after a late copy of a removal.
+
+    A table service may count versions from 1 again after a row was deleted.
+    """
+    table = FakeTable()
+    held = claim(table)
+
+    def remove_claim():
+        if remove == "release":
+            return release_claim(table, held, "op2")
+        return withdraw_claim(table, ROW, "op1", "op2")
+
+    result_of(remove_claim())
+    removal = table.transactions[-1]
+    assert isinstance(claim(table, operation_id="op3"), Claim)
+    result_of(table.transact(removal))
+    assert claim(table, operation_id="op4").kind is ErrorKind.KEY_IN_PROGRESS
 
 
 @pytest.mark.parametrize(
@@ -111,7 +132,7 @@
     assert result_of(withdraw_claim(table, ROW, "op9", "op3")) is None
     assert ROW in table.rows
     assert result_of(withdraw_claim(table, ROW, "op1", "op4")) is None
-    assert not table.rows
+    assert isinstance(claim(table, operation_id="op5"), Claim)
 
 
 def test_repeats_until_it_succeeds():
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -131,6 +131,9 @@
 
         return caller.read_until(is_complete)
 
+    def get_claim_states(self):
+        return [row.value["state"] for row in self.table.rows.values()]
+
     def close(self):
         for caller in self.callers:
             caller.close()
@@ -284,7 +287,7 @@
     data = mesh.call(confirm())
     assert data.startswith(b"HTTP/1.1 503 ")
     assert b"bamboocove-run: not-run" in data
-    assert not mesh.table.rows, "the key can be used again"
+    assert mesh.get_claim_states() == ["released"], "the key can be used again"
 
 
 def test_deadline_is_lowered_and_kept(mesh):
@@ -474,7 +477,7 @@
     mesh.table.answers, mesh.table.reads = ["lost"], ["unavailable", "unavailable"]
     assert b"store_unknown" in mesh.call(confirm())
     assert not worker.exchanges
-    spin(lambda: not mesh.table.rows and not mesh.proxy.in_flight)
+    spin(lambda: mesh.get_claim_states() == ["released"] and not mesh.proxy.in_flight)
     assert mesh.call(confirm()).startswith(b"HTTP/1.1 200 ")
 
 
