Let an idempotent call survive the crash of its worker

Cause: a worker that died took all calls in flight with it, and each of them was refused for up to 60 s as suspect, an order reading included.

Change: an idempotent call that lost its worker is sent to one more worker, at most one copy of a request at a time, within the retry budget and on the old version of a move. Peers refuse copies for 2 s meanwhile. After a second loss the request is refused for 60 s everywhere, which keeps the bound of 2 workers for a request that crashes them. An answer after a loss never says not-run. Notices of a further crash are no longer taken for copies of the first one.

--- a/bamboocove/call.py
+++ b/bamboocove/call.py
@@ -80,6 +80,9 @@
     ----------
     is_dispatched : bool
         Whether a worker may have run the request.
+    was_lost : bool
+        Whether a worker was lost after dispatch, so that the request may have
+        run whatever becomes of the call afterwards.
     is_completed : bool
         Whether the whole response was passed on.
     error : ErrorResult or None
@@ -103,6 +106,7 @@
     connection: ClientConnection | None = None
     connector: Any = None
     error: ErrorResult | None = None
+    was_lost: bool = False
     is_waiting: bool = False
     was_waiting: bool = False
     is_completed: bool = False
@@ -367,7 +371,8 @@
         if exchange.is_response_started:
             exchange.abort()
         else:
-            exchange.refuse(error, "unknown" if self.is_dispatched else None)
+            may_have_run = self.is_dispatched or self.was_lost
+            exchange.refuse(error, "unknown" if may_have_run else None)
 
     def release(self) -> None:
         """Let go of everything that the call holds on the worker's side."""
--- a/bamboocove/coordination/admission.py
+++ b/bamboocove/coordination/admission.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from bamboocove.coordination.routing import Candidates
 from bamboocove.state.config import REQUEST_CLASSES
 
 # Share of the connections to a service up to which calls of a class are
@@ -34,6 +35,17 @@
     return in_flight < max(1, int(CAPACITY_SHARE_BY_CLASS[request_class] * capacity))
 
 
+def has_room(candidates: Candidates, request_class: str) -> bool:
+    """Return whether the workers of a version may get a call of a class."""
+    in_flight = 0
+    capacity = 0
+    for zone in (candidates.near, candidates.far):
+        for upstream in zone:
+            in_flight += upstream.in_flight
+            capacity += upstream.connection_share
+    return is_admitted(request_class, in_flight, capacity) or not capacity
+
+
 @define
 class CallQueue:
     """Calls to one service that wait for a worker.
--- a/bamboocove/coordination/suspects.py
+++ b/bamboocove/coordination/suspects.py
@@ -106,6 +106,17 @@
         if len(completed) > MOST_COMPLETED:
             del completed[next(iter(completed))]
 
+    def start_trial(self, subject: Subject, now: float) -> bool:
+        """Return whether a request that lost a worker may use a second one.
+
+        Of a request that has not completed lately only one copy may, so that
+        copies in flight at the same time do not each crash another worker.
+        """
+        if self._is_cleared(subject, now):
+            return True
+        suspect = self.suspects_by_fingerprint.get(make_fingerprint(subject))
+        return suspect is None or now >= suspect.counted_until
+
     def record_lost(
         self, subject: Subject, address: Address, is_new_version: bool, now: float
     ) -> SuspectNotice | None:
--- a/bamboocove/dispatcher.py
+++ b/bamboocove/dispatcher.py
@@ -4,17 +4,16 @@
 from typing import Any
 
 from bamboocove.call import Call
-from bamboocove.coordination.admission import CallQueue, is_admitted
+from bamboocove.coordination.admission import CallQueue, has_room
 from bamboocove.coordination.directory import Directory
 from bamboocove.coordination.retries import RetryBudget, plan_retry
 from bamboocove.coordination.routing import (
-    Candidates,
     is_panicking,
     pick_upstream,
     pick_version,
 )
 from bamboocove.coordination.windows import EvidenceWindows
-from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.errors import ANSWERS, ErrorKind, ErrorResult
 from bamboocove.events import log_event
 from bamboocove.metrics import Metrics
 from bamboocove.state.snapshot import ActiveSnapshot, Snapshot
@@ -62,7 +61,10 @@
     check : callable
         Returns an ErrorResult for a call that must not be dispatched.
     on_end : callable
-        Called with each call that ended, and whether a worker was lost to it.
+        Called with each call that ended.
+    on_lost : callable
+        Called with a call, the worker that was lost to it, and whether the
+        call can be sent to another worker; returns whether it is to be.
     """
 
     def __init__(
@@ -77,7 +79,8 @@
         retry_ratio: float,
         is_braked: Callable[[str], bool],
         check: Callable[[Call], ErrorResult | None],
-        on_end: Callable[[Call, Upstream | None], None],
+        on_end: Callable[[Call], None],
+        on_lost: Callable[[Call, Upstream, bool], bool],
     ):
         self.directory = directory
         self.windows = windows
@@ -91,6 +94,7 @@
         self._is_braked = is_braked
         self._check = check
         self._on_end = on_end
+        self._on_worker_lost = on_lost
         self._queues_by_service: dict[str, CallQueue] = {}
 
     # Choice.
@@ -122,7 +126,8 @@
         service = call.match.service
         split = snapshot.get_split(service)
         move = snapshot.moves_by_service.get(service)
-        if move is not None and self._is_braked(move.move_id):
+        # A second worker is lost to the call only if the old version fails it too.
+        if move is not None and (call.was_lost or self._is_braked(move.move_id)):
             split = {move.from_version: 1.0}
         version = pick_version(split, call.fraction)
         upstream = self._pick_of(call, version, now)
@@ -137,7 +142,7 @@
     def _pick_of(self, call: Call, version: str, now: float) -> Any:
         candidates = self.directory.get_candidates(call.match.service, version)
         request_class = call.match.route.request_class
-        if request_class == "deferrable" and not _has_room(candidates, request_class):
+        if request_class == "deferrable" and not has_room(candidates, request_class):
             return ErrorResult(ErrorKind.OVERLOADED, "deferrable calls wait")
         return pick_upstream(candidates, now, self._random, call.refused_by)
 
@@ -273,13 +278,41 @@
         self.end(call)
 
     def on_lost(self, call: Call, error: ErrorResult) -> None:
-        """Answer a call whose worker was lost after dispatch."""
+        """Act on a worker that was lost after dispatch.
+
+        An idempotent call may be sent to one more worker. The caller of any
+        other is told that the outcome is unknown.
+        """
         now = self._clock.seconds()
         upstream = call.upstream
         self._eject(upstream, now, error.reason)
         self._record(call, now, True)
+        other = self._find_other(call, now)
+        if self._on_worker_lost(call, upstream, other is not None):
+            call.was_lost = True
+            call.is_dispatched = False
+            self._leave_upstream(call)
+            self._metrics.count("retries")
+            self._connect(call, other, now)
+            return
         call.fail(error)
-        self.end(call, None if call.is_responding else upstream)
+        self.end(call)
+
+    def _find_other(self, call: Call, now: float) -> Upstream | None:
+        """Return another worker for a call that lost one, if it may be used."""
+        is_repeatable = call.match.route.idempotent and call.is_replayable
+        if call.was_lost or call.is_responding or not is_repeatable:
+            return None
+        snapshot = self._active.current
+        if call.match.service not in snapshot.services_by_name:
+            return None
+        call.was_lost = True
+        call.refused_by.append(call.upstream)
+        other = self._pick(call, snapshot, now)
+        call.was_lost = False
+        if isinstance(other, ErrorResult) or not self.budget.spend():
+            return None
+        return other
 
     def on_deadline(self, call: Call) -> None:
         """Answer a call whose time has passed."""
@@ -292,7 +325,7 @@
             seconds = record_failure(call.upstream, now)
             self._log_ejection(call.upstream, seconds, "deadline")
             self._record(call, now, True)
-        if call.is_dispatched:
+        if call.is_dispatched or call.was_lost:
             kind = ErrorKind.DEADLINE_AFTER_DISPATCH
         self.fail(call, ErrorResult(kind, "the deadline has passed"))
 
@@ -310,6 +343,8 @@
 
     def fail(self, call: Call, error: ErrorResult) -> None:
         """End a call with an error."""
+        if call.was_lost and ANSWERS[error.kind].run == "not-run":
+            error = ErrorResult(ErrorKind.UPSTREAM_LOST, error.reason)
         self._metrics.count(f"refused.{error.kind.value}")
         if call.claim is None or call.is_dispatched:
             call.fail(error)
@@ -317,7 +352,7 @@
             call.error = error
         self.end(call)
 
-    def end(self, call: Call, lost: Upstream | None = None) -> None:
+    def end(self, call: Call) -> None:
         """Let go of everything that a call holds."""
         if call.is_done:
             return
@@ -331,7 +366,7 @@
         seconds = self._clock.seconds() - call.started_at
         self._metrics.record_latency(route.request_class, seconds)
         self._leave_upstream(call)
-        self._on_end(call, lost)
+        self._on_end(call)
 
     def _leave_upstream(self, call: Call) -> None:
         upstream, call.upstream = call.upstream, None
@@ -363,13 +398,3 @@
             seconds,
             now,
         )
-
-
-def _has_room(candidates: Candidates, request_class: str) -> bool:
-    in_flight = 0
-    capacity = 0
-    for zone in (candidates.near, candidates.far):
-        for upstream in zone:
-            in_flight += upstream.in_flight
-            capacity += upstream.connection_share
-    return is_admitted(request_class, in_flight, capacity) or not capacity
--- a/bamboocove/notices.py
+++ b/bamboocove/notices.py
@@ -46,7 +46,7 @@
     clock: Any
     handlers_by_type: Mapping[type, Callable[[Any], Any]]
     coordinator: CoordinatorNotice | None = None
-    _refused_until_by_fingerprint: dict[str, float] = field(factory=dict)
+    _known_by_fingerprint: dict[str, tuple[int, float]] = field(factory=dict)
     _evidence_peer: Peer | None = None
     _sent_at: float = float("-inf")
     _waiting: list[EvidenceReport] = field(factory=list)
@@ -67,13 +67,18 @@
         self.call_handler(notice)
 
     def take_suspect(self, notice: SuspectNotice, source: str = "") -> None:
-        """Pass on a notice once for each fingerprint while it is valid."""
+        """Pass on a notice once for each number of crashes while it is valid.
+
+        The first notice of a request may be short, while a second worker tries
+        it; the one after another crash must not be taken for its copy.
+        """
         now = self.clock.seconds()
-        known = self._refused_until_by_fingerprint
-        if known.get(notice.fingerprint, now) > now:
+        known = self._known_by_fingerprint
+        crashes, until = known.get(notice.fingerprint, (0, now))
+        if until > now and notice.crashes <= crashes:
             return
         known.pop(notice.fingerprint, None)
-        known[notice.fingerprint] = now + notice.ttl_s
+        known[notice.fingerprint] = (notice.crashes, now + notice.ttl_s)
         while len(known) > MAX_KNOWN_FINGERPRINTS:
             del known[next(iter(known))]
         self.links.send_all(notice, source)
--- a/bamboocove/proxy.py
+++ b/bamboocove/proxy.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from attrs import evolve
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
@@ -13,6 +14,7 @@
 from bamboocove.coordination.idempotency import Claim, Outcome, check_key
 from bamboocove.coordination.routing import match_route
 from bamboocove.coordination.suspects import (
+    DOUBT_S,
     FINGERPRINT_BODY_BYTES,
     SUSPECT_S,
     SuspectTable,
@@ -100,6 +102,7 @@
             is_braked,
             self._check_suspect,
             self._on_end,
+            self._on_lost,
         )
         self._server = CallServer(
             self._on_request, settings.get("calls", "max_body_bytes"), clock
@@ -281,11 +284,9 @@
 
     # Ends.
 
-    def _on_end(self, call: Call, lost: Upstream | None) -> None:
+    def _on_end(self, call: Call) -> None:
         self._calls -= 1
-        if lost is not None:
-            self._on_worker_lost(call, lost)
-        elif call.status and call.key is None:
+        if call.is_completed and call.key is None:
             now = self._clock.seconds()
             self._suspects.record_completed(call.get_subject(), now)
         if call.claim is not None:
@@ -307,26 +308,37 @@
 
     def _check_suspect(self, call: Call) -> ErrorResult | None:
         suspects = self._suspects
-        if not suspects.suspects_by_fingerprint:
+        if call.was_lost or not suspects.suspects_by_fingerprint:
             return None
         if suspects.is_blocked(call.get_subject(), self._clock.seconds()):
             reason = "workers were lost while they ran this request"
             return ErrorResult(ErrorKind.SUSPECT_REQUEST, reason)
         return None
 
-    def _on_worker_lost(self, call: Call, upstream: Upstream) -> None:
+    def _on_lost(self, call: Call, upstream: Upstream, has_other: bool) -> bool:
+        """Count a lost worker; return whether another one may run the request."""
+        if call.is_responding:
+            return False
         now = self._clock.seconds()
         move = call.snapshot.moves_by_service.get(call.match.service)
         is_new = move is not None and call.version == move.to_version
-        notice = self._suspects.record_lost(
-            call.get_subject(), upstream.address, is_new, now
-        )
+        subject = call.get_subject()
+        is_tried = has_other and self._suspects.start_trial(subject, now)
+        notice = self._suspects.record_lost(subject, upstream.address, is_new, now)
         if notice is None:
-            return
+            return is_tried
         log_event(402, fingerprint=notice.fingerprint, seconds=SUSPECT_S)
-        if notice.crashes > 1:
+        if is_tried:
+            # Held back elsewhere until the second worker has answered.
+            self._notify_suspect(evolve(notice, ttl_s=DOUBT_S))
+        elif notice.crashes > 1:
             self._notify_suspect(notice)
-            return
+        else:
+            self._probe(upstream, notice)
+        return is_tried
+
+    def _probe(self, upstream: Upstream, notice: SuspectNotice) -> None:
+        """Find out whether a worker crashed, and tell the peers."""
 
         def on_alive(connection: ClientConnection) -> None:
             connection.abort()
