--- a/bamboocove/coordination/brake.py
+++ b/bamboocove/coordination/brake.py
@@ -24,11 +24,14 @@
 # Probability of setting the brake of one node for a version that is not bad.
 # Smaller than that of the coordinator, because every node runs this test.
 BRAKE_ALPHA = 0.001
-# Two closed windows suffice, where the coordinator needs three.
+# A brake needs bad events in at least two closed windows, where the coordinator
+# needs three.
 BRAKE_WINDOWS = 2
-# A node sees few calls, so it pools fewer than the coordinator.
-BRAKE_POOL_CALLS = 20
-BRAKE_POOL_MAX_S = 10.0
+# A node sees few calls, so it pools fewer than the coordinator. At 100% windows
+# are compared with a rate and need no pooling; pooled by 20 calls, a version that
+# failed 30% of its calls at 100% during a store outage got 1,066 of them.
+BRAKE_POOL_CALLS = 10
+BRAKE_POOL_MAX_S = 5.0
 
 
 @frozen
@@ -149,7 +152,7 @@
     if not held.first_revision <= evidence.revision <= held.last_revision:
         return brake
     key = (evidence.route, evidence.request_class)
-    test = held.tests_by_route.get(key, BrakeTest())
+    test = held.tests_by_route.get(key) or BrakeTest()
     if evidence.window_start <= test.last_window:
         return brake
     is_empty = not test.old_pool.calls + test.new_pool.calls
@@ -163,11 +166,12 @@
     )
     age = evidence.window_start + evidence.window_s - test.pool_since
     calls = test.old_pool.calls + test.new_pool.calls
-    if calls >= BRAKE_POOL_CALLS or calls and age >= BRAKE_POOL_MAX_S:
+    is_large = calls >= BRAKE_POOL_CALLS or age >= BRAKE_POOL_MAX_S
+    if calls and (is_large or held.share >= 1.0):
         test = _close_pool(held, test)
+        if held.report is None:
+            held.report = _find_bad(brake.node_id, held, evidence, test)
     held.tests_by_route[key] = test
-    if held.report is None:
-        held.report = _find_bad(brake.node_id, held, evidence, test)
     return brake
 
 
--- a/bamboocove/coordination/moves.py
+++ b/bamboocove/coordination/moves.py
@@ -16,6 +16,9 @@
 UNEARNED_STEP_PART = 0.05
 # Least time on each step; the default of the setting [moves] step_s.
 STEP_S = 5.0
+# Time on a step after which good evidence collected on it outweighs earlier
+# signs of harm, which fade slowly on routes with few calls.
+SUSPECT_S = 120.0
 # Time after 100% during which the old version stays available.
 WATCH_S = 300.0
 # Without any calls, the steps above 10% are taken in the last part of the time.
@@ -197,9 +200,10 @@
     if move.phase == "finishing" or move.step >= LAST_STEP:
         return _plan_watch(move, verdict, now, workers, step_s)
     if now >= move.deadline:
-        return _end(
-            move, "expire", f"deadline passed at {move.share:.0%}: {move.reason}"
-        )
+        reason = verdict.reason
+        if move.step < 0:
+            reason = f"no worker of {move.to_version} announced itself"
+        return _end(move, "expire", f"deadline passed at {move.share:.0%}: {reason}")
     decision = _plan_step(move, verdict, now, workers, brakes, step_s)
     warning = _warn(move, verdict, now, remaining_s, step_s)
     return evolve(decision, warning=warning)
@@ -226,6 +230,8 @@
         if age < WATCH_S or workers.new_ready < max(1, workers.old):
             return _keep(move)
         reason = f"no worse than {move.from_version} for {age:.0f} s at 100%"
+        if verdict.is_silent:
+            reason = f"all nodes report no calls for {age:.0f} s at 100%"
         return Decision("finish", "done", LAST_STEP, 1.0, reason)
     if verdict.kind == "good" and not verdict.is_suspect and age >= step_s:
         return _advance(move, LAST_STEP, verdict.reason)
@@ -253,7 +259,7 @@
     age = now - move.changed_at
     if age < step_s:
         return _collect(move)
-    if verdict.is_suspect:
+    if verdict.is_suspect and (verdict.kind != "good" or age < SUSPECT_S):
         return _hold(move, "more bad calls on the new version, not yet proof")
     if brakes.braked and verdict.kind != "good":
         return _hold(move, f"brakes set on {brakes.braked} nodes")
--- /dev/null
+++ b/bamboocove/measures.py
@@ -0,0 +1,265 @@
+"""Generated traces for the current deployments, and the table of measures."""
+
+import statistics
+from collections.abc import Iterable
+from concurrent.futures import ProcessPoolExecutor
+from random import Random
+
+from attrs import define, frozen
+from logbook import NullHandler
+
+from bamboocove.coordination.coordinator import Coordinator, CoordinatorPorts
+from bamboocove.coordination.judgement import STEP_SHARES
+from bamboocove.coordination.moves import LAST_STEP, Decision
+from bamboocove.rehearsal import Outcome, rehearse
+from bamboocove.state.config import Move
+from bamboocove.state.evidence import OutcomeCounts
+from bamboocove.traces import (
+    Announcement,
+    Behaviour,
+    Edit,
+    Fault,
+    Header,
+    Record,
+    RouteLoad,
+)
+
+# Workers by service, docs/design.md section 2.
+DEPLOYMENTS = {
+    "kozje-mleko": {"orders": 5, "rounds": 4, "ledger": 3},
+    "shutterbook": {"ledger-portal": 5, "payout-desk": 4, "billing-core": 3},
+}
+# 30 calls/s per service, assumed for today's load.
+ROUTES = (
+    RouteLoad("read", "prompt", 20.0),
+    RouteLoad("list", "normal", 8.0),
+    RouteLoad("confirm", "normal", 1.5),
+    RouteLoad("export", "deferrable", 0.5),
+)
+VERSIONS = ("good", "failing", "slow", "late", "load", "route")
+FAULTS = ("quiet", "store", "partition", "restart", "race", "dependency")
+DEADLINE_S = 1800.0
+DURATION_S = 2700.0
+BASELINE_STEP_S = 60.0
+BASELINE_FAILING = 0.05
+BASELINE_CALLS = 20
+
+
+@frozen
+class Case:
+    """One generated trace."""
+
+    tenant: str
+    version: str
+    fault: str
+    seed: int
+
+
+@frozen
+class Result:
+    """Outcomes of one trace under the policy and under the baseline."""
+
+    case: Case
+    policy: Outcome
+    baseline: Outcome
+
+
+def make_behaviours(version: str, random: Random) -> list[Behaviour]:
+    """Return what a version does; severities vary with the seed."""
+    if version == "failing":
+        return [Behaviour(0.0, failing=random.uniform(0.05, 0.5))]
+    if version == "slow":
+        return [Behaviour(0.0, slow=random.uniform(0.15, 0.6))]
+    if version == "late":
+        at = random.uniform(60.0, 900.0)
+        return [Behaviour(at, failing=random.uniform(0.1, 0.5))]
+    if version == "load":
+        return [Behaviour(0.0, random.uniform(0.1, 0.5), load_above=0.8)]
+    if version == "route":
+        route = random.choice(ROUTES).name
+        return [Behaviour(0.0, failing=random.uniform(0.2, 1.0), route=route)]
+    return []
+
+
+def make_faults(fault: str, header: Header, random: Random) -> list[Record]:
+    """Return the records of a fault of the surroundings."""
+    at = random.uniform(30.0, 400.0)
+    until = at + random.uniform(60.0, 180.0)
+    if fault == "store":
+        return [Fault(at, until, "store")]
+    if fault == "partition":
+        return [Fault(at, until, "partition", random.randrange(header.zones))]
+    if fault == "dependency":
+        return [Fault(at, until, "dependency", failing=random.uniform(0.1, 0.6))]
+    if fault == "restart":
+        records = []
+        for node in random.sample(range(header.nodes), header.nodes // 2):
+            start = at + random.uniform(0.0, 10.0)
+            end = start + random.uniform(5.0, 15.0)
+            records.append(Fault(start, end, "restart", node))
+        return records
+    records = []
+    while fault == "race" and at < DEADLINE_S:
+        kind = random.choice(("touch", "touch", "deadline"))
+        deadline_s = DEADLINE_S + random.uniform(0.0, 60.0)
+        records.append(Edit(at, kind, deadline_s))
+        at += random.uniform(5.0, 20.0)
+    return records
+
+
+def make_trace(case: Case) -> list[Record]:
+    """Generate the trace of a case, the same for the same case."""
+    random = Random(f"{case.tenant} {case.version} {case.fault} {case.seed}")
+    service, workers = random.choice(list(DEPLOYMENTS[case.tenant].items()))
+    header = Header(
+        f"{case.tenant}-{case.version}-{case.fault}-{case.seed}",
+        random.randrange(2**31),
+        case.tenant,
+        service,
+        "v1",
+        "v2",
+        3,
+        sum(DEPLOYMENTS[case.tenant].values()),
+        workers,
+        DEADLINE_S,
+        DURATION_S,
+        ROUTES,
+    )
+    announcements = [
+        Announcement(random.uniform(2.0, 20.0), node) for node in range(workers)
+    ]
+    return [
+        header,
+        *announcements,
+        *make_behaviours(case.version, random),
+        *make_faults(case.fault, header, random),
+    ]
+
+
+@define
+class BaselineCoordinator(Coordinator):
+    """Fixed steps, and a fixed threshold on the overall failure rate."""
+
+    def _decide(self, move: Move, now: float) -> Decision:
+        judgement = self.states_by_move[move.move_id].judgement
+        counts = OutcomeCounts()
+        for test in judgement.tests_by_route.values():
+            counts += test.new_step + test.new_pool
+        keep = Decision("keep", move.phase, move.step, move.share, move.reason)
+        if counts.calls >= BASELINE_CALLS and (
+            counts.failures > BASELINE_FAILING * counts.calls
+        ):
+            reason = f"{counts.failures} of {counts.calls} calls failed"
+            return Decision("revert", "reverted", move.step, 0.0, reason)
+        if move.step < 0 and not self.ports.count_workers(move).new_ready:
+            return keep
+        if move.step >= 0 and now - move.changed_at < BASELINE_STEP_S:
+            return keep
+        if move.step == LAST_STEP:
+            return Decision("finish", "done", LAST_STEP, 1.0, "all steps taken")
+        step = move.step + 1
+        phase = "finishing" if step == LAST_STEP else "stepping"
+        return Decision("advance", phase, step, STEP_SHARES[step], "time on step")
+
+
+def make_baseline(node_id: str, ports: CoordinatorPorts) -> BaselineCoordinator:
+    """Return a coordinator that follows the baseline."""
+    return BaselineCoordinator(node_id, "127.0.0.1", 1, ports)
+
+
+def run_case(case: Case) -> Result:
+    """Replay a case under the policy and under the baseline."""
+    with NullHandler().threadbound():
+        trace = make_trace(case)
+        return Result(case, rehearse(trace), rehearse(trace, make_baseline, False))
+
+
+def run_cases(cases: Iterable[Case], processes: int) -> list[Result]:
+    """Replay cases in a few processes of the measuring tool."""
+    with ProcessPoolExecutor(max_workers=processes) as pool:
+        return list(pool.map(run_case, cases, chunksize=4))
+
+
+def make_cases(seeds: int) -> list[Case]:
+    """Return every deployment, version and fault with each seed."""
+    return [
+        Case(tenant, version, fault, seed)
+        for tenant in DEPLOYMENTS
+        for version in VERSIONS
+        for fault in FAULTS
+        for seed in range(seeds)
+    ]
+
+
+def describe_outcomes(is_good: bool, outcomes: list[Outcome]) -> list[str]:
+    """Return the cells of a group of runs.
+
+    For a good version: part done in time, false alarms. For a bad one: part
+    taken back of the runs in which it was bad before the move ended, largest
+    share while bad, median and largest number of calls while bad.
+    """
+    if is_good:
+        in_time = sum(outcome.in_time for outcome in outcomes)
+        alarms = sum(outcome.phase == "reverted" for outcome in outcomes)
+        return [f"{in_time}/{len(outcomes)}", "", "", str(alarms)]
+    seen = [outcome for outcome in outcomes if outcome.became_bad]
+    back = sum(outcome.phase == "reverted" for outcome in seen)
+    calls = [outcome.calls_bad for outcome in seen] or [0]
+    share = max((outcome.share_bad_max for outcome in seen), default=0.0)
+    exposure = f"{statistics.median(calls):.0f} / {max(calls)}"
+    return [f"{back}/{len(seen)}", f"{share:.0%}", exposure, ""]
+
+
+def format_table(results: list[Result]) -> str:
+    """Return the measures as a table, the baseline beside the policy."""
+    columns = ("in time or taken back", "share", "calls", "false alarms")
+    names = ["deployment", "version", "fault", *columns, "calls above share"]
+    names += [f"baseline: {column}" for column in columns]
+    lines = ["| " + " | ".join(names) + " |", "|---" * len(names) + "|"]
+    groups: dict[tuple[str, str, str], list[Result]] = {}
+    for result in results:
+        case = result.case
+        key = (case.tenant, case.version, case.fault)
+        groups.setdefault(key, []).append(result)
+    for key, group in groups.items():
+        is_good = key[1] == "good"
+        above = max(result.policy.calls_above for result in group)
+        cells = [
+            *key,
+            *describe_outcomes(is_good, [result.policy for result in group]),
+            str(above),
+            *describe_outcomes(is_good, [result.baseline for result in group]),
+        ]
+        lines.append("| " + " | ".join(cells) + " |")
+    return "\n".join(lines)
+
+
+def format_summary(results: list[Result]) -> str:
+    """Return the targets and what was measured, for policy and baseline."""
+    lines = ["| measure | target | policy | baseline |", "|---|---|---|---|"]
+    good = [result for result in results if result.case.version == "good"]
+    groups = (
+        ("good in time, no faults", "99%", True),
+        ("good in time, faults", "95%", False),
+    )
+    for name, target, quiet in groups:
+        group = [item for item in good if (item.case.fault == "quiet") == quiet]
+        cells = [
+            describe_outcomes(True, [item.policy for item in group])[0],
+            describe_outcomes(True, [item.baseline for item in group])[0],
+        ]
+        lines.append(f"| {name} | {target} | {cells[0]} | {cells[1]} |")
+    bad = [result for result in results if result.case.version != "good"]
+    for name, index in (("bad taken back", 0), ("calls, median / most", 2)):
+        cells = [
+            describe_outcomes(False, [item.policy for item in bad])[index],
+            describe_outcomes(False, [item.baseline for item in bad])[index],
+        ]
+        target = "100%" if index == 0 else ""
+        lines.append(f"| {name} | {target} | {cells[0]} | {cells[1]} |")
+    cells = [
+        describe_outcomes(True, [item.policy for item in good])[3],
+        describe_outcomes(True, [item.baseline for item in good])[3],
+    ]
+    lines.append(f"| good reverted, of {len(good)} | | {cells[0]} | {cells[1]} |")
+    return "\n".join(lines)
