--- a/bamboocove/events.py
+++ b/bamboocove/events.py
@@ -1,10 +1,12 @@
 """Numbered events: the catalogue, and the function that logs them."""
 
 import sys
+from collections.abc import Coroutine
 from typing import Any
 
 from attrs import frozen
 from logbook import Logger, StreamHandler, lookup_level
+from twisted.internet.defer import Deferred
 
 logger = Logger("bamboocove")
 
@@ -148,6 +150,13 @@
     logger.log(level, "{}", format_event(number, **fields))
 
 
+def run_logged(coroutine: Coroutine) -> None:
+    """Start a coroutine that nobody awaits, and log an error that ends it."""
+    Deferred.fromCoroutine(coroutine).addErrback(
+        lambda failure: logger.error("{}", failure.getTraceback())
+    )
+
+
 def setup_logging(level: str = "INFO") -> None:
     """Send log records to standard error."""
     handler = StreamHandler(sys.stderr, level=lookup_level(level))
--- a/bamboocove/movement.py
+++ b/bamboocove/movement.py
@@ -4,7 +4,6 @@
 from typing import Any
 from uuid import uuid4
 
-from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
 from bamboocove.coordination.brake import (
@@ -25,7 +24,7 @@
 )
 from bamboocove.distributor import Distributor
 from bamboocove.errors import ErrorResult
-from bamboocove.events import log_event, logger
+from bamboocove.events import log_event, run_logged
 from bamboocove.protocol.messages import EvidenceReport
 from bamboocove.protocol.rows import COORDINATOR_LEASE_KEY
 from bamboocove.settings import Settings
@@ -172,8 +171,7 @@
     def _tick(self) -> None:
         now = self._clock.seconds()
         self._report(now)
-        ticked = Deferred.fromCoroutine(self._coordinator.tick(now))
-        ticked.addErrback(lambda failure: logger.error("{}", failure.getTraceback()))
+        run_logged(self._coordinator.tick(now))
 
     def _report(self, now: float) -> None:
         evidence = tuple(self.take_evidence(now))
--- a/bamboocove/operations.py
+++ b/bamboocove/operations.py
@@ -1,6 +1,7 @@
 """Publishing of operators' edits."""
 
-from collections.abc import Callable, Collection, Mapping
+from collections.abc import Awaitable, Callable, Collection, Mapping
+from typing import Any
 from uuid import uuid4
 
 from attrs import define
@@ -40,12 +41,16 @@
         Puts a published configuration in force and spreads it.
     get_announced : callable
         Returns the versions that workers announce, by service.
+    run_blocking : callable
+        Runs a function with arguments and returns an awaitable of its result;
+        a text of a large deployment takes long enough to parse to delay calls.
     """
 
     table: TableClient
     objects: ObjectClient
     offer: Callable[[Config], object]
     get_announced: Callable[[], Mapping[str, Collection[str]]]
+    run_blocking: Callable[..., Awaitable[Any]]
 
     async def apply(
         self, data: bytes, base: int, author: str, now: float
@@ -82,7 +87,9 @@
     async def _try_apply(
         self, head: Published, data: bytes, base: int, author: str, now: float
     ) -> EditResult:
-        edit = prepare_edit(head.config, data, base, now, self.get_announced())
+        edit = await self.run_blocking(
+            prepare_edit, head.config, data, base, now, self.get_announced()
+        )
         if isinstance(edit, StaleEdit):
             winner = await self._find_author(edit.text_revision)
             return TextConflict(edit.text_revision, winner, edit.difference)
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -25,6 +25,10 @@
 """
 
 
+async def run_directly(function, *arguments):
+    return function(*arguments)
+
+
 class Bench:
     """An editor on a fake platform, and what it offered."""
 
@@ -32,7 +36,9 @@
         self.table = FakeTable()
         self.objects = FakeObjects()
         self.offered = []
-        self.editor = Editor(self.table, self.objects, self.offered.append, dict)
+        self.editor = Editor(
+            self.table, self.objects, self.offered.append, dict, run_directly
+        )
 
     def apply(self, text, base, author="ana"):
         return run(self.editor.apply(text.encode(), base, author, NOW))
