One in-memory platform in place of two fakes

The call path's tests and the store's tests each had a fake table service, with different faults. MemoryTable has the faults of both and the semantics of the stand-in. No assertion changed.

--- a/tests/callpath.py
+++ b/tests/callpath.py
@@ -9,9 +9,8 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 
-from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.memory_platform import MemoryTable
 from bamboocove.metrics import Metrics
-from bamboocove.protocol.rows import Committed, Row, Transaction
 from bamboocove.proxy import Proxy
 from bamboocove.settings import Settings, check_settings
 from bamboocove.state.config import Config, Move, Route, Service
@@ -81,58 +80,6 @@
     return table
 
 
-class FakeTable:
-    """Table service in memory.
-
-    Parameters
-    ----------
-    answers : list of str
-        For each coming transaction "ok", "unavailable", "lost" (done, answer
-        lost) or "dropped" (not done, answer lost); "ok" once it is used up.
-    reads : list of str
-        The same for reads: "ok" or "unavailable".
-    """
-
-    def __init__(self) -> None:
-        self.rows: dict[str, Row] = {}
-        self.answers: list[str] = []
-        self.reads: list[str] = []
-        self.transactions: list[Transaction] = []
-
-    async def get(self, key: str) -> Row | None | ErrorResult:
-        """Return a row."""
-        if self.reads and self.reads.pop(0) != "ok":
-            return ErrorResult(ErrorKind.STORE_UNAVAILABLE, "fault")
-        return self.rows.get(key)
-
-    async def transact(self, transaction: Transaction) -> Committed | ErrorResult:
-        """Check and write."""
-        self.transactions.append(transaction)
-        answer = self.answers.pop(0) if self.answers else "ok"
-        if answer == "unavailable":
-            return ErrorResult(ErrorKind.STORE_UNAVAILABLE, "fault")
-        if answer == "dropped":
-            return ErrorResult(ErrorKind.STORE_UNKNOWN, "fault")
-        for check in transaction.checks:
-            held = self.rows.get(check.key)
-            if (held.version if held else 0) != check.version:
-                return ErrorResult(ErrorKind.CONFLICT, check.key)
-        versions = {}
-        for write in transaction.writes:
-            held = self.rows.pop(write.key, None)
-            versions[write.key] = (held.version if held else 0) + 1
-            if write.value is not None:
-                self.rows[write.key] = Row(
-                    write.key,
-                    versions[write.key],
-                    transaction.operation_id,
-                    write.value,
-                )
-        if answer == "lost":
-            return ErrorResult(ErrorKind.STORE_UNKNOWN, "fault")
-        return Committed(versions)
-
-
 def run(coroutine: Any, wait_s: float = WAIT_S) -> Any:
     """Run the reactor until a coroutine ends, at most for a while."""
     results: list[Any] = []
@@ -167,7 +114,7 @@
         make_settings(**options),
         active,
         members,
-        table or FakeTable(),
+        table or MemoryTable(),
         Metrics("kozje-mleko"),
         reactor,
         random.Random(1),
@@ -288,7 +235,7 @@
         self.workers = []
         self.callers = []
         self.notices = []
-        self.table = FakeTable()
+        self.table = MemoryTable()
         self.proxy = None
 
     def add_worker(self):
@@ -331,7 +278,7 @@
 
     def get_claim_states(self) -> list[str]:
         """Return the states of all claims in the table service."""
-        return [row.value["state"] for row in self.table.rows.values()]
+        return [row.value["state"] for row in self.table.state.rows_by_key.values()]
 
     def close(self):
         for caller in self.callers:
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -61,7 +61,10 @@
     """Guards against a key that stays blocked after a refusal."""
     worker = mesh.add_worker()
     mesh.start()
-    mesh.table.answers, mesh.table.reads = ["lost"], ["unavailable", "unavailable"]
+    mesh.table.answers, mesh.table.read_answers = (
+        ["lost"],
+        ["unavailable", "unavailable"],
+    )
     assert b"store_unknown" in mesh.call(confirm())
     assert not worker.exchanges
     spin(lambda: mesh.get_claim_states() == ["released"] and not mesh.proxy.in_flight)
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -16,7 +16,7 @@
     withdraw_claim,
 )
 from bamboocove.errors import ErrorKind, ErrorResult
-from tests.callpath import FakeTable
+from bamboocove.memory_platform import MemoryTable
 
 RECORD = ClaimRecord(b"digest", "n1", 10.0)
 ROW = "idempotency/orders/k"
@@ -34,7 +34,7 @@
 
 def test_second_request_does_not_run():
     """Guards against a payment that is taken twice."""
-    table = FakeTable()
+    table = MemoryTable()
     held = claim(table)
     assert isinstance(held, Claim)
     assert claim(table, operation_id="op2").kind is ErrorKind.KEY_IN_PROGRESS
@@ -45,21 +45,21 @@
 
 def test_claim_of_a_lost_node_is_unknown():
     """Guards against "in progress" for good after a node has crashed."""
-    table = FakeTable()
+    table = MemoryTable()
     claim(table)
     assert claim(table, operation_id="op2", now=10.0).kind is ErrorKind.UPSTREAM_LOST
 
 
 def test_unknown_outcome_is_kept():
     """Guards against a second run after the first one's response was lost."""
-    table = FakeTable()
+    table = MemoryTable()
     result_of(record_outcome(table, claim(table), None, "op2"))
     assert claim(table, operation_id="op3").kind is ErrorKind.UPSTREAM_LOST
 
 
 def test_large_body_is_not_replayed_in_part():
     """Guards against an incomplete response to the second request."""
-    table = FakeTable()
+    table = MemoryTable()
     result_of(record_outcome(table, claim(table), Outcome(200, (), None), "op2"))
     result = claim(table, operation_id="op3")
     assert result.kind is ErrorKind.UPSTREAM_LOST
@@ -68,7 +68,7 @@
 
 def test_reused_key_is_refused():
     """Guards against the outcome of one request given to another."""
-    table = FakeTable()
+    table = MemoryTable()
     claim(table)
     other = ClaimRecord(b"other", "n1", 10.0)
     assert claim(table, other, "op2").kind is ErrorKind.KEY_REUSED
@@ -79,7 +79,7 @@
 
 def test_lost_answer_is_read_back():
     """Guards against a refusal, or a second claim, after the write took effect."""
-    table = FakeTable()
+    table = MemoryTable()
     table.answers = ["lost"]
     held = claim(table)
     assert isinstance(held, Claim)
@@ -93,7 +93,7 @@
 
     A table service may count versions from 1 again after a row was deleted.
     """
-    table = FakeTable()
+    table = MemoryTable()
     held = claim(table)
 
     def remove_claim():
@@ -118,26 +118,26 @@
 )
 def test_no_claim_without_a_confirmed_write(answers, reads, kind):
     """Guards against a dispatch without a claim."""
-    table = FakeTable()
-    table.answers, table.reads = answers, reads
+    table = MemoryTable()
+    table.answers, table.read_answers = answers, reads
     assert claim(table).kind is kind
 
 
 def test_withdraws_only_its_own_claim():
     """Guards against a claim that blocks its key, and against removing another's."""
-    table = FakeTable()
+    table = MemoryTable()
     withdraw = withdraw_claim(table, ROW, "op1", "op2")
     assert result_of(withdraw).kind is ErrorKind.NOT_FOUND
     claim(table)
     assert result_of(withdraw_claim(table, ROW, "op9", "op3")) is None
-    assert ROW in table.rows
+    assert ROW in table.state.rows_by_key
     assert result_of(withdraw_claim(table, ROW, "op1", "op4")) is None
     assert isinstance(claim(table, operation_id="op5"), Claim)
 
 
 def test_repeats_until_it_succeeds():
     """Guards against an outcome that one store fault leaves unrecorded."""
-    table = FakeTable()
+    table = MemoryTable()
     held = claim(table)
     table.answers = ["unavailable", "lost"]
     slept = []
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -4,9 +4,10 @@
 
 from bamboocove.coordination.lease import acquire_lease, release_lease, renew_lease
 from bamboocove.errors import ErrorKind
+from bamboocove.memory_platform import MemoryTable
 from bamboocove.protocol.rows import LeaseRecord
 from bamboocove.state.codec import from_plain
-from tests.fakes import FakeTable, run
+from tests.fakes import run
 
 KEY = "lease/test"
 LEASE_S = 10.0
@@ -14,7 +15,7 @@
 
 @pytest.fixture
 def table():
-    return FakeTable()
+    return MemoryTable()
 
 
 def make_record(holder, now):
@@ -66,7 +67,7 @@
 
 def test_two_nodes_that_race_for_a_free_lease_get_one_holder(table):
     """Guards against two holders after both saw the lease free."""
-    rival = FakeTable()
+    rival = MemoryTable()
     rival.state = table.state
     won = []
 
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -3,10 +3,11 @@
 from bamboocove.coordination.edits import PlannedEdit
 from bamboocove.coordination.publishing import publish, read_head, read_history
 from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.memory_platform import MemoryObjects, MemoryTable
 from bamboocove.operations import Editor
 from bamboocove.protocol.rows import HistoryRecord
 from bamboocove.transport.admin_operations import TextConflict
-from tests.fakes import FakeObjects, FakeTable, run
+from tests.fakes import run
 
 NOW = 1_800_000_000.0
 TEXT = """\
@@ -33,8 +34,8 @@
     """An editor on a fake platform, and what it offered."""
 
     def __init__(self):
-        self.table = FakeTable()
-        self.objects = FakeObjects()
+        self.table = MemoryTable()
+        self.objects = MemoryObjects()
         self.offered = []
         self.editor = Editor(
             self.table, self.objects, self.offered.append, dict, run_directly
--- a/tests/test_publishing.py
+++ b/tests/test_publishing.py
@@ -11,6 +11,7 @@
     read_history,
 )
 from bamboocove.errors import ErrorKind
+from bamboocove.memory_platform import MemoryObjects, MemoryTable
 from bamboocove.protocol.rows import (
     COORDINATOR_LEASE_KEY,
     HEAD_KEY,
@@ -20,19 +21,19 @@
 )
 from bamboocove.state.codec import decode, encode
 from bamboocove.state.config import Config, Delta, Service, apply_delta
-from tests.fakes import FakeObjects, FakeTable, run
+from tests.fakes import run
 
 HISTORY = HistoryRecord(0, "ana", 100.0, "a change")
 
 
 @pytest.fixture
 def table():
-    return FakeTable()
+    return MemoryTable()
 
 
 @pytest.fixture
 def objects():
-    return FakeObjects()
+    return MemoryObjects()
 
 
 def make_next(base: Published, version: str) -> Config:
@@ -141,7 +142,7 @@
     """Guards against taking the winner's history row for one's own."""
     base = run(read_head(table, objects))
     table.delayed_writes = 1
-    rival = FakeTable()
+    rival = MemoryTable()
     rival.state = table.state
     won = []
 
--- a/tests/test_store_reader.py
+++ b/tests/test_store_reader.py
@@ -10,6 +10,7 @@
 from bamboocove import store_reader
 from bamboocove.coordination.publishing import Published, publish, read_head
 from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.memory_platform import MemoryObjects, MemoryTable
 from bamboocove.protocol.rows import (
     HEAD_KEY,
     HistoryRecord,
@@ -27,13 +28,7 @@
 from bamboocove.state.members import Member
 from bamboocove.store_reader import StoreReader
 from bamboocove.transport.platform import ObjectClient, TableClient
-from tests.fakes import (
-    FakeDistributor,
-    FakeObjects,
-    FakeTable,
-    run,
-    run_with_reactor,
-)
+from tests.fakes import FakeDistributor, run, run_with_reactor
 
 NOW = 1_000_000.0
 
@@ -62,8 +57,8 @@
     def __init__(self):
         self.clock = Clock()
         self.clock.advance(NOW)
-        self.table = FakeTable()
-        self.objects = FakeObjects()
+        self.table = MemoryTable()
+        self.objects = MemoryObjects()
         self.distributor = FakeDistributor()
         self.distributor.members.merge(make_member("n1"))
         self.reader = StoreReader(
