--- a/bamboocove/call.py
+++ b/bamboocove/call.py
@@ -228,8 +228,6 @@
         self.connector = None
         self.connection = connection
         self.receive()
-        if self.is_done:
-            return
         self.attempt_at = now
         self.is_refusal = False
         parts = [self.format_head(now)]
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -2,6 +2,7 @@
 
 import pytest
 from twisted.internet import reactor
+from twisted.internet.task import deferLater
 
 from bamboocove import dispatcher, proxy
 from bamboocove.state.config import Move
@@ -82,6 +83,14 @@
     worker = mesh.add_worker()
     worker.answer = worker.shed
     mesh.start()
+    transact = mesh.table.transact
+
+    async def transact_slowly(transaction):
+        if transaction.writes[0].value is None:
+            await deferLater(reactor, 0.1)
+        return await transact(transaction)
+
+    mesh.table.transact = transact_slowly
     data = mesh.call(confirm())
     assert data.startswith(b"HTTP/1.1 503 ")
     assert b"bamboocove-run: not-run" in data
