Measure the control cost of one node as the mesh grows

Cause: the bounds of 1.7% of a core, 128 MB and 3 KB/s apply to a node in a fleet of 5,500, more than one machine can run.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -23,6 +23,7 @@
 sys.path.insert(0, str(ROOT))
 
 from bench.capacity_calls import measure_calls, print_calls  # noqa: E402
+from bench.capacity_control import measure_control, print_control  # noqa: E402
 from bench.processes import Processes, open_processes  # noqa: E402
 
 Measure = Callable[[Processes, bool], dict[str, Any]]
@@ -30,6 +31,7 @@
 
 PARTS_BY_NAME: dict[str, tuple[Measure, Print]] = {
     "calls": (measure_calls, print_calls),
+    "control": (measure_control, print_control),
 }
 
 
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -195,6 +195,10 @@
         child.read_ready()
         return child
 
+    def start_module(self, name: str, words: list[str]) -> Child:
+        """Start Python with these words, without waiting until it is ready."""
+        return self._start(name, words)
+
     def stop(self, child: Child) -> None:
         """End one process by its id and wait for it."""
         self.children.remove(child)
