Measure store load and convergence on fleets of whole nodes

Change: bench/capacity_fleet.py runs fleets of several sizes against one platform stand-in, at rest, during a burst of changes and after all nodes were killed and started again; parts store and convergence read the same runs.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -24,14 +24,36 @@
 
 from bench.capacity_calls import measure_calls, print_calls  # noqa: E402
 from bench.capacity_control import measure_control, print_control  # noqa: E402
+from bench.capacity_fleet import (  # noqa: E402
+    FleetRuns,
+    print_convergence,
+    print_store,
+    summarize_convergence,
+    summarize_store,
+)
 from bench.processes import Processes, open_processes  # noqa: E402
 
 Measure = Callable[[Processes, bool], dict[str, Any]]
 Print = Callable[[dict[str, Any]], None]
 
+_fleets = FleetRuns()
+
+
+def measure_store(processes: Processes, is_quick: bool) -> dict[str, Any]:
+    """Return the load on the platform."""
+    return summarize_store(_fleets.get(is_quick))
+
+
+def measure_convergence(processes: Processes, is_quick: bool) -> dict[str, Any]:
+    """Return the times until a change was in force."""
+    return summarize_convergence(_fleets.get(is_quick))
+
+
 PARTS_BY_NAME: dict[str, tuple[Measure, Print]] = {
     "calls": (measure_calls, print_calls),
     "control": (measure_control, print_control),
+    "store": (measure_store, print_store),
+    "convergence": (measure_convergence, print_convergence),
 }
 
 
@@ -73,7 +95,9 @@
         "parts": {},
         "failed": {},
     }
-    for name in args.parts or PARTS_BY_NAME:
+    names = args.parts or list(PARTS_BY_NAME)
+    _fleets.with_restart = "store" in names
+    for name in names:
         try:
             report["parts"][name] = run_part(name, args.quick)
         except Exception as error:
