--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -5,11 +5,15 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.selectreactor import SelectReactor
+from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
 from bamboocove.state.config import Config
 from bamboocove.state.members import MemberTable
 
+WAIT_S = 10.0
+POLL_S = 0.02
+
 
 def run(coroutine: Any) -> Any:
     """Run a coroutine that awaits nothing that is not ready, such as a fake."""
@@ -51,6 +55,15 @@
     return results[0]
 
 
+async def wait_until(reactor, condition):
+    """Wait until a condition holds; AssertionError after ``WAIT_S``."""
+    for _ in range(int(WAIT_S / POLL_S)):
+        if condition():
+            return
+        await deferLater(reactor, POLL_S)
+    raise AssertionError("condition not met in time")
+
+
 class FakeDistributor:
     """Distributor that keeps what it is given."""
 
--- a/tests/test_distributor.py
+++ b/tests/test_distributor.py
@@ -16,8 +16,8 @@
 )
 from bamboocove.state.config import Config, Service
 from bamboocove.state.members import MemberTable
+from tests.fakes import run_with_reactor, wait_until
 from tests.fleet import WORKER, Fleet, make_config, make_fleet, make_settings
-from tests.loopback import run_with_reactor, wait_until
 
 
 def test_two_nodes_exchange_configuration_and_members():
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -21,7 +21,7 @@
     make_accepted_link,
     make_dialled_link,
 )
-from tests.loopback import run_with_reactor
+from tests.fakes import run_with_reactor
 
 
 class Recorder:
