Do not send member records back to a peer that just sent them

Cause: a starting node asks several peers for the whole table. It queued each new record for all other peers and sent it although that peer had sent the same record in the meantime.

Change: a record that arrives from a peer is taken out of what waits for this peer, unless the one held here is newer.

--- a/bamboocove/coordination/gossip.py
+++ b/bamboocove/coordination/gossip.py
@@ -62,6 +62,7 @@
         held = gossip.table.members_by_id.get(record.node_id)
         if record.node_id == own_id:
             continue
+        _drop_pending(gossip, record, held, source)
         if held is None and record.state not in LIVE_STATES:
             continue
         if gossip.table.merge(record):
@@ -70,6 +71,16 @@
     return changes
 
 
+def _drop_pending(
+    gossip: Gossip, record: Member, held: Member | None, source: str | None
+) -> None:
+    # The source has the record. Without this a starting node, which learns the
+    # whole table from several peers at once, sends it back to each of them.
+    pending = gossip.pending_by_peer.get(source)
+    if pending and held is not None and held.age_key <= record.age_key:
+        pending.pop(record.node_id, None)
+
+
 def take_batch(gossip: Gossip, peer: str) -> MemberUpdate | None:
     """Return the next records for a peer, or None if none are waiting."""
     pending = gossip.pending_by_peer.get(peer)
--- a/tests/coordination/test_gossip.py
+++ b/tests/coordination/test_gossip.py
@@ -128,6 +128,18 @@
     assert [drain(gossip, peer) for peer in "xyz"] == [[], [], []]
 
 
+def test_records_that_a_peer_sent_do_not_go_back_to_it():
+    """Guards against a starting node that returns the table to every peer."""
+    gossip = make_gossip(("a", "b", "c"))
+    records = [make_member("x"), make_member("y"), make_member("z", sequence=2)]
+    take_records(gossip, records, "a", "own")
+    older = make_member("z", sequence=1)
+    take_records(gossip, [records[0], older], "b", "own")
+    assert drain(gossip, "a") == []
+    assert drain(gossip, "b") == records[1:]
+    assert drain(gossip, "c") == records
+
+
 def test_forgotten_and_own_records_are_not_taken():
     """Guards against forgotten members that return from other tables."""
     gossip = make_gossip("x")
