--- a/bench/capacity_fleet.py
+++ b/bench/capacity_fleet.py
@@ -219,7 +219,7 @@
     """Return the load on the platform, with what it would be at the design scale.
 
     Readers poll for each zone, so that reads at rest grow with zones and not
-    with nodes; both are given.
+    with nodes; the fit over nodes is there to show that.
     """
     sizes = [result["nodes"] for result in results]
     fits = {
@@ -336,4 +336,5 @@
         print(
             f"{name:>8}: slope {values['slope']:.3g} s for each doubling, residual "
             f"{values['residual']:.3g}, at the design scale {values['at_design']:.3g} s"
+            + (" (no growth seen)" if values["slope"] <= 0 else "")
         )
