--- a/bamboocove/coordination/coordinator.py
+++ b/bamboocove/coordination/coordinator.py
@@ -11,7 +11,6 @@
     add_evidence,
     close_windows,
     follow_move,
-    get_verdict,
     start_judgement,
 )
 from bamboocove.coordination.moves import (
@@ -24,6 +23,7 @@
     plan_move,
 )
 from bamboocove.coordination.pacing import estimate_remaining_s
+from bamboocove.coordination.verdicts import get_verdict
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.events import format_event, log_event
 from bamboocove.protocol.messages import CoordinatorNotice, EvidenceReport
--- a/tests/coordination/test_judgement.py
+++ b/tests/coordination/test_judgement.py
@@ -11,9 +11,9 @@
     add_evidence,
     close_windows,
     follow_move,
-    get_verdict,
     start_judgement,
 )
+from bamboocove.coordination.verdicts import get_verdict
 from bamboocove.state.config import Move
 from bamboocove.state.evidence import Evidence, OutcomeCounts
 
--- a/tests/coordination/test_moves.py
+++ b/tests/coordination/test_moves.py
@@ -5,7 +5,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from bamboocove.coordination.judgement import STEP_SHARES, Verdict
+from bamboocove.coordination.judgement import STEP_SHARES
 from bamboocove.coordination.moves import (
     REPEATS_MAX,
     SUSPECT_S,
@@ -18,6 +18,7 @@
     count_workers_used,
     plan_move,
 )
+from bamboocove.coordination.verdicts import Verdict
 from bamboocove.errors import ErrorKind
 from bamboocove.state.config import MOVE_PHASES, Config, Move, Service
 
