Watch a worker that leaves for 3 s

Cause: with its drain state hidden on a scratch copy the test passed, as it watched for 1 s only, in which nodes held calls back after refusals. Change: 3 s, with a longer drain of the worker. Seen: passes in 21 s; with the drain state hidden 15 calls arrive and it fails.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -142,7 +142,7 @@
     # Guards against a stop that cuts calls, and against new calls to a worker
     # that leaves.
     async def test(mesh):
-        await mesh.start(3, 3, "--work", "2", "--drain", "8")
+        await mesh.start(3, 3, "--work", "2", "--drain", "10")
         node, worker = mesh.nodes[0], mesh.fleet.workers[1]
         in_flight = gather([mesh.call(n, "/accounts") for n in mesh.nodes * 8])
         payments = gather(
@@ -161,7 +161,7 @@
         before = await mesh.get_counters(worker)
         assert before["running"] == 0
         await mesh.until(lambda: not node.process.is_alive)
-        await mesh.sleep(1.0)
+        await mesh.sleep(3.0)
         assert (await mesh.get_counters(worker))["calls"] == before["calls"]
         assert mesh.statuses == {200}
         await mesh.until(lambda: not worker.process.is_alive)
