End all benchmark processes with their parent and limit the run

Cause: a node or platform stand-in stayed behind if the benchmark was killed, because only its drivers watched their standard input.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,6 +12,7 @@
 import json
 import os
 import platform
+import signal
 import sys
 import time
 import traceback
@@ -33,6 +34,10 @@
 )
 from bench.processes import Processes, open_processes  # noqa: E402
 
+# A run that takes longer is ended, with all of its processes.
+LIMIT_S = 600
+QUICK_LIMIT_S = 240
+
 Measure = Callable[[Processes, bool], dict[str, Any]]
 Print = Callable[[dict[str, Any]], None]
 
@@ -57,6 +62,11 @@
 }
 
 
+def _end(number: int, frame: Any) -> None:
+    # Not an Exception, which would let the next part start.
+    raise SystemExit(f"ended by {signal.Signals(number).name}")
+
+
 def run_part(name: str, is_quick: bool) -> dict[str, Any]:
     """Run one part, print its table and return its figures."""
     measure, show = PARTS_BY_NAME[name]
@@ -87,6 +97,9 @@
         parser.error(
             f"unknown part {', '.join(unknown)}; there are {', '.join(PARTS_BY_NAME)}"
         )
+    signal.signal(signal.SIGALRM, _end)
+    signal.signal(signal.SIGTERM, _end)
+    signal.alarm(QUICK_LIMIT_S if args.quick else LIMIT_S)
     report: dict[str, Any] = {
         "at": time.strftime("%Y-%m-%dT%H:%M:%SZ", time.gmtime()),
         "python": platform.python_version(),
--- a/bench/processes.py
+++ b/bench/processes.py
@@ -163,7 +163,9 @@
 
     def start_platform(self) -> Child:
         """Start the stand-in of the table service and the object store."""
-        child = self._start("platform", ["-m", "bamboocove.standin", "platform"])
+        child = self._start(
+            "platform", ["-m", "bench.child", "bamboocove.standin", "platform"]
+        )
         self.platform_url = json.loads(child.read_ready())["table_url"]
         return child
 
@@ -190,7 +192,7 @@
         }
         for key, value in overrides.items():
             texts[key.replace("__", ".", 1)] = value
-        words = ["-m", "bamboocove.node"]
+        words = ["-m", "bench.child", "bamboocove.node"]
         for key, value in texts.items():
             words += ["--set", f"{key}={value}"]
         child = self._start(node_id, words, NodeChild)
