Read the head as coordinator only while moves are open

Change: without open moves in the configuration in force nothing is read. The store task finds a new head within a second.

--- a/bamboocove/coordination/coordinator.py
+++ b/bamboocove/coordination/coordinator.py
@@ -107,6 +107,9 @@
         ``offer(config)`` hands a published revision to distribution.
     make_operation_id : callable
         Returns a new unique identifier.
+    has_moves : callable
+        Whether there are open moves in the configuration in force. Without
+        any the head is not read; the node's store task finds new ones.
     """
 
     acquire: Callable[[LeaseRecord, float], Awaitable[Any]]
@@ -119,6 +122,7 @@
     announce: Callable[[CoordinatorNotice], None]
     offer: Callable[[Config], None]
     make_operation_id: Callable[[], str]
+    has_moves: Callable[[], bool] = lambda: True
 
 
 @define
@@ -202,6 +206,9 @@
         if not await self._hold_lease(now):
             return
         self._announce(now)
+        if not self.ports.has_moves():
+            self.states_by_move.clear()
+            return
         head = await self.ports.read_head()
         # The lease may have been given up while the store was read.
         if self.lease is None or isinstance(head, ErrorResult):
--- a/bamboocove/movement.py
+++ b/bamboocove/movement.py
@@ -197,6 +197,7 @@
             announce=self._distributor.broadcast,
             offer=self._distributor.offer,
             make_operation_id=lambda: uuid4().hex,
+            has_moves=lambda: bool(self._get_config().get_open_moves()),
         )
         return Coordinator(
             node_id=member.node_id,
--- a/tests/coordination/test_coordinator.py
+++ b/tests/coordination/test_coordinator.py
@@ -98,6 +98,7 @@
             self.notices.append,
             self.offers.append,
             lambda: f"op-{len(self.calls)}",
+            lambda: bool(self.config.get_open_moves()),
         )
 
 
@@ -172,6 +173,15 @@
     assert store.config.services_by_name["orders"].version == "v1"
 
 
+def test_head_is_not_read_without_open_moves():
+    """Guards against control bytes of a coordinator that has nothing to do."""
+    store, coordinator = make_coordinator()
+    for now in range(5):
+        run(coordinator.tick(float(now)))
+    assert coordinator.lease is not None
+    assert "read_head" not in store.calls
+
+
 def test_only_readers_try_for_the_lease():
     # Guards against every node of a fleet writing the lease row.
     store, coordinator = make_coordinator(make_move(), is_reader=False)
