Remove logic that stood twice

The store task's backoff repeated compute_delay of coordination/backoff and now calls it; the delays are the same. The demo and the node each set up a binary with one command; commands.py does it for both.

Run: tests of polling, store reader and docs, the process test of racing operators, the node's usage error and the demo's help. The whole suite was not run again after this commit.

--- a/bamboocove/coordination/polling.py
+++ b/bamboocove/coordination/polling.py
@@ -5,6 +5,7 @@
 
 from attrs import evolve, frozen
 
+from bamboocove.coordination.backoff import compute_delay
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.protocol.rows import HeadRecord, HistoryRecord, NodeRecord, Row
 from bamboocove.state.codec import decode, from_plain
@@ -64,9 +65,9 @@
     >>> get_backoff(1, 1.0), get_backoff(3, 0.5), get_backoff(99, 1.0)
     (0.5, 1.0, 30.0)
     """
-    # The exponent is bounded because a long outage would overflow the float.
-    ceiling = BACKOFF_BASE_S * 2 ** min(failures - 1, 16)
-    return fraction * min(BACKOFF_LIMIT_S, ceiling)
+    return compute_delay(
+        failures - 1, fraction, base_s=BACKOFF_BASE_S, cap_s=BACKOFF_LIMIT_S
+    )
 
 
 def plan_poll(
--- a/bamboocove/demo.py
+++ b/bamboocove/demo.py
@@ -10,14 +10,13 @@
 
 import treq
 from attrs import define, field
-from cleo.application import Application
 from cleo.commands.command import Command
 from twisted.internet.defer import Deferred, DeferredList
 from twisted.internet.error import ConnectError, ConnectionLost
 from twisted.internet.task import LoopingCall, deferLater, react
 from twisted.web.client import ResponseFailed
 
-from bamboocove import __version__
+from bamboocove.commands import run_single_command
 from bamboocove.fleet import Fleet, NodeProcess
 from bamboocove.state.config import ENDED_PHASES
 
@@ -360,12 +359,7 @@
 
 def main() -> None:
     """Run the command line."""
-    application = Application("bamboocove-demo", __version__)
-    command = DemoCommand()
-    application.add(command)
-    application._default_command = command.name
-    application._single_command = True
-    application.run()
+    run_single_command("bamboocove-demo", DemoCommand())
 
 
 if __name__ == "__main__":
--- a/bamboocove/node.py
+++ b/bamboocove/node.py
@@ -5,13 +5,12 @@
 from pathlib import Path
 from random import Random
 
-from cleo.application import Application
 from cleo.commands.command import Command
 from cleo.helpers import argument, option
 from twisted.internet.defer import Deferred
 
-from bamboocove import __version__
 from bamboocove.application import NodeApplication
+from bamboocove.commands import run_single_command
 from bamboocove.events import run_logged, setup_logging
 from bamboocove.settings import Settings, format_settings, read_settings
 
@@ -82,12 +81,7 @@
 
 def main() -> None:
     """Run the command line."""
-    application = Application("bamboocove-node", __version__)
-    command = NodeCommand()
-    application.add(command)
-    application._default_command = command.name
-    application._single_command = True
-    application.run()
+    run_single_command("bamboocove-node", NodeCommand())
 
 
 if __name__ == "__main__":
