--- /dev/null
+++ b/bamboocove/coordination/route_table.py
@@ -0,0 +1,111 @@
+"""Which route a request belongs to, and which service of the route gets it."""
+
+from collections.abc import Callable, Mapping
+
+from attrs import define, field
+
+from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.state.mesh import HostRoute, MeshConfig
+
+PrefixTable = dict[str, dict[str, HostRoute]]
+
+
+def compile_routes(config: MeshConfig) -> PrefixTable | ErrorResult:
+    """Return the routes by host name and prefix.
+
+    Returns
+    -------
+    table : dict or ErrorResult
+        ``INVALID_CONFIG`` if a route refers to a service that the
+        configuration does not have.
+    """
+    table: PrefixTable = {}
+    for route in config.routes_by_name.values():
+        for share in route.shares:
+            if share.service not in config.services_by_name:
+                reason = f"route {route.name} refers to no service {share.service}"
+                return ErrorResult(ErrorKind.INVALID_CONFIG, reason)
+        table.setdefault(route.host, {})[route.prefix] = route
+    return table
+
+
+def find_route(
+    table: Mapping[str, Mapping[str, HostRoute]], host: str, path: str
+) -> HostRoute | None:
+    """Return the route with the longest prefix of a path.
+
+    Examples
+    --------
+    >>> share = (ServiceShare("s", 1),)
+    >>> short = HostRoute("a", "h", "/a/", share, True, 1.0, 1.0)
+    >>> long = HostRoute("b", "h", "/a/b/", share, True, 1.0, 1.0)
+    >>> table = {"h": {"/a/": short, "/a/b/": long}}
+    >>> find_route(table, "h:80", "/a/b/c").name
+    'b'
+    """
+    routes = table.get(host) or table.get(host.partition(":")[0].lower())
+    if not routes:
+        return None
+    end = len(path)
+    while (end := path.rfind("/", 0, end)) >= 0:
+        route = routes.get(path[: end + 1])
+        if route is not None:
+            return route
+    return None
+
+
+@define
+class ShareCounter:
+    """Smooth weighted round robin over the services of each route.
+
+    Shares are kept exactly over short runs, which a random choice does not:
+    of 300 requests, a share of 10% would often be off by 5%.
+    """
+
+    _credits_by_route: dict[str, dict[str, float]] = field(factory=dict)
+
+    def pick(self, route: HostRoute) -> str:
+        """Return the service that gets the next request of a route."""
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        credits = self._credits_by_route.get(route.name)
+        if credits is None or credits.keys() != {s.service for s in route.shares}:
+            credits = {share.service: 0.0 for share in route.shares}
+            self._credits_by_route[route.name] = credits
+        total = 0.0
+        for share in route.shares:
+            credits[share.service] += share.weight
+            total += share.weight
+        best = max(credits, key=credits.__getitem__)
+        credits[best] -= total
+        return best
+
+
+@define
+class VersionCounter:
+    """Gives a new version of a service an exact share of its requests."""
+
+    _credit_by_service: dict[str, float] = field(factory=dict)
+
+    def is_new(self, service: str, share: float, random: Callable[[], float]) -> bool:
+        """Return whether the next request of a service goes to the new version.
+
+        Parameters
+        ----------
+        service : str
+            Name of the service.
+        share : float
+            Share of the new version, from 0 to 1.
+        random : callable
+            Returns a float from 0 to 1. It sets where a counter starts, so
+            that nodes do not send their first requests at the same moment.
+        """
+        if share <= 0.0:
+            return False
+        credit = self._credit_by_service.get(service)
+        if credit is None:
+            credit = random()
+        credit += share
+        is_new = credit >= 1.0
+        self._credit_by_service[service] = credit - 1.0 if is_new else credit
+        return is_new
--- /dev/null
+++ b/bamboocove/coordination/worker_queue.py
@@ -0,0 +1,183 @@
+"""How requests wait for one worker, and which are refused.
+
+Load pattern: arrivals above what the worker can run for seconds, in several
+classes, beside calls of other workers whose requests fail without them. A long
+queue would make every answer late, so a request is refused at once if its
+predicted answer misses its objective, and the more urgent class goes first.
+"""
+
+from typing import Any
+
+from attrs import define, field
+
+# Rank of calls that other workers make: refusing one wastes the work already
+# done on the request that needs it.
+INTERNAL_PRIORITY = -1
+# Weight of the newest answer in the moving average of service times.
+SERVICE_TIME_WEIGHT = 0.1
+# Service time that is assumed before the first answer, in seconds.
+FIRST_SERVICE_S = 0.08
+# Part of the objective that may pass until the predicted answer of a request
+# that has to wait; the rest covers variation of service times.
+OBJECTIVE_PART = 1.0
+# Least time that is worth starting with, as part of the mean service time.
+LEAST_PART = 0.5
+
+
+@define
+class ServiceTimes:
+    """Moving averages of the time that a worker takes, in seconds."""
+
+    mean_s: float = FIRST_SERVICE_S
+    _mean_by_route: dict[str, float] = field(factory=dict)
+
+    def record(self, route: str, seconds: float) -> None:
+        """Take the time of one answer."""
+        self.mean_s += SERVICE_TIME_WEIGHT * (seconds - self.mean_s)
+        held = self._mean_by_route.get(route, seconds)
+        self._mean_by_route[route] = held + SERVICE_TIME_WEIGHT * (seconds - held)
+
+    def get(self, route: str) -> float:
+        """Return the expected time of a request of a route."""
+        return self._mean_by_route.get(route, self.mean_s)
+
+
+@define(eq=False)
+class WaitingRequest:
+    """A request that waits for a slot, or runs.
+
+    Parameters
+    ----------
+    route : str
+        Name of its route.
+    priority : int
+        Rank; lower ones go first.
+    target_at, deadline : float
+        When its objective and its time end, in seconds of the local clock.
+    payload : object
+        Whatever the owner of the queue needs to start it.
+    started_at : float
+        When it was sent to the worker; 0 while it waits.
+    """
+
+    route: str
+    priority: int
+    target_at: float
+    deadline: float
+    payload: Any
+    started_at: float = 0.0
+
+
+@define
+class WorkerQueue:
+    """Requests of one worker that run or wait.
+
+    Parameters
+    ----------
+    slots : int
+        Requests that the worker runs at a time.
+    times : ServiceTimes
+        What it takes for a request.
+    """
+
+    slots: int
+    times: ServiceTimes = field(factory=ServiceTimes)
+    running: set[WaitingRequest] = field(factory=set)
+    waiting: list[WaitingRequest] = field(factory=list)
+
+    def predict_wait(self, priority: int) -> float:
+        """Return the expected time until a new request of a rank is started."""
+        free = self.slots - len(self.running)
+        ahead = sum(request.priority <= priority for request in self.waiting)
+        if free > ahead:
+            return 0.0
+        return (ahead - free + 1) * self.times.mean_s / max(1, self.slots)
+
+    def offer(
+        self, request: WaitingRequest, now: float
+    ) -> tuple[bool, list[WaitingRequest]]:
+        """Take a request, or not.
+
+        Returns
+        -------
+        is_taken : bool
+            Whether the request runs or waits.
+        evicted : list of WaitingRequest
+            Requests that no longer fit because a more urgent one was taken.
+        """
+        wait_s = self.predict_wait(request.priority)
+        if wait_s and not self._fits(request, wait_s, now):
+            return False, []
+        index = len(self.waiting)
+        while index and self.waiting[index - 1].priority > request.priority:
+            index -= 1
+        self.waiting.insert(index, request)
+        return True, self._evict(index + 1, now)
+
+    def _fits(self, request: WaitingRequest, wait_s: float, now: float) -> bool:
+        service_s = self.times.get(request.route)
+        left_s = (request.target_at - now) * OBJECTIVE_PART
+        if request.priority == INTERNAL_PRIORITY:
+            # The request that made the call pays for a late answer as well,
+            # but loses everything without one.
+            left_s = request.deadline - now
+        return wait_s + service_s <= left_s
+
+    def _evict(self, index: int, now: float) -> list[WaitingRequest]:
+        evicted = []
+        while index < len(self.waiting):
+            position = index - max(0, self.slots - len(self.running)) + 1
+            wait_s = max(0, position) * self.times.mean_s / max(1, self.slots)
+            request = self.waiting[index]
+            if wait_s and not self._fits(request, wait_s, now):
+                evicted.append(self.waiting.pop(index))
+            else:
+                index += 1
+        return evicted
+
+    def start_next(
+        self, now: float
+    ) -> tuple[WaitingRequest | None, list[WaitingRequest]]:
+        """Return the request to start if there is a free slot.
+
+        Returns
+        -------
+        request : WaitingRequest or None
+            It counts as running from now on.
+        expired : list of WaitingRequest
+            Requests for which too little time is left.
+        """
+        expired = []
+        while self.waiting and len(self.running) < self.slots:
+            request = self.waiting.pop(0)
+            least_s = LEAST_PART * self.times.get(request.route)
+            if request.deadline - now < least_s:
+                expired.append(request)
+                continue
+            request.started_at = now
+            self.running.add(request)
+            return request, expired
+        return None, expired
+
+    def finish(self, request: WaitingRequest, now: float, is_timed: bool) -> None:
+        """Free the slot of a request.
+
+        Parameters
+        ----------
+        request : WaitingRequest
+            A running request.
+        now : float
+            Seconds of the local clock.
+        is_timed : bool
+            Whether the time that it took tells how fast the worker is.
+        """
+        self.running.discard(request)
+        if is_timed:
+            self.times.record(request.route, now - request.started_at)
+
+    def discard(self, request: WaitingRequest) -> bool:
+        """Drop a request that waits; return whether it did."""
+        if request in self.waiting:
+            self.waiting.remove(request)
+            return True
+        return False
--- /dev/null
+++ b/bamboocove/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: translates its settings, bodies and headers."""
--- /dev/null
+++ b/bamboocove/platform/documents.py
@@ -0,0 +1,171 @@
+"""The platform's documents, decoded into the project's types."""
+
+import json
+from collections.abc import Mapping
+from typing import Any
+
+from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.platform.host_settings import parse_address
+from bamboocove.state.mesh import (
+    HostRoute,
+    MeshConfig,
+    MeshService,
+    MeshWorker,
+    MoveOrder,
+    ServiceShare,
+    VersionRule,
+)
+
+# Used where a route names no time-out, in seconds.
+DEFAULT_TIMEOUT_S = 30.0
+
+
+def _load(data: bytes) -> Any:
+    value = json.loads(data)
+    if not isinstance(value, dict):
+        raise TypeError("not an object")
+    return value
+
+
+def _read_number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"not a number: {value!r}")
+    return float(value)
+
+
+def _read_text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"not a text: {value!r}")
+    return value
+
+
+def decode_config(data: bytes) -> MeshConfig | ErrorResult:
+    """Decode the operators' configuration.
+
+    Returns
+    -------
+    config : MeshConfig or ErrorResult
+        ``INVALID_CONFIG`` with the reason.
+    """
+    try:
+        document = _load(data)
+        limits = document.get("limits") or {}
+        return MeshConfig(
+            version=int(_read_number(document["version"])),
+            routes_by_name={
+                name: _read_route(name, route)
+                for name, route in document["routes"].items()
+            },
+            services_by_name={
+                name: MeshService(
+                    name,
+                    service.get("healthPath", "/"),
+                    int(_read_number(service.get("maxConnections", 100))),
+                )
+                for name, service in document["services"].items()
+            },
+            idle_timeout_s=_read_number(limits.get("idleTimeoutS", 60)),
+        )
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        reason = f"configuration: {type(error).__name__}: {error}"
+        return ErrorResult(ErrorKind.INVALID_CONFIG, reason)
+
+
+def _read_route(name: str, route: Mapping[str, Any]) -> HostRoute:
+    if "trafficSplit" in route:
+        shares = tuple(
+            ServiceShare(_read_text(part["service"]), _read_number(part["weight"]))
+            for part in route["trafficSplit"]
+        )
+    else:
+        shares = (ServiceShare(_read_text(route["service"]), 1.0),)
+    timeout_s = _read_number(route.get("timeoutS", DEFAULT_TIMEOUT_S))
+    return HostRoute(
+        name=name,
+        host=_read_text(route["hostname"]).lower(),
+        prefix=_read_text(route["prefix"]),
+        shares=shares,
+        # The kind says what may be repeated: "safe" or "unsafe".
+        is_idempotent=route["kind"] == "safe",
+        timeout_s=timeout_s,
+        target_s=_read_number(route.get("targetLatencyS", timeout_s)),
+        attempts=max(1, int(_read_number(route.get("attempts", 1)))),
+        priority=max(0, int(_read_number(route.get("priority", 0)))),
+    )
+
+
+def decode_order(data: bytes, revision: int) -> MoveOrder | ErrorResult:
+    """Decode an order to move a service to another version.
+
+    Parameters
+    ----------
+    data : bytes
+        The document.
+    revision : int
+        Revision of the store at which it was written.
+
+    Returns
+    -------
+    order : MoveOrder or ErrorResult
+        ``INVALID_CONFIG`` with the reason.
+    """
+    try:
+        document = _load(data)
+        return MoveOrder(
+            _read_text(document["service"]),
+            _read_text(document["to"]),
+            _read_number(document["durationS"]),
+            revision,
+        )
+    except (ValueError, TypeError, KeyError) as error:
+        reason = f"order of a move: {type(error).__name__}: {error}"
+        return ErrorResult(ErrorKind.INVALID_CONFIG, reason)
+
+
+def encode_move_status(rule: VersionRule) -> bytes:
+    """Encode how an order stands, for the operator."""
+    return json.dumps({"state": rule.state, "to": rule.to_version}).encode()
+
+
+def decode_worker(
+    worker_id: str, data: bytes, own_address: tuple[str, int]
+) -> MeshWorker | ErrorResult:
+    """Decode a worker's report of itself.
+
+    Parameters
+    ----------
+    worker_id : str
+        From the path of the call.
+    data : bytes
+        Body of the call.
+    own_address : (str, int)
+        Address of the worker on this host; a report with another one is not
+        about this worker.
+
+    Returns
+    -------
+    worker : MeshWorker or ErrorResult
+        ``INVALID_MESSAGE`` with the reason.
+    """
+    try:
+        document = _load(data)
+        info, status = document["info"], document["status"]
+        address = parse_address(document["address"])
+        if address != own_address:
+            raise ValueError(f"address is {address}, not {own_address}")
+        state = status["state"]
+        if state not in ("ready", "draining"):
+            raise ValueError(f"unknown state {state!r}")
+        return MeshWorker(
+            worker_id=_read_text(worker_id),
+            service=_read_text(info["service"]),
+            version=_read_text(info["version"]),
+            slots=max(1, int(_read_number(info["slots"]))),
+            state=state,
+            cold_s=_read_number(status.get("coldRemainingS", 0)),
+            born_ms=int(_read_number(document.get("born", 0))),
+            sequence=int(_read_number(status["sequence"])),
+        )
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        reason = f"report of a worker: {type(error).__name__}: {error}"
+        return ErrorResult(ErrorKind.INVALID_MESSAGE, reason)
--- /dev/null
+++ b/bamboocove/platform/headers.py
@@ -0,0 +1,19 @@
+"""Names of the platform's header fields and paths, as the call path uses them."""
+
+from bamboocove.sidecar.dialect import Dialect
+
+# X-Deadline-Ms holds the time that is left, not a point in time.
+# X-Not-Executed and 421 say that the worker has not run the request.
+# X-Server-Load holds running and waiting requests and slots; the node beside
+# the worker knows them itself.
+DIALECT = Dialect(
+    attempt_id=b"x-attempt-id",
+    time_left_ms=b"x-deadline-ms",
+    worker_id=b"x-expected-instance",
+    caller_service=b"x-caller-service",
+    not_run=b"x-not-executed",
+    answering_worker_id=b"x-instance-id",
+    readiness_path=b"/api/ready",
+    worker_path=b"/api/instances/",
+    metrics_path=b"/metrics",
+)
--- /dev/null
+++ b/bamboocove/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Tasks of a node that forwards for the worker on its own host."""
--- /dev/null
+++ b/bamboocove/sidecar/application.py
@@ -0,0 +1,520 @@
+"""The application object of a node on a worker's host, which owns its tasks."""
+
+from collections.abc import Callable
+from functools import partial
+from random import Random
+from typing import Any
+
+from attrs import define, evolve, field
+from twisted.internet.defer import Deferred
+from twisted.internet.error import CannotListenError
+from twisted.internet.task import LoopingCall, deferLater
+
+from bamboocove.coordination.route_table import compile_routes
+from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.events import run_logged
+from bamboocove.lifecycle import LifecycleHooks, make_lifecycle
+from bamboocove.protocol.hops import (
+    Cancel,
+    ConfigCopy,
+    Forward,
+    Greeting,
+    NewsWanted,
+    Outcomes,
+    Records,
+    Reply,
+    Rules,
+    encode_hop,
+)
+from bamboocove.sidecar.dialect import Dialect
+from bamboocove.sidecar.fleet import Fleet
+from bamboocove.sidecar.gate import Gate, GateRequest
+from bamboocove.sidecar.links import HubHandlers, LinkHub
+from bamboocove.sidecar.logs import STATE, log
+from bamboocove.sidecar.metrics import MeshMetrics
+from bamboocove.sidecar.origin import Origin
+from bamboocove.sidecar.rules import MoveTask, RuleBook
+from bamboocove.sidecar.settings import HostSettings
+from bamboocove.sidecar.store import OperatorNews, Store
+from bamboocove.sidecar.watch import StoreWatch
+from bamboocove.state.codec import decode, encode, from_plain, to_plain
+from bamboocove.state.mesh import HostRecord, MeshConfig, MeshWorker
+from bamboocove.transport.calls import SWEEP_S, CallServer
+from bamboocove.transport.exchanges import Exchange
+
+VERSION = "0.2"
+TICK_S = 0.1
+BACKLOG = 1024
+# Reports of a worker are small.
+MAX_REPORT_BYTES = 64 * 1024
+MAX_BODY_BYTES = 64 * 1024 * 1024
+# Callers stop to send new requests after two questions, one a second, that
+# were not answered with "ready".
+LEAVE_S = 2.3
+# Part of the grace period after which a stop no longer waits for requests.
+GRACE_PART = 0.9
+# Interval at which a node without the store asks its peers for news, in seconds.
+NEWS_S = 0.5
+# After this time with a configuration a node is ready even if it knows no
+# worker of some service.
+READY_S = 1.5
+METRICS_PORT = 9464
+
+DecodeWorker = Callable[[str, bytes], MeshWorker | ErrorResult]
+
+
+@define(eq=False, slots=False)
+class SidecarApplication:
+    """Owns the tasks of a node, starts and stops them.
+
+    Parameters
+    ----------
+    settings : HostSettings
+        Checked settings.
+    dialect : Dialect
+        Names on the wire.
+    store : Store
+        The platform's store.
+    decode_worker : callable
+        Decodes a worker's report of itself.
+    clock : reactor
+        Twisted reactor.
+    random : Random
+        Source of choices and jitter.
+    incarnation : int
+        Unix time in milliseconds at which the process started.
+    metrics_port : int
+        TCP port of the metrics; 0 for any.
+    """
+
+    settings: HostSettings
+    dialect: Dialect
+    store: Store
+    decode_worker: DecodeWorker
+    clock: Any
+    random: Random
+    incarnation: int
+    metrics_port: int = METRICS_PORT
+    config: MeshConfig = field(factory=MeshConfig)
+    finished: Deferred = field(factory=Deferred)
+    sequence: int = 0
+    requests_by_link: dict[Any, dict[int, GateRequest]] = field(factory=dict)
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        self.fleet = Fleet(settings.host_id)
+        self.book = RuleBook()
+        self.metrics = MeshMetrics()
+        self.hub = LinkHub(
+            self.clock,
+            HubHandlers(
+                self._greet,
+                self._on_message,
+                self._on_up,
+                self._on_down,
+                self._on_suspect,
+            ),
+            self.random.random,
+        )
+        self.gate = Gate(
+            settings.worker_address,
+            self.dialect,
+            self.clock,
+            self.book.is_allowed,
+            self._on_worker,
+        )
+        self.moves = MoveTask(
+            self.book,
+            self.store,
+            self.fleet,
+            self.hub,
+            self.gate,
+            self.clock,
+            settings.host_id,
+            self.incarnation,
+        )
+        self.origin = Origin(
+            settings,
+            self.dialect,
+            self.fleet,
+            self.gate,
+            self.hub,
+            self.book,
+            self.metrics,
+            self.clock,
+            self.random.random,
+        )
+        self.watch = StoreWatch(
+            self.store,
+            self.clock,
+            self.random.random,
+            self._on_news,
+            self._on_hosts,
+            self._on_rules,
+            self._get_record,
+        )
+        self.hooks = LifecycleHooks(
+            self._on_bootstrapping,
+            lambda: log("node.serving", config=self.config.version),
+            lambda: run_logged(self._drain()),
+            self._on_stopped,
+        )
+        self.lifecycle = make_lifecycle(self.hooks)
+        self.servers: list[CallServer] = []
+        self._ports: list[Any] = []
+        self._ticker = LoopingCall(self._tick)
+        self._ticker.clock = self.clock
+        self._sweep_at = 0.0
+        self._news_at = 0.0
+        self._configured_at = 0.0
+
+    # Life cycle.
+
+    async def start(self) -> ErrorResult | None:
+        """Open all ports and begin to look for a configuration.
+
+        Returns
+        -------
+        error : ErrorResult or None
+            ``INVALID_SETTINGS`` if a port cannot be opened.
+        """
+        settings = self.settings
+        port = await self.hub.start(settings.link_address)
+        if isinstance(port, ErrorResult):
+            return port
+        metrics_address = (settings.ip, self.metrics_port)
+        try:
+            self._listen(settings.caller_address, self.origin.take, MAX_BODY_BYTES)
+            self._listen(settings.readiness_address, self._answer_readiness, 0)
+            self._listen(
+                settings.heartbeat_address, self._take_report, MAX_REPORT_BYTES
+            )
+            self._listen(metrics_address, self._answer_metrics, 0)
+        except CannotListenError as error:
+            return ErrorResult(ErrorKind.INVALID_SETTINGS, str(error))
+        self.lifecycle.listen()
+        return None
+
+    def _listen(
+        self, address: tuple[str, int], handler: Callable, max_body_bytes: int
+    ) -> None:
+        host, port = address
+        server = CallServer(handler, max_body_bytes, self.clock)
+        self._ports.append(self.clock.listenTCP(port, server, BACKLOG, host))
+        self.servers.append(server)
+
+    def _on_bootstrapping(self) -> None:
+        log(
+            "node.started",
+            host=self.settings.host_id,
+            zone=self.settings.zone,
+            service=self.settings.service,
+            incarnation=self.incarnation,
+            version=VERSION,
+        )
+        self.fleet.merge(self._get_record(), self.clock.seconds())
+        self.watch.start()
+        self._ticker.start(TICK_S, now=False)
+
+    def drain(self) -> None:
+        """Begin a graceful shutdown; ``finished`` fires at its end."""
+        self.lifecycle.drain()
+
+    async def _drain(self) -> None:
+        started_at = self.clock.seconds()
+        log("node.draining", in_flight=self.origin.in_flight + self.gate.in_flight)
+        self.origin.is_closing = True
+        self._publish()
+        end = started_at + GRACE_PART * self.settings.bounds.grace_s
+        while self.clock.seconds() < end:
+            await deferLater(self.clock, TICK_S / 2)
+            is_idle = not self.origin.in_flight and not self.gate.in_flight
+            if is_idle and self.clock.seconds() - started_at >= LEAVE_S:
+                break
+        for port in self._ports:
+            port.stopListening()
+        for server in self.servers:
+            server.close_idle()
+        worker = self.gate.worker
+        if worker is not None and worker.state == "gone":
+            await self.store.remove_host(self.settings.host_id)
+        self.watch.stop()
+        await deferLater(self.clock, TICK_S / 2)
+        await self.hub.stop()
+        self._ticker.stop()
+        self.lifecycle.finish()
+
+    def _on_stopped(self) -> None:
+        log("node.stopped")
+        self.finished.callback(None)
+
+    def reload(self, settings: HostSettings | ErrorResult) -> None:
+        """Use settings that have changed."""
+        if isinstance(settings, ErrorResult):
+            log("node.reload-failed", reason=settings.reason)
+            return
+        log("node.reloaded", is_changed=settings != self.settings)
+        self.settings = self.origin.settings = settings
+
+    def _tick(self) -> None:
+        now = self.clock.seconds()
+        self.hub.tick(now)
+        self.gate.tick(now)
+        self.moves.tick(now)
+        if now >= self._sweep_at:
+            self._sweep_at = now + SWEEP_S
+            self._sweep(now)
+        if self.watch.failed_since is not None and now >= self._news_at:
+            self._news_at = now + NEWS_S
+            self._ask_for_news()
+
+    def _sweep(self, now: float) -> None:
+        for server in self.servers:
+            server.sweep(now)
+        if self.fleet.forget_lost(now):
+            self.hub.follow(self.fleet.get_addresses())
+        bounds = self.settings.bounds
+        nodes = len(self.fleet.records_by_id)
+        self.origin.budgets.configure(bounds.retry_ratio, bounds.retry_slack, nodes)
+        gauges = {
+            "config_version": self.config.version,
+            "hosts_reachable": sum(p.is_open for p in self.hub.peers_by_id.values()),
+            "running": len(self.gate.queue.running),
+            "waiting": len(self.gate.queue.waiting),
+            "store_calls": self.store.calls,
+            "log_lines_dropped": STATE.dropped_lines,
+        }
+        for name, value in gauges.items():
+            self.metrics.set_gauge(name, value)
+
+    # Configuration.
+
+    def _on_news(self, news: OperatorNews) -> None:
+        if news.config is not None:
+            self._use_config(news.config, "store")
+        now = self.clock.seconds()
+        for order in news.orders:
+            self.moves.take_order(order, now)
+
+    def _use_config(self, config: MeshConfig, source: str) -> None:
+        if config.version <= self.config.version:
+            return
+        table = compile_routes(config)
+        if isinstance(table, ErrorResult):
+            log("config.refused", version=config.version, reason=table.reason)
+            return
+        log(
+            "config.applied",
+            version=config.version,
+            before=self.config.version,
+            routes=len(config.routes_by_name),
+            source=source,
+        )
+        if not self.config.version:
+            self._configured_at = self.clock.seconds()
+        self.config = config
+        self.origin.use_config(config, table)
+        service = config.services_by_name.get(self.settings.service)
+        if service is not None:
+            self.gate.health_path = service.health_path
+        self.lifecycle.serve()
+
+    def _on_rules(self, rules: list) -> None:
+        now = self.clock.seconds()
+        for rule in rules:
+            self.moves.take_rule(rule, True, now)
+
+    def _ask_for_news(self) -> None:
+        peers = [peer for peer in self.hub.peers_by_id.values() if peer.is_open]
+        if not peers:
+            return
+        near = [
+            peer
+            for peer in peers
+            if self.fleet.records_by_id[peer.host_id].zone == self.settings.zone
+        ]
+        peer = self.random.choice(near if near and self.config.version else peers)
+        self.hub.send(peer.host_id, NewsWanted(self.config.version))
+
+    # Hosts.
+
+    def _get_record(self) -> HostRecord:
+        settings = self.settings
+        return HostRecord(
+            settings.host_id,
+            self.incarnation,
+            self.sequence,
+            settings.link_address,
+            settings.zone,
+            self.origin.is_closing,
+            self.gate.worker,
+        )
+
+    def _on_worker(self, worker: MeshWorker) -> None:
+        self._publish()
+
+    def _publish(self) -> None:
+        self.sequence += 1
+        record = self._get_record()
+        self.fleet.merge(record, self.clock.seconds())
+        self.hub.broadcast(Records([to_plain(record)]))
+        self.watch.publish()
+
+    def _on_hosts(self, records: list[HostRecord]) -> None:
+        for record in records:
+            self._take_record(record)
+        self.hub.follow(self.fleet.get_addresses())
+
+    def _take_record(self, record: HostRecord) -> None:
+        if record.host_id == self.settings.host_id:
+            self._take_own_record(record)
+        else:
+            self.fleet.merge(record, self.clock.seconds())
+
+    def _take_own_record(self, record: HostRecord) -> None:
+        """Use what an earlier process on this host knew of the worker."""
+        if record.incarnation == self.incarnation:
+            return
+        if record.incarnation > self.incarnation:
+            # The time of day was set back since; the records of this process
+            # must supersede those of the one before.
+            self.incarnation = record.incarnation + 1
+            self._publish()
+        if self.gate.worker is None and record.worker is not None:
+            state = "down" if record.worker.state == "ready" else "gone"
+            self.gate.set_worker(evolve(record.worker, state=state, sequence=0))
+
+    def _greet(self) -> list[Any]:
+        greeting = Greeting(self.settings.host_id, self.incarnation)
+        messages: list[Any] = [greeting, Records([to_plain(self._get_record())])]
+        if self.book.rules_by_service:
+            messages.append(self.moves.make_news())
+        if self.watch.failed_since is not None:
+            messages.append(NewsWanted(self.config.version))
+        return messages
+
+    def _on_up(self, host_id: str) -> None:
+        self.fleet.mark_reachable(host_id)
+
+    def _on_down(self, host_id: str) -> None:
+        now = self.clock.seconds()
+        self.fleet.mark_unreachable(host_id, now)
+        self.origin.on_host_lost(host_id, now)
+
+    def _on_suspect(self, host_id: str) -> None:
+        self.origin.on_host_suspect(host_id, self.clock.seconds())
+
+    # Messages of other nodes.
+
+    def _on_message(self, link: Any, host_id: str, message: Any) -> None:
+        now = self.clock.seconds()
+        if isinstance(message, Forward):
+            self._take_forward(link, message)
+        elif isinstance(message, Reply):
+            self.origin.on_reply(message)
+        elif isinstance(message, Cancel):
+            request = self.requests_by_link.get(link, {}).get(message.stream)
+            if request is not None:
+                self.gate.cancel(request)
+        elif message is None:
+            for request in self.requests_by_link.pop(link, {}).values():
+                self.gate.cancel(request)
+        elif isinstance(message, Outcomes):
+            self.moves.take_outcomes(message)
+        elif isinstance(message, Rules):
+            self.moves.take_news(message, now)
+        elif isinstance(message, Records):
+            self._take_records(message)
+        elif isinstance(message, NewsWanted):
+            self._send_news(link, message)
+        elif isinstance(message, ConfigCopy):
+            config = decode(MeshConfig, message.data)
+            if isinstance(config, ErrorResult):
+                log("config.refused", version=message.version, reason=config.reason)
+            else:
+                self._use_config(config, "peer")
+
+    def _take_forward(self, link: Any, forward: Forward) -> None:
+        requests = self.requests_by_link.setdefault(link, {})
+        request = self.gate.submit(forward, partial(self._send_reply, link))
+        if not request.is_ended:
+            requests[forward.stream] = request
+
+    def _send_reply(self, link: Any, reply: Reply) -> None:
+        requests = self.requests_by_link.get(link)
+        if requests is not None:
+            requests.pop(reply.stream, None)
+        link.send_encoded(encode_hop(reply))
+
+    def _take_records(self, message: Records) -> None:
+        for plain in message.records:
+            record = from_plain(HostRecord, plain)
+            if isinstance(record, ErrorResult):
+                log("host.record-unreadable", reason=record.reason)
+            else:
+                self._take_record(record)
+        self.hub.follow(self.fleet.get_addresses())
+
+    def _send_news(self, link: Any, message: NewsWanted) -> None:
+        if message.config_version == 0:
+            records = [to_plain(r) for r in self.fleet.records_by_id.values()]
+            link.send_encoded(encode_hop(Records(records)))
+        if self.config.version > message.config_version:
+            copy = ConfigCopy(self.config.version, encode(self.config))
+            link.send_encoded(encode_hop(copy))
+        link.send_encoded(encode_hop(self.moves.make_news()))
+
+    # Requests of the platform and of the worker.
+
+    def is_ready(self) -> bool:
+        """Return whether callers on this host may send requests."""
+        if not self.config.version or self.origin.is_closing:
+            return False
+        if self.clock.seconds() - self._configured_at > READY_S:
+            return True
+        return all(
+            self.fleet.get_views(service) for service in self.config.services_by_name
+        )
+
+    def _answer_readiness(self, exchange: Exchange) -> None:
+        if exchange.target.partition(b"?")[0] != self.dialect.readiness_path:
+            exchange.respond(404, [])
+            return
+        exchange.respond(200 if self.is_ready() else 503, [])
+
+    def _answer_metrics(self, exchange: Exchange) -> None:
+        if exchange.target.partition(b"?")[0] != self.dialect.metrics_path:
+            exchange.respond(404, [])
+            return
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        exchange.respond(200, headers, self.metrics.format())
+
+    def _take_report(self, exchange: Exchange) -> None:
+        path = exchange.target.partition(b"?")[0]
+        prefix = self.dialect.worker_path
+        worker_id = path[len(prefix) :].decode("latin-1")
+        if not path.startswith(prefix) or not worker_id:
+            exchange.respond(404, [])
+        elif exchange.method == b"DELETE":
+            self.gate.sign_off(worker_id)
+            self._acknowledge(exchange)
+        elif exchange.method == b"PUT":
+            parts: list[bytes] = []
+            exchange.receive(
+                parts.append,
+                lambda: self._on_report(exchange, worker_id, b"".join(parts)),
+            )
+        else:
+            exchange.respond(405, [])
+
+    def _on_report(self, exchange: Exchange, worker_id: str, data: bytes) -> None:
+        worker = self.decode_worker(worker_id, data)
+        if isinstance(worker, ErrorResult):
+            log("worker.report-refused", worker=worker_id, reason=worker.reason)
+            exchange.respond(400, [], worker.reason.encode())
+            return
+        self.gate.set_worker(worker)
+        self._acknowledge(exchange)
+
+    def _acknowledge(self, exchange: Exchange) -> None:
+        exchange.respond(200, [(b"content-type", b"application/json")], b"{}")
--- /dev/null
+++ b/bamboocove/sidecar/dialect.py
@@ -0,0 +1,40 @@
+"""Names on the wire that an adapter provides."""
+
+from attrs import frozen
+
+
+@frozen
+class Dialect:
+    """Header fields in lower case, and paths.
+
+    Parameters
+    ----------
+    attempt_id : bytes
+        Identifies one attempt of a caller; workers repeat it in answers.
+    time_left_ms : bytes
+        Milliseconds that the caller, or the node, goes on waiting.
+    worker_id : bytes
+        Worker that a request is meant for; any other one refuses it.
+    caller_service : bytes
+        Service on the host where a request began.
+    not_run : bytes
+        Set by a worker on answers to requests that it did not run.
+    answering_worker_id : bytes
+        Worker that answers a health check or a misdirected request.
+    readiness_path : bytes
+        Where the node is asked whether it is ready.
+    worker_path : bytes
+        Where the worker reports itself, followed by its identifier.
+    metrics_path : bytes
+        Where metrics are served as text.
+    """
+
+    attempt_id: bytes
+    time_left_ms: bytes
+    worker_id: bytes
+    caller_service: bytes
+    not_run: bytes
+    answering_worker_id: bytes
+    readiness_path: bytes
+    worker_path: bytes
+    metrics_path: bytes
--- /dev/null
+++ b/bamboocove/sidecar/fleet.py
@@ -0,0 +1,162 @@
+"""What a node knows of the hosts of its mesh, and which of them may be asked."""
+
+from collections.abc import Iterable
+
+from attrs import define, field
+
+from bamboocove.coordination.placement import HostView
+from bamboocove.sidecar.logs import log
+from bamboocove.state.mesh import HostRecord
+
+# A host that cannot be reached is forgotten after this time, in seconds; the
+# store still has its record if it is only cut off.
+FORGET_S = 60.0
+# A host that does not answer is passed over until it does; this bounds how long
+# one sign lasts, in seconds.
+SUSPEND_S = 0.4
+
+
+@define
+class Fleet:
+    """Records of hosts, and the views that placement uses.
+
+    Parameters
+    ----------
+    own_id : str
+        This host.
+    """
+
+    own_id: str
+    records_by_id: dict[str, HostRecord] = field(factory=dict)
+    views_by_id: dict[str, HostView] = field(factory=dict)
+    _unreachable_since_by_id: dict[str, float] = field(factory=dict)
+    _views_by_service: dict[str, list[HostView]] = field(factory=dict)
+    _oldest_by_service: dict[str, str] = field(factory=dict)
+
+    def merge(self, record: HostRecord, now: float) -> bool:
+        """Take a record; return whether it is news."""
+        held = self.records_by_id.get(record.host_id)
+        if held is not None and held.age_key >= record.age_key:
+            return False
+        self.records_by_id[record.host_id] = record
+        self._update_view(record, now)
+        return True
+
+    def _update_view(self, record: HostRecord, now: float) -> None:
+        worker = record.worker
+        view = self.views_by_id.get(record.host_id)
+        is_usable = (
+            worker is not None and worker.state == "ready" and not record.is_leaving
+        )
+        if not is_usable:
+            self.views_by_id.pop(record.host_id, None)
+        elif (
+            view is None
+            or view.service != worker.service
+            or view.version != worker.version
+        ):
+            self.views_by_id[record.host_id] = HostView(
+                record.host_id,
+                record.zone,
+                worker.service,
+                worker.version,
+                worker.slots,
+                cold_until=now + worker.cold_s,
+            )
+        else:
+            view.slots = worker.slots
+            view.busy_until = 0.0
+        self._views_by_service = {}
+        self._oldest_by_service = {}
+        log(
+            "host.record",
+            host=record.host_id,
+            incarnation=record.incarnation,
+            sequence=record.sequence,
+            is_leaving=record.is_leaving,
+            worker=worker.worker_id if worker else "",
+            service=worker.service if worker else "",
+            version=worker.version if worker else "",
+            state=worker.state if worker else "",
+        )
+
+    def get_views(self, service: str) -> list[HostView]:
+        """Return the hosts whose worker runs a service and is ready."""
+        views = self._views_by_service.get(service)
+        if views is None:
+            views = [v for v in self.views_by_id.values() if v.service == service]
+            self._views_by_service[service] = views
+        return views
+
+    def get_oldest_version(self, service: str) -> str:
+        """Return the version of the worker that was started first.
+
+        Without a rule that names one, workers of a further version may stand
+        ready for a move whose order has not arrived here yet.
+        """
+        version = self._oldest_by_service.get(service)
+        if version is None:
+            records = self.records_by_id
+            views = self.get_views(service)
+            if not views:
+                return ""
+            oldest = min(views, key=lambda view: records[view.host_id].worker.born_ms)
+            version = self._oldest_by_service[service] = oldest.version
+        return version
+
+    def get_addresses(self) -> dict[str, tuple[str, int]]:
+        """Return where the other hosts accept links."""
+        return {
+            host_id: tuple(record.address)
+            for host_id, record in self.records_by_id.items()
+            if host_id != self.own_id
+        }
+
+    def suspend(self, host_id: str, now: float) -> None:
+        """Pass over a host that does not answer, for a moment."""
+        view = self.views_by_id.get(host_id)
+        if view is not None:
+            view.suspended_until = max(view.suspended_until, now + SUSPEND_S)
+
+    def mark_unreachable(self, host_id: str, now: float) -> None:
+        """Take note that there is no link to a host."""
+        self._unreachable_since_by_id.setdefault(host_id, now)
+        view = self.views_by_id.get(host_id)
+        if view is not None:
+            view.suspended_until = float("inf")
+
+    def mark_reachable(self, host_id: str) -> None:
+        """Take note that there is a link to a host."""
+        self._unreachable_since_by_id.pop(host_id, None)
+        view = self.views_by_id.get(host_id)
+        if view is not None:
+            view.suspended_until = 0.0
+            view.in_flight = 0
+
+    def is_reachable(self, host_id: str) -> bool:
+        """Return whether there is a link to a host, or it is this one."""
+        return host_id not in self._unreachable_since_by_id
+
+    def forget_lost(self, now: float) -> list[str]:
+        """Drop hosts that have been unreachable for long; return them."""
+        lost = [
+            host_id
+            for host_id, since in self._unreachable_since_by_id.items()
+            if now - since > FORGET_S
+        ]
+        for host_id in lost:
+            del self._unreachable_since_by_id[host_id]
+            self.records_by_id.pop(host_id, None)
+            self.views_by_id.pop(host_id, None)
+        if lost:
+            self._views_by_service = {}
+            self._oldest_by_service = {}
+        return lost
+
+    def count_ready(self, service: str, versions: Iterable[str]) -> int:
+        """Count reachable ready workers of some versions of a service."""
+        wanted = set(versions)
+        return sum(
+            view.version in wanted and self.is_reachable(view.host_id)
+            for view in self.get_views(service)
+        )
--- /dev/null
+++ b/bamboocove/sidecar/gate.py
@@ -0,0 +1,509 @@
+"""The node's side of its own worker: the last word on what the worker gets.
+
+Only this node can call the worker, so that its decisions need no agreement: a
+request that it refuses has not run and will not run.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, evolve, field
+
+from bamboocove.coordination.short_moves import Tally
+from bamboocove.coordination.worker_queue import WaitingRequest, WorkerQueue
+from bamboocove.errors import ErrorResult
+from bamboocove.protocol.hops import (
+    ANSWERED,
+    LOST,
+    MISPLACED,
+    REFUSED,
+    SHED,
+    TIMED_OUT,
+    Forward,
+    Reply,
+)
+from bamboocove.sidecar.dialect import Dialect
+from bamboocove.sidecar.logs import log
+from bamboocove.sidecar.settings import Address
+from bamboocove.state.mesh import MeshWorker
+from bamboocove.transport.clients import ClientConnection, ConnectionPool
+from bamboocove.transport.fetching import Fetch, format_request
+from bamboocove.transport.framing import (
+    Headers,
+    format_fields,
+    get_header,
+    strip_headers,
+)
+
+# The worker is on this host and takes a connection in about 1 ms.
+CONNECT_TIMEOUT_S = 0.5
+# Workers close idle connections after some seconds, sometimes much sooner. A
+# request that must not run twice gets a connection that was used just now.
+IDLE_S = 3.0
+UNSAFE_IDLE_S = 0.15
+# The worker ends a request at its deadline by itself; its answer takes a moment.
+DEADLINE_GRACE_S = 0.04
+# Requests that end without an answer, in a row, until the worker counts as down.
+TIMEOUTS_UNTIL_DOWN = 3
+# Time without any answer that goes with them, in seconds.
+SILENT_S = 1.0
+PROBE_INTERVAL_S = 0.5
+PROBE_TIMEOUT_S = 0.4
+FAILURE_WEIGHT = 0.1
+# Ranks whose waits are reported.
+REPORTED_RANKS = 4
+MISDIRECTED = 421
+
+
+@define(eq=False)
+class GateRequest:
+    """One request at the gate.
+
+    Parameters
+    ----------
+    gate : Gate
+        Owner.
+    forward : Forward
+        The request.
+    reply : callable
+        Takes the Reply, once.
+    deadline : float
+        When its time ends, in seconds of the local clock.
+    """
+
+    gate: "Gate"
+    forward: Forward
+    reply: Callable[[Reply], None]
+    deadline: float
+    entry: WaitingRequest | None = None
+    connection: ClientConnection | None = None
+    connector: Any = None
+    timer: Any = None
+    is_sent: bool = False
+    is_ended: bool = False
+    status: int = 0
+    headers: Headers = field(factory=list)
+    parts: list[bytes] = field(factory=list)
+
+    def on_response(self, status: int, headers: Headers, length: int | None) -> None:
+        """Take the head of the worker's answer."""
+        self.status = status
+        self.headers = headers
+
+    def on_response_data(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self.parts.append(data)
+
+    def on_response_end(self, data: bytes) -> None:
+        """Take the last part of the body."""
+        self.connection = None
+        self.parts.append(data)
+        self.gate.on_answer(self)
+
+    def on_response_lost(self, reason: str) -> None:
+        """Take note that there is no whole answer."""
+        self.connection = None
+        self.gate.on_lost(self, reason)
+
+
+class Gate:
+    """Queue of the worker on this host, and the connections to it.
+
+    Parameters
+    ----------
+    address : (str, int)
+        Where the worker accepts requests.
+    dialect : Dialect
+        Names of header fields.
+    clock : reactor
+        Source of time and connections.
+    is_version_allowed : callable
+        Whether a version of a service may run requests.
+    on_worker : callable
+        Called with the worker when its state has changed.
+    """
+
+    def __init__(
+        self,
+        address: Address,
+        dialect: Dialect,
+        clock: Any,
+        is_version_allowed: Callable[[str, str], bool],
+        on_worker: Callable[[MeshWorker], None],
+    ):
+        self._address = address
+        self._dialect = dialect
+        self._clock = clock
+        self._is_version_allowed = is_version_allowed
+        self._on_worker = on_worker
+        self._pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
+        self._timeouts = 0
+        self._answered_at = 0.0
+        self._probe_at = 0.0
+        self._is_probing = False
+        self._requests: set[GateRequest] = set()
+        self._failure_average = 0.0
+        self.queue = WorkerQueue(1)
+        self.worker: MeshWorker | None = None
+        self.health_path = ""
+        self.tallies_by_route: dict[str, Tally] = {}
+        self.is_closing = False
+
+    # The worker.
+
+    def set_worker(self, worker: MeshWorker) -> None:
+        """Take what the worker says of itself, unless it is older news."""
+        held = self.worker
+        if held is not None:
+            is_other = held.worker_id != worker.worker_id
+            if is_other and worker.born_ms < held.born_ms:
+                log("worker.old-report", worker=worker.worker_id, held=held.worker_id)
+                return
+            is_same_start = not is_other and worker.born_ms == held.born_ms
+            if is_same_start and worker.sequence <= held.sequence:
+                return
+            if is_same_start and held.state == "gone":
+                return
+            if not is_same_start:
+                self._forget_worker()
+        changed = held is None or (
+            (held.worker_id, held.state, held.version, held.slots, held.born_ms)
+            != (
+                worker.worker_id,
+                worker.state,
+                worker.version,
+                worker.slots,
+                worker.born_ms,
+            )
+        )
+        self.worker = worker
+        self.queue.slots = worker.slots
+        self._timeouts = 0
+        if changed:
+            log(
+                "worker.state",
+                worker=worker.worker_id,
+                service=worker.service,
+                version=worker.version,
+                state=worker.state,
+            )
+            self._react()
+
+    def sign_off(self, worker_id: str) -> None:
+        """Take note that the worker leaves for good."""
+        if self.worker is not None and self.worker.worker_id == worker_id:
+            self._set_state("gone")
+
+    def _set_state(self, state: str) -> None:
+        if self.worker.state == state:
+            return
+        self.worker = evolve(self.worker, state=state)
+        log("worker.state", worker=self.worker.worker_id, state=state)
+        self._react()
+
+    def _react(self) -> None:
+        if self.worker.state != "ready":
+            self._refuse_waiting(f"worker is {self.worker.state}")
+        self._on_worker(self.worker)
+
+    def _forget_worker(self) -> None:
+        self._pool.close()
+        self._failure_average = 0.0
+        self.tallies_by_route = {}
+        self.queue = WorkerQueue(1)
+
+    def _refuse_waiting(self, reason: str) -> None:
+        waiting, self.queue.waiting = self.queue.waiting, []
+        for entry in waiting:
+            self._end(entry.payload, REFUSED, reason=reason)
+
+    def _suspect_worker(self, reason: str) -> None:
+        if self.worker is not None and self.worker.state == "ready":
+            log("worker.suspect", worker=self.worker.worker_id, reason=reason)
+            self._pool.close()
+            self._set_state("down")
+            self._probe_at = self._clock.seconds() + PROBE_INTERVAL_S / 5
+
+    def tick(self, now: float) -> None:
+        """Look after waiting requests and a worker that is down."""
+        self._pool.sweep(now)
+        for entry in list(self.queue.waiting):
+            if entry.deadline <= now:
+                self.queue.discard(entry)
+                self._end(entry.payload, REFUSED, reason="waited too long")
+        if (
+            self.worker is not None
+            and self.worker.state == "down"
+            and now >= self._probe_at
+            and not self._is_probing
+        ):
+            self._probe_at = now + PROBE_INTERVAL_S
+            self.probe()
+
+    def probe(self) -> None:
+        """Ask the worker's health check whether it can be used."""
+        if not self.health_path or self.worker is None:
+            return
+        self._is_probing = True
+        data = format_request(b"GET", self.health_path.encode(), self._address, [], b"")
+        fetch = Fetch(self._pool, self._address, data)
+        fetch.start(PROBE_TIMEOUT_S).addCallback(self._on_probed, self.worker)
+
+    def _on_probed(self, result: Any, worker: MeshWorker) -> None:
+        self._is_probing = False
+        if isinstance(result, ErrorResult) or self.worker is not worker:
+            return
+        answering = get_header(result.headers, self._dialect.answering_worker_id)
+        if result.status == 200 and answering == worker.worker_id.encode():
+            self._timeouts = 0
+            self._set_state("ready")
+
+    # Requests.
+
+    def submit(self, forward: Forward, reply: Callable[[Reply], None]) -> GateRequest:
+        """Take a request; its reply may come before this returns."""
+        now = self._clock.seconds()
+        request = GateRequest(self, forward, reply, now + forward.left_ms / 1000)
+        self._requests.add(request)
+        worker = self.worker
+        if (
+            worker is None
+            or worker.state != "ready"
+            or worker.service != forward.service
+            or worker.version != forward.version
+            or not self._is_version_allowed(worker.service, worker.version)
+            or self.is_closing
+        ):
+            self._end(request, MISPLACED, reason="worker is not ready for this")
+            return request
+        entry = WaitingRequest(
+            forward.route,
+            forward.priority,
+            now + forward.target_left_ms / 1000,
+            request.deadline,
+            request,
+        )
+        request.entry = entry
+        is_taken, evicted = self.queue.offer(entry, now)
+        for other in evicted:
+            self._end(other.payload, REFUSED, reason="gave way to an urgent request")
+        if not is_taken:
+            self._end(request, REFUSED, reason="queue is full")
+            return request
+        self._start_next(now)
+        return request
+
+    def _start_next(self, now: float) -> None:
+        while True:
+            entry, expired = self.queue.start_next(now)
+            for other in expired:
+                self._end(other.payload, REFUSED, reason="waited too long")
+            if entry is None:
+                return
+            self._connect(entry.payload)
+
+    def _connect(self, request: GateRequest) -> None:
+        left_s = request.deadline - self._clock.seconds() + DEADLINE_GRACE_S
+        request.timer = self._clock.callLater(left_s, self._on_deadline, request)
+        max_idle_s = IDLE_S if request.forward.is_idempotent else UNSAFE_IDLE_S
+        connection = self._pool.take(self._address, max_idle_s)
+        if connection is not None:
+            self._send(request, connection)
+            return
+        request.connector = self._pool.connect(
+            self._address,
+            lambda connection: self._send(request, connection),
+            lambda reason: self._on_unreachable(request, reason),
+        )
+
+    def _on_unreachable(self, request: GateRequest, reason: str) -> None:
+        request.connector = None
+        if not request.is_ended:
+            self._end(request, REFUSED, reason="worker is unreachable")
+            self._suspect_worker(reason)
+
+    def _send(self, request: GateRequest, connection: ClientConnection) -> None:
+        request.connector = None
+        if request.is_ended:
+            connection.abort()
+            return
+        now = self._clock.seconds()
+        forward = request.forward
+        request.connection = connection
+        request.is_sent = True
+        request.entry.started_at = now
+        attempt_id = get_header(forward.headers, self._dialect.attempt_id)
+        connection.send(
+            self._format(request, now),
+            forward.method == b"HEAD",
+            True,
+            request,
+            lambda held: self._pool.put(self._address, held),
+            lambda headers: self._is_own(headers, attempt_id),
+        )
+
+    def _is_own(self, headers: Headers, attempt_id: bytes | None) -> bool:
+        answered = get_header(headers, self._dialect.attempt_id)
+        return answered is None or attempt_id is None or answered == attempt_id
+
+    def _format(self, request: GateRequest, now: float) -> bytes:
+        forward = request.forward
+        dialect = self._dialect
+        left_ms = max(1, int((request.deadline - now) * 1000))
+        length = b""
+        if forward.body or forward.method in (b"POST", b"PUT", b"PATCH"):
+            length = b"content-length: %d\r\n" % len(forward.body)
+        return b"%b %b HTTP/1.1\r\n%b%b%b: %d\r\n%b: %b\r\n%b: %b\r\n\r\n%b" % (
+            forward.method,
+            forward.target,
+            format_fields(forward.headers),
+            length,
+            dialect.time_left_ms,
+            left_ms,
+            dialect.worker_id,
+            self.worker.worker_id.encode(),
+            dialect.caller_service,
+            forward.caller.encode(),
+            forward.body,
+        )
+
+    def cancel(self, request: GateRequest) -> None:
+        """Drop a request whose caller has left.
+
+        One that must not run twice goes on if the worker has begun: cutting
+        it off would leave it half done.
+        """
+        if request.is_ended:
+            return
+        if request.is_sent and not request.forward.is_idempotent:
+            return
+        self._end(request, LOST if request.is_sent else REFUSED, reason="cancelled")
+
+    def on_answer(self, request: GateRequest) -> None:
+        """Pass on the worker's whole answer."""
+        status = request.status
+        not_run = get_header(request.headers, self._dialect.not_run) is not None
+        self._timeouts = 0
+        self._answered_at = self._clock.seconds()
+        if status == MISDIRECTED or not_run:
+            self._end(request, SHED, is_failure=True)
+            if status == MISDIRECTED:
+                self._suspect_worker("another worker answered at its address")
+            return
+        self._end(request, ANSWERED, is_failure=status >= 500)
+
+    def on_lost(self, request: GateRequest, reason: str) -> None:
+        """Report a request whose answer will not come."""
+        if request.is_ended:
+            return
+        log(
+            "request.lost",
+            id=get_header(request.forward.headers, self._dialect.attempt_id),
+            reason=reason,
+        )
+        self._end(request, LOST, is_failure=True, reason=reason)
+        if self.worker is not None and self.worker.state == "ready":
+            self._check_crash()
+
+    def _check_crash(self) -> None:
+        def on_alive(connection: ClientConnection) -> None:
+            self._pool.put(self._address, connection)
+
+        self._pool.connect(
+            self._address, on_alive, lambda reason: self._suspect_worker(reason)
+        )
+
+    def _on_deadline(self, request: GateRequest) -> None:
+        request.timer = None
+        if request.is_ended:
+            return
+        if not request.is_sent:
+            self._end(request, REFUSED, reason="no connection in time")
+            return
+        now = self._clock.seconds()
+        self._timeouts += 1
+        self._end(request, TIMED_OUT, is_failure=True, reason="no answer in time")
+        if self._timeouts >= TIMEOUTS_UNTIL_DOWN and now - self._answered_at > SILENT_S:
+            self._suspect_worker("worker does not answer")
+
+    def _end(
+        self,
+        request: GateRequest,
+        outcome: int,
+        is_failure: bool = False,
+        reason: str = "",
+    ) -> None:
+        if request.is_ended:
+            return
+        request.is_ended = True
+        self._requests.discard(request)
+        now = self._clock.seconds()
+        timer, request.timer = request.timer, None
+        if timer is not None:
+            timer.cancel()
+        connector, request.connector = request.connector, None
+        if connector is not None:
+            connector.disconnect()
+        connection, request.connection = request.connection, None
+        if connection is not None:
+            connection.abort()
+        service_s = 0.0
+        entry = request.entry
+        if entry is not None:
+            if request.is_sent:
+                service_s = now - entry.started_at
+            if not self.queue.discard(entry):
+                is_timed = outcome == ANSWERED and not is_failure
+                self.queue.finish(entry, now, is_timed)
+        if request.is_sent and reason != "cancelled":
+            self._record(request, outcome, is_failure, service_s)
+        headers: Headers = []
+        body = reason.encode()
+        if outcome == ANSWERED:
+            headers = [list(item) for item in strip_headers(request.headers)]
+            body = b"".join(request.parts)
+        request.reply(
+            Reply(
+                request.forward.stream,
+                outcome,
+                request.status if outcome == ANSWERED else 0,
+                headers,
+                body,
+                int(service_s * 1000),
+                self.make_load(),
+            )
+        )
+        if entry is not None:
+            self._start_next(now)
+
+    def _record(
+        self, request: GateRequest, outcome: int, is_failure: bool, seconds: float
+    ) -> None:
+        self._failure_average += FAILURE_WEIGHT * (is_failure - self._failure_average)
+        if outcome != SHED:
+            tally = self.tallies_by_route.setdefault(request.forward.route, Tally())
+            tally.record(is_failure, seconds)
+
+    def make_load(self) -> list[int]:
+        """Return the state of the queue as replies carry it."""
+        queue = self.queue
+        waits = [
+            int(queue.predict_wait(rank - 1) * 1000) for rank in range(REPORTED_RANKS)
+        ]
+        while len(waits) > 1 and waits[-1] == waits[-2]:
+            waits.pop()
+        return [
+            len(queue.running),
+            queue.slots,
+            int(self._failure_average * 1000),
+            *waits,
+        ]
+
+    @property
+    def in_flight(self) -> int:
+        """Requests that wait or run."""
+        return len(self._requests)
+
+    def close(self) -> None:
+        """Close idle connections to the worker."""
+        self._pool.close()
--- /dev/null
+++ b/bamboocove/sidecar/metrics.py
@@ -0,0 +1,66 @@
+"""Counters and latency histograms of a node, served as text."""
+
+from prometheus_client import (
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    generate_latest,
+)
+
+# Bounds of the latency buckets, in seconds.
+LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
+
+
+class MeshMetrics:
+    """Metrics of one process; names and units are in docs/OPERATIONS.md."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._latency = Histogram(
+            "bamboocove_answer_seconds",
+            "Time from a request to the worker's answer, by route.",
+            ["route"],
+            buckets=LATENCY_BUCKETS,
+            registry=self._registry,
+        )
+        self._answers = Counter(
+            "bamboocove_answers",
+            "Answers of workers, by class of the status code.",
+            ["status"],
+            registry=self._registry,
+        )
+        self._own_answers = Counter(
+            "bamboocove_own_answers",
+            "Requests that the node ended itself, by kind of error.",
+            ["kind"],
+            registry=self._registry,
+        )
+        self._gauges = {
+            name: Gauge(f"bamboocove_{name}", text, registry=self._registry)
+            for name, text in (
+                ("config_version", "Version of the configuration in force."),
+                ("hosts_reachable", "Hosts with an open link."),
+                ("running", "Requests that the worker runs."),
+                ("waiting", "Requests that wait for the worker."),
+                ("store_calls", "Calls to the store since the start."),
+                ("log_lines_dropped", "Log lines that could not be written."),
+            )
+        }
+
+    def record_answer(self, route: str, status: int, seconds: float) -> None:
+        """Count an answer of a worker."""
+        self._latency.labels(route).observe(seconds)
+        self._answers.labels(f"{status // 100}xx").inc()
+
+    def count_own_answer(self, kind: str) -> None:
+        """Count a request that the node ended itself."""
+        self._own_answers.labels(kind).inc()
+
+    def set_gauge(self, name: str, value: float) -> None:
+        """Set one of the gauges."""
+        self._gauges[name].set(value)
+
+    def format(self) -> bytes:
+        """Return all metrics as text."""
+        return generate_latest(self._registry)
--- /dev/null
+++ b/bamboocove/sidecar/settings.py
@@ -0,0 +1,64 @@
+"""Settings of a node that forwards for the worker on its own host."""
+
+from attrs import frozen
+
+Address = tuple[str, int]
+
+
+@frozen
+class Bounds:
+    """Figures that the deployment sets.
+
+    Parameters
+    ----------
+    grace_s : float
+        Time between the signal to stop and the end of the process, in seconds.
+    retry_ratio, retry_slack, retry_window_s : float
+        Retries that all nodes together may send to a service in a window: a
+        part of its requests, and a number on top.
+    in_touch_s : float
+        Time after which a host that is no longer disturbed must act as usual.
+    """
+
+    grace_s: float = 6.0
+    retry_ratio: float = 0.2
+    retry_slack: float = 60.0
+    retry_window_s: float = 10.0
+    in_touch_s: float = 3.0
+
+
+@frozen
+class HostSettings:
+    """Where a node stands and what it listens on.
+
+    Parameters
+    ----------
+    host_id, zone, ip : str
+        Name, availability zone and IP number of the host.
+    service : str
+        Service of the worker on the host.
+    worker_address : (str, int)
+        Where the worker accepts requests.
+    caller_address, link_address, readiness_address, heartbeat_address : (str, int)
+        Where the node listens for callers, for other nodes, for questions
+        whether it is ready, and for reports of its worker.
+    store_address : (str, int)
+        The platform's store.
+    heartbeat_s : float
+        Time between two reports of the worker, in seconds.
+    bounds : Bounds
+        Figures that the deployment sets.
+    """
+
+    host_id: str
+    zone: str
+    ip: str
+    service: str
+    worker_address: Address
+    caller_address: Address
+    link_address: Address
+    readiness_address: Address
+    heartbeat_address: Address
+    store_address: Address
+    heartbeat_s: float = 1.5
+    bounds: Bounds = Bounds()
--- /dev/null
+++ b/bamboocove/sidecar/watch.py
@@ -0,0 +1,170 @@
+"""The store task: what the operator wrote, and the records of hosts."""
+
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
+
+from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.events import run_logged
+from bamboocove.sidecar.logs import log
+from bamboocove.sidecar.store import OperatorNews, Store
+from bamboocove.state.mesh import HostRecord, VersionRule
+
+# Delays after a failed call, in seconds; each is twice the one before, with
+# full jitter. The longest one still meets the time in which a configuration
+# must be in force after the store is back.
+FIRST_DELAY_S = 0.1
+LONGEST_DELAY_S = 0.8
+# Hosts that started together may miss each other while the store turns some of
+# them away; a second look finds them.
+HOSTS_INTERVAL_S = 10.0
+
+
+class StoreWatch:
+    """Reads the store and keeps this host's record there.
+
+    Parameters
+    ----------
+    store : Store
+        The platform's store.
+    clock : reactor
+        Source of time.
+    random : callable
+        Returns a float from 0 to 1.
+    on_news : callable
+        Takes what the operator wrote.
+    on_hosts, on_rules : callable
+        Take the records of hosts and the version rules.
+    get_record : callable
+        Returns the record of this host.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        clock: Any,
+        random: Callable[[], float],
+        on_news: Callable[[OperatorNews], None],
+        on_hosts: Callable[[list[HostRecord]], None],
+        on_rules: Callable[[list[VersionRule]], None],
+        get_record: Callable[[], HostRecord],
+    ):
+        self._store = store
+        self._clock = clock
+        self._random = random
+        self._on_news = on_news
+        self._on_hosts = on_hosts
+        self._on_rules = on_rules
+        self._get_record = get_record
+        self._is_running = False
+        self._written: HostRecord | None = None
+        self._wanted: Deferred | None = None
+        self.is_available = False
+        self.failed_since: float | None = None
+
+    def start(self) -> None:
+        """Begin to read and write."""
+        self._is_running = True
+        self.failed_since = self._clock.seconds()
+        run_logged(self._follow_operator())
+        run_logged(self._follow_hosts())
+        run_logged(self._read_rules())
+
+    def stop(self) -> None:
+        """End after the calls that are under way."""
+        self._is_running = False
+        self.publish()
+
+    def publish(self) -> None:
+        """Write the record of this host, which has changed."""
+        wanted, self._wanted = self._wanted, None
+        if wanted is not None:
+            wanted.callback(None)
+
+    def _note(self, result: Any) -> bool:
+        """Keep track of whether the store answers; return whether it did."""
+        failed = isinstance(result, ErrorResult) and result.kind in (
+            ErrorKind.STORE_UNAVAILABLE,
+            ErrorKind.STORE_UNKNOWN,
+        )
+        now = self._clock.seconds()
+        if failed and self.failed_since is None:
+            self.failed_since = now
+            log("store.lost", reason=result.reason)
+        elif not failed and self.failed_since is not None:
+            log("store.regained", seconds=round(now - self.failed_since, 3))
+            self.failed_since = None
+        return not failed
+
+    async def _pause(self, failures: int) -> None:
+        longest_s = min(LONGEST_DELAY_S, FIRST_DELAY_S * 2**failures)
+        await deferLater(self._clock, longest_s * (0.5 + 0.5 * self._random()))
+
+    async def _follow_operator(self) -> None:
+        revision = -1
+        failures = 0
+        while self._is_running:
+            if revision < 0:
+                result = await self._store.read_operator()
+            else:
+                result = await self._store.watch_operator(revision)
+            if not self._is_running:
+                return
+            if not self._note(result):
+                await self._pause(failures)
+                failures += 1
+                continue
+            failures = 0
+            if isinstance(result, ErrorResult):
+                log("store.history-lost", revision=revision, reason=result.reason)
+                revision = -1
+                # All nodes lose the history at once; they do not read at once.
+                await deferLater(self._clock, FIRST_DELAY_S * self._random())
+                continue
+            revision = result.revision
+            self._on_news(result)
+
+    async def _read_rules(self) -> None:
+        failures = 0
+        while self._is_running:
+            result = await self._store.read_rules()
+            if not isinstance(result, ErrorResult):
+                self._on_rules(result)
+                return
+            await self._pause(failures)
+            failures += 1
+
+    async def _follow_hosts(self) -> None:
+        failures = 0
+        read_at = 0.0
+        while self._is_running:
+            result: Any = None
+            record = self._get_record()
+            if record != self._written:
+                result = await self._store.write_host(record)
+                if not isinstance(result, ErrorResult):
+                    self._written = record
+            now = self._clock.seconds()
+            if not isinstance(result, ErrorResult) and now >= read_at:
+                result = await self._store.read_hosts()
+                if not isinstance(result, ErrorResult):
+                    self._on_hosts(result)
+                    read_at = now + HOSTS_INTERVAL_S * (0.75 + 0.5 * self._random())
+            if isinstance(result, ErrorResult):
+                self._note(result)
+                await self._pause(failures)
+                failures += 1
+                continue
+            failures = 0
+            if self._get_record() == self._written:
+                await self._wait(max(0.0, read_at - self._clock.seconds()))
+
+    async def _wait(self, seconds: float) -> None:
+        """Wait for a time, or until the record has changed."""
+        self._wanted = wanted = Deferred()
+        timer = self._clock.callLater(seconds, self.publish)
+        await wanted
+        if timer.active():
+            timer.cancel()
--- a/bamboocove/transport/clients.py
+++ b/bamboocove/transport/clients.py
@@ -64,6 +64,8 @@
         self._is_reusable = True
         self._fault: str | None = None
         self._data: list[bytes] = []
+        self._accepts: Callable[[Headers], bool] | None = None
+        self._is_skipping = False
         self.is_connected = False
         self.on_connected: Callable[[ClientConnection], None] | None = None
         self.on_closed: Callable[[ClientConnection], None] | None = None
@@ -82,6 +84,7 @@
         is_sent: bool,
         receiver: ResponseReceiver,
         on_free: Callable[["ClientConnection"], None],
+        accepts: Callable[[Headers], bool] | None = None,
     ) -> None:
         """Start a request.
 
@@ -97,8 +100,13 @@
             Gets the response.
         on_free : callable
             Called if the connection can be reused.
+        accepts : callable, optional
+            Whether header fields belong to the response to this request. A
+            response that does not is skipped: it answers an earlier request.
         """
         self._receiver = receiver
+        self._accepts = accepts
+        self._is_skipping = False
         self._on_free = on_free
         self._is_head = is_head_request
         self._is_request_sent = is_sent
@@ -164,6 +172,10 @@
         if status < 200:
             # Interim; the parser itself stops at a 101.
             return
+        if self._accepts is not None and not self._accepts(self._headers):
+            self._is_skipping = True
+            self._is_reusable = False
+            return
         length = find_length(self._headers)
         if isinstance(length, ErrorResult):
             self._fault = length.reason
@@ -184,12 +196,15 @@
     def on_body(self, data: bytes) -> None:
         """Take a part of the body."""
         self._head_bytes = 0
-        if not self._is_complete:
+        if not self._is_complete and not self._is_skipping:
             self._data.append(data)
 
     def on_message_complete(self) -> None:
         """Note the end of a final response."""
         self._head_bytes = 0
+        if self._is_skipping:
+            self._is_skipping = False
+            return
         if self._has_response and not self._is_complete:
             self._is_complete = True
             if not self._parser.should_keep_alive():
--- a/bamboocove/transport/framing.py
+++ b/bamboocove/transport/framing.py
@@ -111,7 +111,7 @@
 
 def format_fields(headers: Iterable[tuple[bytes, bytes]]) -> bytes:
     """Return header fields as lines."""
-    return b"".join([b"%b: %b\r\n" % item for item in headers])
+    return b"".join([b"%b: %b\r\n" % (name, value) for name, value in headers])
 
 
 def format_status_line(status: int) -> bytes:
--- a/bamboocove/transport/peers.py
+++ b/bamboocove/transport/peers.py
@@ -50,11 +50,14 @@
         Called with the link and each message.
     on_closed : callable
         Called with the link and the reason, once, also if it never opened.
+    decode : callable
+        Turns the content of a frame into a message or an ErrorResult.
     """
 
     on_open: Callable[[Any], None]
     on_message: Callable[[Any, Message], None]
     on_closed: Callable[[Any, str], None]
+    decode: Callable[[bytes], Any] = decode_message
 
 
 class _Inputs(typing.Protocol):
@@ -173,6 +176,10 @@
         """Close the link after what was sent has gone out."""
         self._input(self._machine.close, reason)
 
+    def drop(self, reason: str) -> None:
+        """Close the link at once; what was sent may be lost."""
+        self._drop(reason)
+
     # Called by Twisted.
 
     def connectionMade(self) -> None:
@@ -303,7 +310,7 @@
             self._input(self._machine.close, "a message must be one binary frame")
 
     def _handle_data(self, data: bytes) -> None:
-        message = decode_message(bytes(data))
+        message = self._handlers.decode(bytes(data))
         if not isinstance(message, ErrorResult):
             self._invalid_messages = 0
             self._input(self._machine.receive, message)
@@ -381,7 +388,13 @@
             return ErrorResult(ErrorKind.INVALID_SETTINGS, str(error))
         return self._port.getHost().port
 
-    def dial(self, host: str, port: int, handlers: LinkHandlers) -> PeerLink:
+    def dial(
+        self,
+        host: str,
+        port: int,
+        handlers: LinkHandlers,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+    ) -> PeerLink:
         """Start to connect to a peer; the link reports how it goes."""
         link = make_dialled_link(self._clock, host, port, handlers)
         factory = ClientFactory()
@@ -390,7 +403,7 @@
         factory.clientConnectionFailed = lambda connector, reason: link.connectionLost(
             reason
         )
-        self._clock.connectTCP(host, port, factory, timeout=CONNECT_TIMEOUT_S)
+        self._clock.connectTCP(host, port, factory, timeout=timeout_s)
         return link
 
     async def stop(self) -> None:
