--- a/bamboocove/coordination/route_table.py
+++ b/bamboocove/coordination/route_table.py
@@ -36,6 +36,7 @@
 
     Examples
     --------
+    >>> from bamboocove.state.mesh import ServiceShare
     >>> share = (ServiceShare("s", 1),)
     >>> short = HostRoute("a", "h", "/a/", share, True, 1.0, 1.0)
     >>> long = HostRoute("b", "h", "/a/b/", share, True, 1.0, 1.0)
--- a/bamboocove/coordination/worker_queue.py
+++ b/bamboocove/coordination/worker_queue.py
@@ -18,8 +18,9 @@
 # Service time that is assumed before the first answer, in seconds.
 FIRST_SERVICE_S = 0.08
 # Part of the objective that may pass until the predicted answer of a request
-# that has to wait; the rest covers variation of service times.
-OBJECTIVE_PART = 1.0
+# that has to wait. With the whole of it, a third of the answers came late in
+# the replayed overload, because service times vary.
+OBJECTIVE_PART = 0.7
 # Least time that is worth starting with, as part of the mean service time.
 LEAST_PART = 0.5
 
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -473,7 +473,8 @@
         if self.clock.seconds() - self._configured_at > READY_S:
             return True
         return all(
-            self.fleet.get_views(service) for service in self.config.services_by_name
+            self.fleet.has_reachable(service)
+            for service in self.config.services_by_name
         )
 
     def _answer_readiness(self, exchange: Exchange) -> None:
--- a/bamboocove/sidecar/fleet.py
+++ b/bamboocove/sidecar/fleet.py
@@ -38,6 +38,8 @@
         held = self.records_by_id.get(record.host_id)
         if held is not None and held.age_key >= record.age_key:
             return False
+        if held is None and record.host_id != self.own_id:
+            self._unreachable_since_by_id[record.host_id] = now
         self.records_by_id[record.host_id] = record
         self._update_view(record, now)
         return True
@@ -63,6 +65,8 @@
                 worker.slots,
                 cold_until=now + worker.cold_s,
             )
+            if not self.is_reachable(record.host_id):
+                self.views_by_id[record.host_id].suspended_until = float("inf")
         else:
             view.slots = worker.slots
             view.busy_until = 0.0
@@ -153,6 +157,10 @@
             self._oldest_by_service = {}
         return lost
 
+    def has_reachable(self, service: str) -> bool:
+        """Return whether any worker of a service can be asked."""
+        return any(self.is_reachable(v.host_id) for v in self.get_views(service))
+
     def count_ready(self, service: str, versions: Iterable[str]) -> int:
         """Count reachable ready workers of some versions of a service."""
         wanted = set(versions)
--- a/bamboocove/sidecar/watch.py
+++ b/bamboocove/sidecar/watch.py
@@ -1,6 +1,7 @@
 """The store task: what the operator wrote, and the records of hosts."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -127,40 +128,45 @@
             self._on_news(result)
 
     async def _read_rules(self) -> None:
-        failures = 0
-        while self._is_running:
-            result = await self._store.read_rules()
-            if not isinstance(result, ErrorResult):
-                self._on_rules(result)
-                return
-            await self._pause(failures)
-            failures += 1
+        rules = await self._keep_trying(self._store.read_rules)
+        if rules is not None:
+            self._on_rules(rules)
 
     async def _follow_hosts(self) -> None:
-        failures = 0
+        # The record of the process before is read first, since the first write
+        # replaces it. The hosts are read once more after that write: of two
+        # nodes that start together one then sees the other.
+        await self._read_hosts()
         read_at = 0.0
         while self._is_running:
-            result: Any = None
-            record = self._get_record()
-            if record != self._written:
-                result = await self._store.write_host(record)
-                if not isinstance(result, ErrorResult):
-                    self._written = record
-            now = self._clock.seconds()
-            if not isinstance(result, ErrorResult) and now >= read_at:
-                result = await self._store.read_hosts()
-                if not isinstance(result, ErrorResult):
-                    self._on_hosts(result)
-                    read_at = now + HOSTS_INTERVAL_S * (0.75 + 0.5 * self._random())
-            if isinstance(result, ErrorResult):
-                self._note(result)
-                await self._pause(failures)
-                failures += 1
-                continue
-            failures = 0
+            if self._get_record() != self._written:
+                record = self._get_record()
+                await self._keep_trying(partial(self._store.write_host, record))
+                self._written = record
+            if self._clock.seconds() >= read_at:
+                await self._read_hosts()
+                interval_s = HOSTS_INTERVAL_S * (0.75 + 0.5 * self._random())
+                read_at = self._clock.seconds() + interval_s
             if self._get_record() == self._written:
                 await self._wait(max(0.0, read_at - self._clock.seconds()))
 
+    async def _read_hosts(self) -> None:
+        records = await self._keep_trying(self._store.read_hosts)
+        if records is not None:
+            self._on_hosts(records)
+
+    async def _keep_trying(self, call: Callable[[], Any]) -> Any:
+        """Repeat a call until it succeeds; None if the task was stopped before."""
+        failures = 0
+        while self._is_running:
+            result = await call()
+            self._note(result)
+            if not isinstance(result, ErrorResult):
+                return result
+            await self._pause(failures)
+            failures += 1
+        return None
+
     async def _wait(self, seconds: float) -> None:
         """Wait for a time, or until the record has changed."""
         self._wanted = wanted = Deferred()
--- /dev/null
+++ b/tests/coordination/test_route_table.py
@@ -0,0 +1,81 @@
+"""Routes by host and prefix, and shares that are kept over short runs."""
+
+import random
+
+import pytest
+
+from bamboocove.coordination.route_table import (
+    ShareCounter,
+    VersionCounter,
+    compile_routes,
+    find_route,
+)
+from bamboocove.errors import ErrorKind
+from bamboocove.state.mesh import HostRoute, MeshConfig, MeshService, ServiceShare
+
+
+def make_route(name, prefix, host="h.example", **weights):
+    shares = tuple(ServiceShare(s, w) for s, w in (weights or {"s": 1}).items())
+    return HostRoute(name, host, prefix, shares, True, 1.0, 0.3)
+
+
+def make_config(*routes, services=("s", "t")):
+    return MeshConfig(
+        1,
+        {route.name: route for route in routes},
+        {name: MeshService(name, "/healthz", 100) for name in services},
+    )
+
+
+@pytest.mark.parametrize(
+    ("path", "name"),
+    [
+        ("/a/b/c", "long"),
+        ("/a/b/", "long"),
+        ("/a/b", "short"),
+        ("/a/", "short"),
+        ("/ab/c", None),
+        ("/", None),
+    ],
+)
+def test_longest_prefix_wins(path, name):
+    """Guards against a shorter prefix taking the requests of a longer one."""
+    config = make_config(make_route("short", "/a/"), make_route("long", "/a/b/"))
+    route = find_route(compile_routes(config), "H.example:80", path)
+    assert (route and route.name) == name
+
+
+def test_routes_of_another_host_do_not_match():
+    table = compile_routes(make_config(make_route("r", "/", host="other.example")))
+    assert find_route(table, "h.example", "/x") is None
+
+
+def test_route_to_a_missing_service_refuses_the_whole_configuration():
+    """Guards against a configuration that is applied in part."""
+    config = make_config(make_route("r", "/", gone=1))
+    assert compile_routes(config).kind is ErrorKind.INVALID_CONFIG
+
+
+def test_shares_are_kept_over_short_runs():
+    """Guards against random choices, which miss a share of 10% by half."""
+    counter = ShareCounter()
+    route = make_route("r", "/", s=90, t=10)
+    picks = [counter.pick(route) for _ in range(300)]
+    assert abs(picks.count("t") - 30) <= 1
+
+
+def test_changed_weights_hold_at_once():
+    counter = ShareCounter()
+    for _ in range(7):
+        counter.pick(make_route("r", "/", s=90, t=10))
+    picks = [counter.pick(make_route("r", "/", s=10, t=90)) for _ in range(100)]
+    assert abs(picks.count("t") - 90) <= 2
+
+
+def test_new_version_gets_exactly_its_share():
+    """Guards against more exposure of an unproven version than its share."""
+    counter = VersionCounter()
+    draw = random.Random(1).random
+    picks = [counter.is_new("s", 0.05, draw) for _ in range(400)]
+    assert abs(sum(picks) - 20) <= 1
+    assert not any(counter.is_new("s", 0.0, draw) for _ in range(100))
--- /dev/null
+++ b/tests/coordination/test_worker_queue.py
@@ -0,0 +1,140 @@
+"""Replays load patterns through the queue of one worker.
+
+The patterns have the rates, slots and service times of the users' sites, and
+others; each test names the rule without which it fails.
+"""
+
+import heapq
+import random
+
+import pytest
+
+from bamboocove.coordination.worker_queue import (
+    INTERNAL_PRIORITY,
+    WaitingRequest,
+    WorkerQueue,
+)
+
+
+class Replay:
+    """Offers requests to a queue at set times and runs them in virtual time."""
+
+    def __init__(self, slots, seed=1):
+        self.queue = WorkerQueue(slots)
+        self.random = random.Random(seed)
+        self.ends = []
+        self.count = 0
+        self.good = {}
+        self.late = {}
+        self.refused = {}
+        self.held_s = []
+
+    def offer(self, now, name, priority, mean_s, target_s, deadline_s):
+        self.run_until(now)
+        entry = WaitingRequest(
+            name, priority, now + target_s, now + deadline_s, (now, mean_s)
+        )
+        is_taken, evicted = self.queue.offer(entry, now)
+        for other in [*evicted, *([] if is_taken else [entry])]:
+            self.refuse(other, now)
+        self.start(now)
+
+    def refuse(self, entry, now):
+        self.refused[entry.route] = self.refused.get(entry.route, 0) + 1
+        self.held_s.append(now - entry.payload[0])
+
+    def start(self, now):
+        while True:
+            entry, expired = self.queue.start_next(now)
+            for other in expired:
+                self.refuse(other, now)
+            if entry is None:
+                return
+            seconds = entry.payload[1] * self.random.lognormvariate(-0.1, 0.45)
+            self.count += 1
+            heapq.heappush(self.ends, (now + seconds, self.count, entry))
+
+    def run_until(self, now):
+        while self.ends and self.ends[0][0] <= now:
+            end, _, entry = heapq.heappop(self.ends)
+            self.queue.finish(entry, end, True)
+            counts = self.good if end <= entry.target_at else self.late
+            counts[entry.route] = counts.get(entry.route, 0) + 1
+            self.start(end)
+
+    def run(self, classes, seconds):
+        """Play Poisson arrivals; classes maps a name to its figures."""
+        arrivals = []
+        for name, (rate, *figures) in classes.items():
+            now = self.random.expovariate(rate)
+            while now < seconds:
+                arrivals.append((now, name, figures))
+                now += self.random.expovariate(rate)
+        for now, name, figures in sorted(arrivals):
+            self.offer(now, name, *figures)
+        self.run_until(seconds + 60)
+
+
+# Rate, rank, mean service time, objective, deadline: one worker's part of a
+# service with three classes, at 1.6 times what it can run.
+LEDGER = {
+    "settle": (90, 0, 0.063, 0.2, 0.8),
+    "browse": (95, 1, 0.036, 0.15, 0.6),
+    "lookup": (190, INTERNAL_PRIORITY, 0.022, 0.1, 0.25),
+}
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_overload_still_answers_in_time(seed):
+    """Guards against a long queue, in which every answer comes late."""
+    replay = Replay(12, seed)
+    replay.run({"view": (240, 2, 0.09, 0.3, 1.2)}, 20)
+    good, late = replay.good["view"], replay.late.get("view", 0)
+    # The worker can run 133 a second.
+    assert good >= 0.85 * 133 * 20
+    assert late <= 0.1 * good
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_urgent_class_is_served_first(seed):
+    """Guards against refusals that hit the class of more worth."""
+    replay = Replay(12, seed)
+    replay.run(LEDGER, 20)
+    served = replay.good["settle"] + replay.late.get("settle", 0)
+    assert served >= 0.9 * (served + replay.refused.get("settle", 0))
+    assert replay.refused.get("browse", 0) > 3 * replay.refused.get("settle", 0)
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_calls_of_workers_are_not_refused_for_new_work(seed):
+    """Guards against wasting the work already done on the calling request."""
+    replay = Replay(12, seed)
+    replay.run(LEDGER, 20)
+    assert replay.refused.get("lookup", 0) <= 0.02 * replay.good["lookup"]
+
+
+@pytest.mark.parametrize("slots", [2, 5, 12, 40])
+def test_refusals_come_at_once(slots):
+    """Guards against requests that wait for nothing before they are refused."""
+    replay = Replay(slots)
+    replay.run({"view": (2.0 * slots / 0.09, 2, 0.09, 0.3, 1.2)}, 20)
+    late = [held_s for held_s in replay.held_s if held_s > 0.3 / 8]
+    assert len(late) <= 0.02 * len(replay.held_s)
+
+
+def test_burst_leaves_no_queue_behind():
+    """Guards against a state that outlasts the load that caused it."""
+    replay = Replay(12)
+    replay.run({"view": (400, 2, 0.09, 0.3, 1.2)}, 3)
+    assert not replay.queue.waiting and not replay.queue.running
+
+
+def test_request_without_time_is_not_started():
+    queue = WorkerQueue(1)
+    first = WaitingRequest("r", 0, 1.0, 1.0, None)
+    second = WaitingRequest("r", 0, 1.0, 1.0, None)
+    for request in (first, second):
+        assert queue.offer(request, 0.0) == (True, [])
+    assert queue.start_next(0.0) == (first, [])
+    queue.finish(first, 0.99, True)
+    assert queue.start_next(0.99) == (None, [second])
--- /dev/null
+++ b/tests/platform/test_host_settings.py
@@ -0,0 +1,114 @@
+"""The settings file that the platform writes, and its problems."""
+
+import importlib
+import subprocess
+import sys
+from pathlib import Path
+
+import pytest
+
+from bamboocove.errors import ErrorKind
+from bamboocove.platform.host_settings import parse_host_settings, read_host_settings
+
+ROOT = Path(__file__).parent.parent.parent
+TEXT = """
+[self]
+nodeName = "sidecar-lj-a-1"
+ip = "10.1.0.8"
+zone = "lj-a"
+appAddr = "10.1.0.8:8301"
+service = "orders"
+[network.listen]
+inbound = "10.1.0.8:8300"
+outbound = "10.1.0.8:8304"
+readiness = "10.1.0.8:8302"
+control = "10.1.0.8:8306"
+[platform]
+heartbeatS = 1.5
+[platform.platform]
+address = "10.200.1.7:8309"
+[terms.bounds]
+gracePeriodS = 5
+"""
+
+
+def test_settings_are_read():
+    settings = parse_host_settings(TEXT)
+    assert settings.host_id == "sidecar-lj-a-1"
+    assert settings.worker_address == ("10.1.0.8", 8301)
+    assert settings.caller_address == ("10.1.0.8", 8304)
+    assert settings.link_address == ("10.1.0.8", 8300)
+    assert settings.bounds.grace_s == 5.0
+    assert settings.bounds.retry_ratio == 0.2
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "word"),
+    [
+        ('nodeName = "sidecar-lj-a-1"', "", "self.nodeName"),
+        ('zone = "lj-a"', "zone = 3", "self.zone"),
+        ('"10.1.0.8:8301"', '"10.1.0.8"', "self.appAddr"),
+        ('"10.1.0.8:8304"', '"10.1.0.8:99999"', "network.listen.outbound"),
+        ("gracePeriodS = 5", 'gracePeriodS = "x"', "terms.bounds.gracePeriodS"),
+        ("[self]", "[self", ""),
+    ],
+)
+def test_problem_is_named(old, new, word):
+    """Guards against a process that starts with settings it cannot use."""
+    result = parse_host_settings(TEXT.replace(old, new))
+    assert result.kind is ErrorKind.INVALID_SETTINGS
+    assert word in result.reason
+
+
+def test_missing_file_is_named(monkeypatch, tmp_path):
+    monkeypatch.delenv("BAMBOOCOVE_BOOT", raising=False)
+    assert "BAMBOOCOVE_BOOT" in read_host_settings().reason
+    monkeypatch.setenv("BAMBOOCOVE_BOOT", str(tmp_path / "none.toml"))
+    assert "none.toml" in read_host_settings().reason
+
+
+def test_process_ends_with_one_clear_line(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(TEXT.replace('zone = "lj-a"', ""))
+    done = subprocess.run(
+        [sys.executable, "-m", "bamboocove.platform"],
+        cwd=ROOT,
+        env={"BAMBOOCOVE_BOOT": str(path), "PATH": ""},
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+    assert done.returncode == 2
+    assert done.stderr == "invalid_settings: setting self.zone is missing\n"
+
+
+def test_standard_module_is_not_hidden():
+    """Guards against the adapter's folder hiding the module of its name."""
+    assert importlib.import_module("platform").system()
+
+
+def test_platform_names_stay_in_the_adapter():
+    """Guards against the platform's words spreading through the product."""
+    names = (
+        "X-Attempt-Id",
+        "X-Deadline-Ms",
+        "X-Expected-Instance",
+        "X-Not-Executed",
+        "X-Server-Load",
+        "X-Caller-Service",
+        "heartbeatAddr",
+        "rows-tx",
+        "rows-get",
+        "rows-feed",
+        "trafficSplit",
+        "nodeName",
+        "rolled_out",
+    )
+    found = [
+        (path.name, name)
+        for path in (ROOT / "bamboocove").rglob("*.py")
+        if path.parent.name != "platform"
+        for name in names
+        if name.lower() in path.read_text(encoding="utf-8").lower()
+    ]
+    assert found == []
--- /dev/null
+++ b/tests/sidecar/hosts.py
@@ -0,0 +1,318 @@
+"""Hosts of a mesh in one process: nodes, their workers, and a store in memory."""
+
+import json
+import random
+import socket
+
+from twisted.internet import reactor
+from twisted.internet.task import deferLater
+
+from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.platform.documents import decode_worker
+from bamboocove.platform.headers import DIALECT
+from bamboocove.sidecar.application import SidecarApplication
+from bamboocove.sidecar.settings import HostSettings
+from bamboocove.sidecar.store import OperatorNews
+from bamboocove.state.mesh import (
+    HostRoute,
+    MeshConfig,
+    MeshService,
+    MoveOrder,
+    ServiceShare,
+)
+from tests.callpath import Caller, Worker, run, spin
+
+POLL_S = 0.02
+UNAVAILABLE = ErrorResult(ErrorKind.STORE_UNAVAILABLE, "down")
+
+
+class MemoryStore:
+    """The store of the platform as the tasks see it."""
+
+    def __init__(self):
+        self.config = None
+        self.orders = {}
+        self.revision = 0
+        self.hosts = {}
+        self.rules = {}
+        self.is_down = False
+        self.calls = 0
+
+    def put_config(self, config):
+        self.revision += 1
+        self.config = config
+
+    def order(self, service, to_version, duration_s):
+        self.revision += 1
+        self.orders[service] = MoveOrder(service, to_version, duration_s, self.revision)
+
+    async def read_operator(self):
+        if self.is_down:
+            return UNAVAILABLE
+        orders = tuple(self.orders.values())
+        return OperatorNews(self.config, orders, self.revision, True)
+
+    async def watch_operator(self, revision):
+        while self.revision <= revision and not self.is_down:
+            await deferLater(reactor, POLL_S)
+        return await self.read_operator()
+
+    async def read_hosts(self):
+        return UNAVAILABLE if self.is_down else list(self.hosts.values())
+
+    async def write_host(self, record):
+        if self.is_down:
+            return UNAVAILABLE
+        self.hosts[record.host_id] = record
+        return 1
+
+    async def remove_host(self, host_id):
+        self.hosts.pop(host_id, None)
+        return 1
+
+    async def read_rules(self):
+        return UNAVAILABLE if self.is_down else list(self.rules.values())
+
+    async def write_rule(self, rule):
+        if self.is_down:
+            return UNAVAILABLE
+        held = self.rules.get(rule.service)
+        if held is not None and held.age_key >= rule.age_key:
+            return held
+        self.rules[rule.service] = rule
+        return rule
+
+
+def make_config(version=1, *, attempts=2, timeout_s=1.0, **routes):
+    """Return a configuration; routes map a prefix word to weights by service."""
+    routes = routes or {"read": {"orders": 1}}
+    services = {name for weights in routes.values() for name in weights}
+    by_name = {
+        name: HostRoute(
+            name,
+            "h.example",
+            f"/{name}/",
+            tuple(ServiceShare(s, w) for s, w in weights.items()),
+            name != "pay",
+            timeout_s,
+            0.3,
+            attempts,
+            1,
+        )
+        for name, weights in routes.items()
+    }
+    return MeshConfig(
+        version, by_name, {s: MeshService(s, "/healthz", 100) for s in services}
+    )
+
+
+def get_free_port():
+    with socket.socket() as held:
+        held.bind(("127.0.0.1", 0))
+        return held.getsockname()[1]
+
+
+class Host:
+    """One host: its node and its worker."""
+
+    def __init__(self, mesh, host_id, service, version, zone):
+        self.mesh = mesh
+        self.host_id = host_id
+        self.service = service
+        self.version = version
+        self.worker = Worker()
+        self.worker.answer = self.answer
+        self.sequence = 0
+        self.born_ms = 1000 + len(mesh.hosts)
+        self.worker_id = f"i-{host_id}"
+        self.requests = []
+        self.behave = None
+        port = self.worker.port
+        addresses = [("127.0.0.1", get_free_port()) for _ in range(4)]
+        self.settings = HostSettings(
+            host_id,
+            zone,
+            "127.0.0.9",
+            service,
+            ("127.0.0.1", port),
+            *addresses,
+            ("127.0.0.1", 1),
+        )
+        self.node = None
+        self.start()
+
+    def start(self, incarnation=1000):
+        self.node = SidecarApplication(
+            self.settings,
+            DIALECT,
+            self.mesh.store,
+            lambda worker_id, data: decode_worker(
+                worker_id, data, self.settings.worker_address
+            ),
+            reactor,
+            random.Random(self.host_id),
+            incarnation,
+            metrics_port=0,
+        )
+        object.__setattr__(self.node.settings, "ip", "127.0.0.9")
+        assert run(self.node.start()) is None
+
+    def answer(self, exchange):
+        headers = dict(exchange.headers)
+        if exchange.target == b"/healthz":
+            exchange.respond(200, [(b"x-instance-id", self.worker_id.encode())])
+            return
+        if headers[b"x-expected-instance"] != self.worker_id.encode():
+            exchange.respond(421, [(b"x-instance-id", self.worker_id.encode())])
+            return
+        self.requests.append(exchange)
+        if self.behave is not None:
+            self.behave(exchange)
+            return
+        self.respond(exchange)
+
+    def respond(self, exchange, status=200, *more):
+        attempt = dict(exchange.headers).get(b"x-attempt-id", b"")
+        body = []
+        headers = [(b"x-attempt-id", attempt), (b"x-host", self.host_id.encode())]
+        exchange.receive(
+            body.append,
+            lambda: exchange.respond(status, [*headers, *more], b"".join(body)),
+        )
+
+    def shed(self, exchange):
+        self.respond(exchange, 503, (b"x-not-executed", b"1"))
+
+    def report(self, state="ready"):
+        """Let the worker report itself; returns the acknowledgement."""
+        self.sequence += 1
+        body = json.dumps(
+            {
+                "address": f"127.0.0.1:{self.worker.port}",
+                "info": {
+                    "service": self.service,
+                    "version": self.version,
+                    "zone": "z",
+                    "slots": 4,
+                },
+                "status": {
+                    "state": state,
+                    "sequence": self.sequence,
+                    "coldRemainingS": 0,
+                },
+                "born": self.born_ms,
+            }
+        ).encode()
+        return self.tell(b"PUT", body)
+
+    def tell(self, method, body=b""):
+        caller = Caller(self.settings.heartbeat_address[1])
+        path = f"/api/instances/{self.worker_id}".encode()
+        caller.send(
+            b"%b %b HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%b"
+            % (method, path, len(body), body)
+        )
+        data = caller.read_until(lambda data: b"\r\n\r\n" in data)
+        caller.close()
+        return int(data.split()[1])
+
+    def open(self, data):
+        caller = Caller(self.settings.caller_address[1])
+        caller.send(data)
+        return caller
+
+    def call(self, path="/read/1", method="GET", body=b"", left_ms=900, attempt="a1"):
+        """Send a request from this host; returns status, fields and body."""
+        caller = self.open(format_call(path, method, body, left_ms, attempt))
+        result = read_answer(caller)
+        caller.close()
+        return result
+
+    def is_ready(self):
+        caller = Caller(self.settings.readiness_address[1])
+        caller.send(b"GET /api/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        data = caller.read_until(lambda data: b"\r\n\r\n" in data)
+        caller.close()
+        return data.split()[1] == b"200"
+
+
+def format_call(path, method="GET", body=b"", left_ms=900, attempt="a1"):
+    return (
+        f"{method} {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {attempt}\r\n"
+        f"X-Deadline-Ms: {left_ms}\r\nX-Caller-Service: forged\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode() + body
+
+
+def read_answer(caller):
+    def is_whole(data):
+        head, mark, body = data.partition(b"\r\n\r\n")
+        if not mark:
+            return False
+        return len(body) >= int(parse_head(head)[1].get("content-length", 0))
+
+    data = caller.read_until(is_whole)
+    head, _, body = data.partition(b"\r\n\r\n")
+    if not head:
+        return 0, {}, b""
+    return (*parse_head(head), body)
+
+
+def parse_head(head):
+    lines = head.decode().split("\r\n")
+    fields = dict(line.lower().split(": ", 1) for line in lines[1:])
+    return int(lines[0].split()[1]), fields
+
+
+class HostMesh:
+    """Several hosts and their store."""
+
+    def __init__(self):
+        self.store = MemoryStore()
+        self.store.put_config(make_config())
+        self.hosts = []
+
+    def add(self, service="orders", version="v1", zone="z", is_reported=True):
+        host = Host(self, f"h{len(self.hosts)}", service, version, zone)
+        self.hosts.append(host)
+        if is_reported:
+            assert host.report() == 200
+        return host
+
+    def settle(self):
+        """Wait until all nodes know all hosts, as they are now, and serve."""
+
+        def is_settled():
+            alive = [h for h in self.hosts if h.node.hooks.state == "serving"]
+            return len(alive) == len(self.hosts) and all(
+                host.node.fleet.records_by_id.get(other.host_id)
+                == other.node._get_record()
+                and host.node.fleet.is_reachable(other.host_id)
+                and (other is host or host.node.hub.peers_by_id[other.host_id].is_open)
+                for host in alive
+                for other in alive
+            )
+
+        spin(is_settled)
+
+    def get_versions(self):
+        return [host.node.config.version for host in self.hosts]
+
+    def close(self):
+        for host in self.hosts:
+            host.worker.close()
+            stop_at_once(host.node)
+
+
+def stop_at_once(node):
+    """End a node as a kill does, without a drain."""
+    node.watch._is_running = False
+    if node._ticker.running:
+        node._ticker.stop()
+    for port in node._ports:
+        port.stopListening()
+    for server in node.servers:
+        for connection in list(server.connections):
+            connection.abort()
+    run(node.hub.stop())
+    node.gate.close()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -163,3 +163,13 @@
         frozenset(("unknown",)): 16,
     }
     assert count_callers(nodes, services, "b") == 22
+
+
+def test_longest_of_overlapping_prefixes_wins_in_any_order():
+    """Guards against the first prefix that fits being taken."""
+    short = Route("short", "/orders")
+    long = Route("long", "/orders/open")
+    for routes in ((short, long), (long, short)):
+        snapshot = make_snapshot(Service("orders", "v1", (), routes))
+        assert match_route(snapshot, "orders", "GET", "/orders/open/7").route == long
+        assert match_route(snapshot, "orders", "GET", "/orders/7").route == short
