Do not begin requests that a stop would cut off

Cause: after SIGTERM the node took requests until it ended, 5.4 s later. Ruled out: the worker, which had the requests for 0.2 s only, and kept connections, since new ones were cut too. From 2.3 s after the signal a request that may not end in time is refused as not run, with a time to come back.

Refusals now count for their rank and less urgent ones only: a refused browse kept payments from being offered for 50 ms.

--- a/bamboocove/coordination/placement.py
+++ b/bamboocove/coordination/placement.py
@@ -73,8 +73,11 @@
         Requests of this node that are there.
     report : QueueReport
         Last report, with ``reported_at`` in seconds of the local clock.
-    busy_until, suspended_until : float
-        Until when it is passed over, because it refused or does not answer.
+    busy_until, busy_priority : float, int
+        Until when requests of this rank and less urgent ones are not sent
+        there, because it refused one.
+    suspended_until : float
+        Until when it is passed over, because it does not answer.
     cold_until : float
         Until when the worker is slow after its start.
     """
@@ -89,6 +92,7 @@
     reported_at: float = -1e9
     sent_since_report: int = 0
     busy_until: float = 0.0
+    busy_priority: int = 0
     suspended_until: float = 0.0
     cold_until: float = 0.0
     service_s_by_route: dict[str, float] = field(factory=dict)
@@ -99,6 +103,13 @@
         self.reported_at = now
         self.sent_since_report = 0
 
+    def take_refusal(self, priority: int, until: float, now: float) -> None:
+        """Pass over the host for requests of a rank and less urgent ones."""
+        if self.busy_until > now:
+            priority = min(priority, self.busy_priority)
+        self.busy_until = until
+        self.busy_priority = priority
+
     def record_service_time(self, route: str, seconds: float) -> None:
         """Take the time of one answer, without the time in the queue."""
         held = self.service_s_by_route.get(route, seconds)
@@ -197,7 +208,7 @@
     for view in views:
         if view.suspended_until > now or view.host_id in excluded:
             continue
-        if view.busy_until > now and priority >= 0:
+        if view.busy_until > now and priority >= view.busy_priority:
             continue
         score = estimate_time(view, route, priority, default_s, now)
         score += estimate_failure(view, now) * FAILURE_COST * target_s
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -32,7 +32,7 @@
 from bamboocove.sidecar.links import HubHandlers, LinkHub
 from bamboocove.sidecar.logs import STATE, log
 from bamboocove.sidecar.metrics import MeshMetrics
-from bamboocove.sidecar.origin import Origin
+from bamboocove.sidecar.origin import NOT_CLOSING, Closing, Origin
 from bamboocove.sidecar.rules import MoveTask, RuleBook
 from bamboocove.sidecar.settings import HostSettings
 from bamboocove.sidecar.store import OperatorNews, Store
@@ -216,6 +216,11 @@
         self.watch.start()
         self._ticker.start(TICK_S, now=False)
 
+    @property
+    def is_closing(self) -> bool:
+        """Whether the node is about to stop."""
+        return self.origin.closing is not NOT_CLOSING
+
     def drain(self) -> None:
         """Begin a graceful shutdown; ``finished`` fires at its end."""
         self.lifecycle.drain()
@@ -223,9 +228,9 @@
     async def _drain(self) -> None:
         started_at = self.clock.seconds()
         log("node.draining", in_flight=self.origin.in_flight + self.gate.in_flight)
-        self.origin.is_closing = True
-        self._publish()
         end = started_at + GRACE_PART * self.settings.bounds.grace_s
+        self.origin.closing = Closing(started_at + LEAVE_S, end)
+        self._publish()
         while self.clock.seconds() < end:
             await deferLater(self.clock, TICK_S / 2)
             is_idle = not self.origin.in_flight and not self.gate.in_flight
@@ -346,7 +351,7 @@
             self.sequence,
             settings.link_address,
             settings.zone,
-            self.origin.is_closing,
+            self.is_closing,
             self.gate.worker,
         )
 
@@ -468,7 +473,7 @@
 
     def is_ready(self) -> bool:
         """Return whether callers on this host may send requests."""
-        if not self.config.version or self.origin.is_closing:
+        if not self.config.version or self.is_closing:
             return False
         if self.clock.seconds() - self._configured_at > READY_S:
             return True
--- a/bamboocove/sidecar/origin.py
+++ b/bamboocove/sidecar/origin.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from bamboocove.coordination.placement import (
     HostView,
@@ -54,10 +54,31 @@
 # The node beside the worker answers at the deadline; this one waits a little
 # longer, in seconds.
 DEADLINE_GRACE_S = 0.12
+# When a caller may come back that this node cannot serve at all, in seconds.
+OTHER_NODE_S = 0.3
 # Least time that an attempt on another worker is worth, in seconds.
 LEAST_LEFT_S = 0.02
 
 
+@frozen
+class Closing:
+    """Until when a node that stops takes requests.
+
+    Parameters
+    ----------
+    refuse_at : float
+        From when on requests are refused that may not end in time.
+    end_at : float
+        When the process ends, in seconds of the local clock.
+    """
+
+    refuse_at: float
+    end_at: float
+
+
+NOT_CLOSING = Closing(float("inf"), float("inf"))
+
+
 @define(eq=False)
 class Flow:
     """One request of a caller.
@@ -157,7 +178,7 @@
         self.config = MeshConfig()
         self.crashes = CrashTable()
         self.budgets = RepeatBudgets()
-        self.is_closing = False
+        self.closing = NOT_CLOSING
 
     @property
     def in_flight(self) -> int:
@@ -175,7 +196,7 @@
         """Take a request."""
         flow = self._begin(exchange)
         if isinstance(flow, ErrorResult):
-            status = refuse(exchange, flow, 0.2 if self.config.version == 0 else 0.0)
+            status = refuse(exchange, flow, self._get_return(flow))
             self._metrics.count_own_answer(flow.kind.value)
             log(
                 "request.refused",
@@ -198,7 +219,8 @@
     def _begin(self, exchange: Exchange) -> Flow | ErrorResult:
         if not self.config.version:
             return ErrorResult(ErrorKind.NOT_READY, "no configuration yet")
-        if self.is_closing:
+        closing = self.closing
+        if closing is not NOT_CLOSING:
             exchange.is_keep_alive = False
         headers = exchange.headers
         host = get_header(headers, b"host") or b""
@@ -214,6 +236,10 @@
                 reason = "the time left is not a number of milliseconds"
                 return ErrorResult(ErrorKind.BAD_REQUEST, reason)
             left_s = min(left_s, int(value) / 1000)
+        if now > closing.refuse_at and now + left_s > closing.end_at:
+            # Callers may go on for seconds after they were told that this node
+            # is not ready; what cannot end in time is not begun.
+            return ErrorResult(ErrorKind.DRAINING, "the node is stopping")
         # A worker calls from the address of its host; callers do not.
         is_internal = exchange.connection.peer_host == self.settings.ip
         return Flow(
@@ -227,6 +253,11 @@
             self._strip(headers),
         )
 
+    def _get_return(self, error: ErrorResult) -> float:
+        if error.kind in (ErrorKind.NOT_READY, ErrorKind.DRAINING):
+            return OTHER_NODE_S * (0.5 + self._random())
+        return 0.0
+
     def _strip(self, headers: list) -> list[list[bytes]]:
         dialect = self._dialect
         own = (dialect.time_left_ms, dialect.worker_id, dialect.caller_service)
@@ -446,7 +477,7 @@
         flow.last_reason = reply.body.decode("latin-1")
         flow.excluded.add(flow.host_id)
         if reply.outcome == REFUSED:
-            flow.view.busy_until = now + BUSY_S
+            flow.view.take_refusal(flow.priority, now + BUSY_S, now)
         else:
             self._fleet.suspend(flow.host_id, now)
         self._ask(flow, now)
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -76,3 +76,22 @@
     times = [plan_return([view], 0, 1.2, 0.0, draw) for _ in range(200)]
     assert max(times) - min(times) > 0.1
     assert max(times) <= 1.2 / 3 + 1e-9
+
+
+def test_refusal_of_a_rank_leaves_the_host_to_more_urgent_ones():
+    """Guards against payments that are refused because a browse was."""
+    view = make_view("x")
+    view.take_refusal(2, 0.05, 0.0)
+    draw = random.Random(1).random
+
+    def is_asked(priority, now):
+        return pick_host([view], "r", priority, 0.3, "a", now, draw) is not None
+
+    assert [is_asked(rank, 0.01) for rank in (-1, 0, 1, 2, 3)] == [True] * 3 + [
+        False,
+        False,
+    ]
+    assert is_asked(2, 0.06)
+    view.take_refusal(0, 0.2, 0.1)
+    view.take_refusal(2, 0.2, 0.1)
+    assert not is_asked(0, 0.15)
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -1,7 +1,9 @@
 """Requests through whole nodes on loopback, and what happens when parts fail."""
 
 import pytest
+from twisted.internet import reactor
 
+from bamboocove.sidecar.origin import Closing
 from tests.callpath import run, spin
 from tests.sidecar.hosts import (
     HostMesh,
@@ -259,6 +261,22 @@
     assert read_answer(socket)[0] == 200
 
 
+def test_stopping_node_does_not_begin_what_it_cannot_end(mesh):
+    """Guards against a request that is taken late in a stop and cut off.
+
+    Seen on a day on which callers went on sending for 5 s after SIGTERM,
+    because fewer than half of the nodes of their zone were ready.
+    """
+    caller, target = make_pair(mesh)
+    caller.node.drain()
+    now = reactor.seconds()
+    caller.node.origin.closing = Closing(now - 1, now + 0.5)
+    status, fields, _ = caller.call(left_ms=900)
+    assert status == 503 and float(fields["retry-after"]) > 0
+    assert fields["connection"] == "close"
+    assert caller.call(left_ms=300)[0] == 200
+
+
 def test_kept_connections_serve_many_requests(mesh):
     caller, target = make_pair(mesh)
     socket = caller.open(b"")
