Rank only calls of the own worker before new requests

The log showed rank -1 on each request that was turned away, with 80 waiting before a worker of 12 slots. A call is now known by the identifier of the request that the worker runs. How long a caller has waited is a lower bound, since the patience of callers varies by 0.15; refused callers come back later.

--- a/bamboocove/coordination/placement.py
+++ b/bamboocove/coordination/placement.py
@@ -29,6 +29,10 @@
 NOISE = 0.15
 # A cold worker takes about twice as long.
 COLD_FACTOR = 2.0
+# Callers honour a time to come back up to this part of the time they have left.
+PATIENT_PART = 0.33
+RETURN_SPREAD = 0.45
+SHORTEST_RETURN_S = 0.05
 
 
 @define(frozen=True)
@@ -221,27 +225,13 @@
     return best
 
 
-def plan_return(
-    views: Iterable[HostView],
-    priority: int,
-    left_s: float,
-    now: float,
-    random: Callable[[], float],
-) -> float:
+def plan_return(left_s: float, random: Callable[[], float]) -> float:
     """Return when a refused caller should come back, in seconds.
 
-    It is the shortest expected wait, spread so that callers that were refused
-    together do not come back together.
+    It can no longer be answered in time, so it comes back as late as callers
+    honour, when a burst may be over; spread, so that callers that were refused
+    together do not come back together. An early return would take a slot from
+    a request that can still be answered in time.
     """
-    waits = [
-        max(estimate_wait(view, priority, now), view.busy_until - now)
-        for view in views
-        if view.suspended_until <= now
-    ]
-    wait_s = min(waits, default=LONGEST_RETURN_S)
-    wait_s = min(max(wait_s, SHORTEST_RETURN_S), LONGEST_RETURN_S)
-    return min(wait_s * (0.7 + 0.8 * random()), max(SHORTEST_RETURN_S, left_s / 3))
-
-
-SHORTEST_RETURN_S = 0.05
-LONGEST_RETURN_S = 0.5
+    longest_s = max(SHORTEST_RETURN_S, left_s * PATIENT_PART)
+    return longest_s * (1.0 - RETURN_SPREAD * random())
--- a/bamboocove/coordination/repeats.py
+++ b/bamboocove/coordination/repeats.py
@@ -15,6 +15,9 @@
 # Time for which a request stays suspect, in seconds.
 SUSPECT_S = 60.0
 MOST_SUSPECTS = 2000
+# Callers of one route differ in patience: new requests of the users' sites came
+# with 0.85 to 1 of the longest time.
+PATIENCE_SPREAD = 0.15
 
 
 def may_repeat(sent: int, attempts: int, left_s: float, least_s: float) -> bool:
@@ -81,14 +84,14 @@
     """How long callers of each route wait in all.
 
     Callers send the time that they go on waiting. One that was refused and
-    came back sends less than one that has just begun, which tells how long it
-    has been waiting.
+    came back sends less than any that has just begun, which tells how long it
+    has been waiting at least.
     """
 
     _longest_s_by_route: dict[str, float] = field(factory=dict)
 
     def get_waited(self, route: str, left_s: float) -> float:
-        """Return how long a caller has been waiting already, in seconds.
+        """Return how long a caller has surely been waiting, in seconds.
 
         Parameters
         ----------
@@ -100,12 +103,12 @@
         Examples
         --------
         >>> table = PatienceTable()
-        >>> table.get_waited("r", 3.0), round(table.get_waited("r", 2.6), 3)
-        (0.0, 0.4)
+        >>> table.get_waited("r", 3.0), round(table.get_waited("r", 2.0), 3)
+        (0.0, 0.55)
         """
         longest_s = max(left_s, self._longest_s_by_route.get(route, 0.0))
         self._longest_s_by_route[route] = longest_s
-        return longest_s - left_s
+        return max(0.0, (1.0 - PATIENCE_SPREAD) * longest_s - left_s)
 
 
 @define
--- a/bamboocove/sidecar/dialect.py
+++ b/bamboocove/sidecar/dialect.py
@@ -1,5 +1,7 @@
 """Names on the wire that an adapter provides."""
 
+from collections.abc import Callable
+
 from attrs import frozen
 
 
@@ -23,6 +25,9 @@
         Set by a worker on each answer to a request that it ran.
     answering_worker_id : bytes
         Worker that answers a health check or a misdirected request.
+    get_parent : callable
+        Returns the identifier of the request that a worker was running when it
+        made a call, from that of the call; empty if it does not tell.
     readiness_path : bytes
         Where the node is asked whether it is ready.
     worker_path : bytes
@@ -38,6 +43,7 @@
     not_run: bytes
     signature: bytes
     answering_worker_id: bytes
+    get_parent: Callable[[bytes], bytes]
     readiness_path: bytes
     worker_path: bytes
     metrics_path: bytes
--- a/bamboocove/sidecar/gate.py
+++ b/bamboocove/sidecar/gate.py
@@ -80,6 +80,7 @@
     connection: ClientConnection | None = None
     connector: Any = None
     timer: Any = None
+    attempt_id: bytes = b""
     is_sent: bool = False
     is_ended: bool = False
     status: int = 0
@@ -143,6 +144,7 @@
         self._probe_at = 0.0
         self._is_probing = False
         self._requests: set[GateRequest] = set()
+        self._running_ids: set[bytes] = set()
         self._failure_average = 0.0
         self.queue = WorkerQueue(1)
         self.worker: MeshWorker | None = None
@@ -334,6 +336,8 @@
         request.is_sent = True
         request.entry.started_at = now
         attempt_id = get_header(forward.headers, self._dialect.attempt_id)
+        request.attempt_id = attempt_id or b""
+        self._running_ids.add(request.attempt_id)
         connection.send(
             self._format(request, now),
             forward.method == b"HEAD",
@@ -449,6 +453,7 @@
             return
         request.is_ended = True
         self._requests.discard(request)
+        self._running_ids.discard(request.attempt_id)
         now = self._clock.seconds()
         timer, request.timer = request.timer, None
         if timer is not None:
@@ -530,6 +535,10 @@
             *waits,
         ]
 
+    def is_running(self, attempt_id: bytes) -> bool:
+        """Return whether the worker runs a request."""
+        return bool(attempt_id) and attempt_id in self._running_ids
+
     @property
     def in_flight(self) -> int:
         """Requests that wait or run."""
--- a/bamboocove/sidecar/origin.py
+++ b/bamboocove/sidecar/origin.py
@@ -101,6 +101,12 @@
         the local clock.
     priority : int
         Rank under load.
+    attempt_id : bytes
+        Identifier that the caller gave it.
+    headers : list
+        Fields that are passed on.
+    patient_until : float
+        How long the caller waits, also beyond the route's time-out.
     """
 
     exchange: Exchange
@@ -112,6 +118,7 @@
     priority: int
     attempt_id: bytes
     headers: list[list[bytes]]
+    patient_until: float
     body: bytes = b""
     is_new_version: bool = False
     excluded: set[str] = field(factory=set)
@@ -237,21 +244,22 @@
         if route is None:
             return ErrorResult(ErrorKind.NO_ROUTE, f"no route for {host!r} {path}")
         now = self._clock.seconds()
-        left_s = route.timeout_s
+        patience_s = route.timeout_s
         waited_s = 0.0
         value = get_header(headers, self._dialect.time_left_ms)
         if value is not None:
             if not value.isdigit() or len(value) > 9:
                 reason = "the time left is not a number of milliseconds"
                 return ErrorResult(ErrorKind.BAD_REQUEST, reason)
-            waited_s = self._patience.get_waited(route.name, int(value) / 1000)
-            left_s = min(left_s, int(value) / 1000)
+            patience_s = int(value) / 1000
+            waited_s = self._patience.get_waited(route.name, patience_s)
+        left_s = min(route.timeout_s, patience_s)
         if now > closing.refuse_at and now + left_s > closing.end_at:
             # Callers may go on for seconds after they were told that this node
             # is not ready; what cannot end in time is not begun.
             return ErrorResult(ErrorKind.DRAINING, "the node is stopping")
-        # A worker calls from the address of its host; callers do not.
-        is_internal = exchange.connection.peer_host == self.settings.ip
+        attempt_id = get_header(headers, self._dialect.attempt_id) or b""
+        is_internal = self._gate.is_running(self._dialect.get_parent(attempt_id))
         return Flow(
             exchange,
             route,
@@ -260,8 +268,9 @@
             now + left_s,
             now + route.target_s - waited_s,
             INTERNAL_PRIORITY if is_internal else route.priority,
-            get_header(headers, self._dialect.attempt_id) or b"",
+            attempt_id,
             self._strip(headers),
+            now + patience_s,
         )
 
     def _get_return(self, error: ErrorResult) -> float:
@@ -348,7 +357,7 @@
                     flow.excluded,
                 )
             if view is None:
-                self._refuse_unplaced(flow, views, now)
+                self._refuse_unplaced(flow, views)
                 return
             flow.asked += 1
             if self._send(flow, view, now):
@@ -504,7 +513,7 @@
             flow.asked = 1
             self._ask(flow, now)
         else:
-            self._refuse_unplaced(flow, self._get_candidates(flow), now)
+            self._refuse_unplaced(flow, self._get_candidates(flow))
 
     def _may_repeat(self, flow: Flow, now: float) -> bool:
         return may_repeat(
@@ -564,26 +573,17 @@
         reason = "no answer in time"
         self._fail(flow, ErrorKind.DEADLINE_AFTER_DISPATCH, reason)
 
-    def _refuse_unplaced(self, flow: Flow, views: list[HostView], now: float) -> None:
+    def _refuse_unplaced(self, flow: Flow, views: list[HostView]) -> None:
         if flow.was_lost:
             self._fail(flow, ErrorKind.UPSTREAM_LOST, "no other worker is left")
             return
         kind = ErrorKind.OVERLOADED if views else ErrorKind.NO_UPSTREAM
         reason = flow.last_reason or "no worker may be asked"
-        self._refuse(flow, kind, reason, views)
+        self._refuse(flow, kind, reason)
 
-    def _refuse(
-        self,
-        flow: Flow,
-        kind: ErrorKind,
-        reason: str,
-        views: list[HostView] | None = None,
-    ) -> None:
-        now = self._clock.seconds()
-        return_s = 0.0
-        if views is not None:
-            left_s = flow.deadline - now
-            return_s = plan_return(views, flow.priority, left_s, now, self._random)
+    def _refuse(self, flow: Flow, kind: ErrorKind, reason: str) -> None:
+        left_s = flow.patient_until - self._clock.seconds()
+        return_s = plan_return(left_s, self._random)
         self._answer_error(flow, ErrorResult(kind, reason), return_s)
 
     def _fail(self, flow: Flow, kind: ErrorKind, reason: str) -> None:
--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -64,13 +64,11 @@
         self._is_paused = False
         self._is_closing = False
         self.since = 0.0
-        self.peer_host = ""
         self.on_lost: Callable[[ServerConnection], None] | None = None
 
     def connectionMade(self) -> None:
         """Start the idle time."""
         self.transport.setTcpNoDelay(True)
-        self.peer_host = self.transport.getPeer().host
         self.since = self._clock.seconds()
 
     def dataReceived(self, data: bytes) -> None:
