--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -31,6 +31,17 @@
     assert count_picks([slow, fast])["fast"] == 1000
 
 
+def test_request_stays_in_its_zone_while_its_objective_is_safe():
+    """Guards against traffic between zones that serves nobody better."""
+    near, far = make_view("near"), make_view("far", zone="b")
+    near.record_service_time("r", 0.11)
+    far.record_service_time("r", 0.05)
+    assert count_picks([near, far])["near"] > 900
+    for _ in range(30):
+        near.record_service_time("r", 0.25)
+    assert count_picks([near, far])["far"] > 900
+
+
 def test_full_queue_outweighs_the_near_zone():
     """Guards against a zone whose worker is overrun while others are idle."""
     near, far = make_view("near"), make_view("far", zone="b")
