--- a/bamboocove/platform/__main__.py
+++ b/bamboocove/platform/__main__.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
 
 from bamboocove.errors import ErrorResult
 from bamboocove.events import run_logged
@@ -21,6 +22,7 @@
 from bamboocove.transport.steady import use_steady_clock
 
 EXIT_MISUSE = 2
+CHECK_SETTINGS_S = 5.0
 
 
 def make_application(
@@ -64,11 +66,20 @@
         application.drain()
         return application.finished
 
+    def check_settings() -> None:
+        changed = read_host_settings()
+        if changed != application.settings:
+            application.reload(changed)
+
     def reload(number: int, frame: Any) -> None:
         reactor.callFromThread(lambda: application.reload(read_host_settings()))
 
+    checker = LoopingCall(check_settings)
+    checker.clock = reactor
     reactor.callWhenRunning(run_logged, start())
     reactor.callWhenRunning(signal.signal, signal.SIGHUP, reload)
+    # The settings may change without a signal.
+    reactor.callWhenRunning(checker.start, CHECK_SETTINGS_S, now=False)
     reactor.addSystemEventTrigger("before", "shutdown", stop)
     reactor.run()
     return EXIT_MISUSE if errors else 0
--- a/bamboocove/sidecar/gate.py
+++ b/bamboocove/sidecar/gate.py
@@ -27,7 +27,7 @@
 from bamboocove.sidecar.settings import Address
 from bamboocove.state.mesh import MeshWorker
 from bamboocove.transport.clients import ClientConnection, ConnectionPool
-from bamboocove.transport.fetching import Fetch, format_request
+from bamboocove.transport.fetching import Fetch, format_request, set_keepalive
 from bamboocove.transport.framing import (
     Headers,
     format_fields,
@@ -315,10 +315,15 @@
             return
         request.connector = self._pool.connect(
             self._address,
-            lambda connection: self._send(request, connection),
+            lambda connection: self._open(request, connection),
             lambda reason: self._on_unreachable(request, reason),
         )
 
+    def _open(self, request: GateRequest, connection: ClientConnection) -> None:
+        # An idle connection that falls silent is found before it is used again.
+        set_keepalive(connection.transport)
+        self._send(request, connection)
+
     def _on_unreachable(self, request: GateRequest, reason: str) -> None:
         request.connector = None
         if not request.is_ended:
