Split the application: hosts, doors, forwarding and the planned stop

A restarted node took a worker that had been down for gone and ignored its reports; such a worker is probed now. Tests took ports that outgoing connections could take before they were used; they come from below that range.

--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -1,14 +1,13 @@
 """The application object of a node on a worker's host, which owns its tasks."""
 
 from collections.abc import Callable
-from functools import partial
 from random import Random
 from typing import Any
 
-from attrs import define, evolve, field
+from attrs import define, field
 from twisted.internet.defer import Deferred
 from twisted.internet.error import CannotListenError
-from twisted.internet.task import LoopingCall, deferLater
+from twisted.internet.task import LoopingCall
 
 from bamboocove.coordination.route_table import compile_routes
 from bamboocove.errors import ErrorKind, ErrorResult
@@ -27,35 +26,34 @@
     encode_hop,
 )
 from bamboocove.sidecar.dialect import Dialect
+from bamboocove.sidecar.doors import (
+    MAX_REPORT_BYTES,
+    DecodeWorker,
+    make_metrics_handler,
+    make_readiness_handler,
+    make_report_handler,
+)
 from bamboocove.sidecar.fleet import Fleet
-from bamboocove.sidecar.gate import Gate, GateRequest
+from bamboocove.sidecar.forwarding import Forwarding
+from bamboocove.sidecar.gate import Gate
+from bamboocove.sidecar.hosts import HostDirectory
 from bamboocove.sidecar.links import HubHandlers, LinkHub
 from bamboocove.sidecar.logs import STATE, log
 from bamboocove.sidecar.metrics import MeshMetrics
-from bamboocove.sidecar.origin import NOT_CLOSING, Closing, Origin
+from bamboocove.sidecar.origin import NOT_CLOSING, Origin
 from bamboocove.sidecar.rules import MoveTask, RuleBook
 from bamboocove.sidecar.settings import HostSettings
+from bamboocove.sidecar.stopping import drain
 from bamboocove.sidecar.store import OperatorNews, Store
 from bamboocove.sidecar.watch import StoreWatch
-from bamboocove.state.codec import decode, encode, from_plain, to_plain
-from bamboocove.state.mesh import HostRecord, MeshConfig, MeshWorker
+from bamboocove.state.codec import decode, encode, to_plain
+from bamboocove.state.mesh import MeshConfig
 from bamboocove.transport.calls import SWEEP_S, CallServer
-from bamboocove.transport.exchanges import Exchange
 
 VERSION = "0.2"
 TICK_S = 0.1
 BACKLOG = 1024
-# Reports of a worker are small.
-MAX_REPORT_BYTES = 64 * 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
-# Callers stop to send new requests after two questions, one a second, that
-# were not answered with "ready".
-LEAVE_S = 2.3
-# When a node that stops tells the others that it takes no more requests for its
-# worker, in seconds after the signal; those that run then end meanwhile.
-HAND_OVER_S = 1.9
-# Part of the grace period after which a stop no longer waits for requests.
-GRACE_PART = 0.9
 # Interval at which a node without the store asks its peers for news, in seconds.
 NEWS_S = 0.5
 # After this time with a configuration a node is ready even if it knows no
@@ -63,8 +61,6 @@
 READY_S = 1.5
 METRICS_PORT = 9464
 
-DecodeWorker = Callable[[str, bytes], MeshWorker | ErrorResult]
-
 
 @define(eq=False, slots=False)
 class SidecarApplication:
@@ -100,8 +96,6 @@
     metrics_port: int = METRICS_PORT
     config: MeshConfig = field(factory=MeshConfig)
     finished: Deferred = field(factory=Deferred)
-    sequence: int = 0
-    requests_by_link: dict[Any, dict[int, GateRequest]] = field(factory=dict)
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
@@ -124,8 +118,18 @@
             self.dialect,
             self.clock,
             self.book.is_allowed,
-            self._on_worker,
+            lambda worker: self.hosts.publish(),
         )
+        self.hosts = HostDirectory(
+            settings,
+            self.fleet,
+            self.gate,
+            self.hub,
+            self.clock,
+            self.incarnation,
+            lambda: self.watch.publish(),
+        )
+        self.forwarding = Forwarding(self.gate)
         self.moves = MoveTask(
             self.book,
             self.store,
@@ -152,14 +156,14 @@
             self.clock,
             self.random.random,
             self._on_news,
-            self._on_hosts,
+            self.hosts.take,
             self._on_rules,
-            self._get_record,
+            self.hosts.get_record,
         )
         self.hooks = LifecycleHooks(
             self._on_bootstrapping,
             lambda: log("node.serving", config=self.config.version),
-            lambda: run_logged(self._drain()),
+            lambda: run_logged(drain(self)),
             self._on_stopped,
         )
         self.lifecycle = make_lifecycle(self.hooks)
@@ -188,11 +192,12 @@
         metrics_address = (settings.ip, self.metrics_port)
         try:
             self._listen(settings.caller_address, self.origin.take, MAX_BODY_BYTES)
-            self._listen(settings.readiness_address, self._answer_readiness, 0)
-            self._listen(
-                settings.heartbeat_address, self._take_report, MAX_REPORT_BYTES
-            )
-            self._listen(metrics_address, self._answer_metrics, 0)
+            readiness = make_readiness_handler(self.dialect, self.is_ready)
+            self._listen(settings.readiness_address, readiness, 0)
+            reports = make_report_handler(self.dialect, self.gate, self.decode_worker)
+            self._listen(settings.heartbeat_address, reports, MAX_REPORT_BYTES)
+            metrics = make_metrics_handler(self.dialect, self.metrics)
+            self._listen(metrics_address, metrics, 0)
         except CannotListenError as error:
             return ErrorResult(ErrorKind.INVALID_SETTINGS, str(error))
         self.lifecycle.listen()
@@ -215,7 +220,7 @@
             incarnation=self.incarnation,
             version=VERSION,
         )
-        self.fleet.merge(self._get_record(), self.clock.seconds())
+        self.fleet.merge(self.hosts.get_record(), self.clock.seconds())
         self.watch.start()
         self._ticker.start(TICK_S, now=False)
 
@@ -228,30 +233,15 @@
         """Begin a graceful shutdown; ``finished`` fires at its end."""
         self.lifecycle.drain()
 
-    async def _drain(self) -> None:
-        started_at = self.clock.seconds()
-        log("node.draining", in_flight=self.origin.in_flight + self.gate.in_flight)
-        end = started_at + GRACE_PART * self.settings.bounds.grace_s
-        self.origin.closing = Closing(started_at + LEAVE_S, end)
-        # The worker serves other hosts while the callers of this one leave.
-        await deferLater(self.clock, HAND_OVER_S)
-        self.gate.is_closing = True
-        self._publish()
-        while self.clock.seconds() < end:
-            await deferLater(self.clock, TICK_S / 2)
-            is_idle = not self.origin.in_flight and not self.gate.in_flight
-            if is_idle and self.clock.seconds() - started_at >= LEAVE_S:
-                break
+    def close_ports(self) -> None:
+        """Take no more connections, and close those without a request."""
         for port in self._ports:
             port.stopListening()
         for server in self.servers:
             server.close_idle()
-        worker = self.gate.worker
-        if worker is not None and worker.state == "gone":
-            await self.store.remove_host(self.settings.host_id)
-        self.watch.stop()
-        await deferLater(self.clock, TICK_S / 2)
-        await self.hub.stop()
+
+    def finish(self) -> None:
+        """End the life cycle; nothing is open any more."""
         self._ticker.stop()
         self.lifecycle.finish()
 
@@ -265,7 +255,7 @@
             log("node.reload-failed", reason=settings.reason)
             return
         log("node.reloaded", is_changed=settings != self.settings)
-        self.settings = self.origin.settings = settings
+        self.settings = self.origin.settings = self.hosts.settings = settings
 
     def _tick(self) -> None:
         now = self.clock.seconds()
@@ -347,57 +337,12 @@
         peer = self.random.choice(near if near and self.config.version else peers)
         self.hub.send(peer.host_id, NewsWanted(self.config.version))
 
-    # Hosts.
-
-    def _get_record(self) -> HostRecord:
-        settings = self.settings
-        return HostRecord(
-            settings.host_id,
-            self.incarnation,
-            self.sequence,
-            settings.link_address,
-            settings.zone,
-            self.gate.is_closing,
-            self.gate.worker,
-        )
-
-    def _on_worker(self, worker: MeshWorker) -> None:
-        self._publish()
-
-    def _publish(self) -> None:
-        self.sequence += 1
-        record = self._get_record()
-        self.fleet.merge(record, self.clock.seconds())
-        self.hub.broadcast(Records([to_plain(record)]))
-        self.watch.publish()
-
-    def _on_hosts(self, records: list[HostRecord]) -> None:
-        for record in records:
-            self._take_record(record)
-        self.hub.follow(self.fleet.get_addresses())
-
-    def _take_record(self, record: HostRecord) -> None:
-        if record.host_id == self.settings.host_id:
-            self._take_own_record(record)
-        else:
-            self.fleet.merge(record, self.clock.seconds())
-
-    def _take_own_record(self, record: HostRecord) -> None:
-        """Use what an earlier process on this host knew of the worker."""
-        if record.incarnation == self.incarnation:
-            return
-        if record.incarnation > self.incarnation:
-            # The time of day was set back since; the records of this process
-            # must supersede those of the one before.
-            self.incarnation = record.incarnation + 1
-            self._publish()
-        if self.gate.worker is None and record.worker is not None:
-            state = "down" if record.worker.state == "ready" else "gone"
-            self.gate.set_worker(evolve(record.worker, state=state, sequence=0))
+    # Links.
 
     def _greet(self) -> list[Any]:
-        greeting = Greeting(self.settings.host_id, self.incarnation)
-        messages: list[Any] = [greeting, Records([to_plain(self._get_record())])]
+        record = self.hosts.get_record()
+        greeting = Greeting(record.host_id, record.incarnation)
+        messages: list[Any] = [greeting, Records([to_plain(record)])]
         if self.book.rules_by_service:
             messages.append(self.moves.make_news())
         if self.watch.failed_since is not None:
@@ -419,23 +364,16 @@
 
     def _on_message(self, link: Any, host_id: str, message: Any) -> None:
         now = self.clock.seconds()
-        if isinstance(message, Forward):
-            self._take_forward(link, message)
+        if isinstance(message, Forward | Cancel) or message is None:
+            self.forwarding.take(link, message)
         elif isinstance(message, Reply):
             self.origin.on_reply(message)
-        elif isinstance(message, Cancel):
-            request = self.requests_by_link.get(link, {}).get(message.stream)
-            if request is not None:
-                self.gate.cancel(request)
-        elif message is None:
-            for request in self.requests_by_link.pop(link, {}).values():
-                self.gate.cancel(request)
         elif isinstance(message, Outcomes):
             self.moves.take_outcomes(message)
         elif isinstance(message, Rules):
             self.moves.take_news(message, now)
         elif isinstance(message, Records):
-            self._take_records(message)
+            self.hosts.take_message(message)
         elif isinstance(message, NewsWanted):
             self._send_news(link, message)
         elif isinstance(message, ConfigCopy):
@@ -445,27 +383,6 @@
             else:
                 self._use_config(config, "peer")
 
-    def _take_forward(self, link: Any, forward: Forward) -> None:
-        requests = self.requests_by_link.setdefault(link, {})
-        request = self.gate.submit(forward, partial(self._send_reply, link))
-        if not request.is_ended:
-            requests[forward.stream] = request
-
-    def _send_reply(self, link: Any, reply: Reply) -> None:
-        requests = self.requests_by_link.get(link)
-        if requests is not None:
-            requests.pop(reply.stream, None)
-        link.send_encoded(encode_hop(reply))
-
-    def _take_records(self, message: Records) -> None:
-        for plain in message.records:
-            record = from_plain(HostRecord, plain)
-            if isinstance(record, ErrorResult):
-                log("host.record-unreadable", reason=record.reason)
-            else:
-                self._take_record(record)
-        self.hub.follow(self.fleet.get_addresses())
-
     def _send_news(self, link: Any, message: NewsWanted) -> None:
         if message.config_version == 0:
             records = [to_plain(r) for r in self.fleet.records_by_id.values()]
@@ -475,8 +392,6 @@
             link.send_encoded(encode_hop(copy))
         link.send_encoded(encode_hop(self.moves.make_news()))
 
-    # Requests of the platform and of the worker.
-
     def is_ready(self) -> bool:
         """Return whether callers on this host may send requests."""
         if not self.config.version or self.is_closing:
@@ -487,46 +402,3 @@
             self.fleet.has_reachable(service)
             for service in self.config.services_by_name
         )
-
-    def _answer_readiness(self, exchange: Exchange) -> None:
-        if exchange.target.partition(b"?")[0] != self.dialect.readiness_path:
-            exchange.respond(404, [])
-            return
-        exchange.respond(200 if self.is_ready() else 503, [])
-
-    def _answer_metrics(self, exchange: Exchange) -> None:
-        if exchange.target.partition(b"?")[0] != self.dialect.metrics_path:
-            exchange.respond(404, [])
-            return
-        headers = [(b"content-type", b"text/plain; version=0.0.4")]
-        exchange.respond(200, headers, self.metrics.format())
-
-    def _take_report(self, exchange: Exchange) -> None:
-        path = exchange.target.partition(b"?")[0]
-        prefix = self.dialect.worker_path
-        worker_id = path[len(prefix) :].decode("latin-1")
-        if not path.startswith(prefix) or not worker_id:
-            exchange.respond(404, [])
-        elif exchange.method == b"DELETE":
-            self.gate.sign_off(worker_id)
-            self._acknowledge(exchange)
-        elif exchange.method == b"PUT":
-            parts: list[bytes] = []
-            exchange.receive(
-                parts.append,
-                lambda: self._on_report(exchange, worker_id, b"".join(parts)),
-            )
-        else:
-            exchange.respond(405, [])
-
-    def _on_report(self, exchange: Exchange, worker_id: str, data: bytes) -> None:
-        worker = self.decode_worker(worker_id, data)
-        if isinstance(worker, ErrorResult):
-            log("worker.report-refused", worker=worker_id, reason=worker.reason)
-            exchange.respond(400, [], worker.reason.encode())
-            return
-        self.gate.set_worker(worker)
-        self._acknowledge(exchange)
-
-    def _acknowledge(self, exchange: Exchange) -> None:
-        exchange.respond(200, [(b"content-type", b"application/json")], b"{}")
--- /dev/null
+++ b/bamboocove/sidecar/doors.py
@@ -0,0 +1,83 @@
+"""Small interfaces of a node: readiness, metrics, and reports of its worker."""
+
+from collections.abc import Callable
+
+from bamboocove.errors import ErrorResult
+from bamboocove.sidecar.dialect import Dialect
+from bamboocove.sidecar.gate import Gate
+from bamboocove.sidecar.logs import log
+from bamboocove.sidecar.metrics import MeshMetrics
+from bamboocove.state.mesh import MeshWorker
+from bamboocove.transport.exchanges import Exchange
+
+# Reports of a worker are small.
+MAX_REPORT_BYTES = 64 * 1024
+
+DecodeWorker = Callable[[str, bytes], MeshWorker | ErrorResult]
+Handler = Callable[[Exchange], None]
+
+
+def make_readiness_handler(dialect: Dialect, is_ready: Callable[[], bool]) -> Handler:
+    """Return what answers the question whether callers may send requests."""
+
+    def answer(exchange: Exchange) -> None:
+        if exchange.target.partition(b"?")[0] != dialect.readiness_path:
+            exchange.respond(404, [])
+            return
+        exchange.respond(200 if is_ready() else 503, [])
+
+    return answer
+
+
+def make_metrics_handler(dialect: Dialect, metrics: MeshMetrics) -> Handler:
+    """Return what serves the metrics as text."""
+
+    def answer(exchange: Exchange) -> None:
+        if exchange.target.partition(b"?")[0] != dialect.metrics_path:
+            exchange.respond(404, [])
+            return
+        headers = [(b"content-type", b"text/plain; version=0.0.4")]
+        exchange.respond(200, headers, metrics.format())
+
+    return answer
+
+
+def make_report_handler(
+    dialect: Dialect, gate: Gate, decode_worker: DecodeWorker
+) -> Handler:
+    """Return what takes the reports of the worker on this host.
+
+    The gate acts on a report before it is acknowledged, so that a worker that
+    leaves gets nothing after the acknowledgement.
+    """
+
+    def take(exchange: Exchange) -> None:
+        path = exchange.target.partition(b"?")[0]
+        prefix = dialect.worker_path
+        worker_id = path[len(prefix) :].decode("latin-1")
+        if not path.startswith(prefix) or not worker_id:
+            exchange.respond(404, [])
+        elif exchange.method == b"DELETE":
+            gate.sign_off(worker_id)
+            acknowledge(exchange)
+        elif exchange.method == b"PUT":
+            parts: list[bytes] = []
+            exchange.receive(
+                parts.append, lambda: read(exchange, worker_id, b"".join(parts))
+            )
+        else:
+            exchange.respond(405, [])
+
+    def read(exchange: Exchange, worker_id: str, data: bytes) -> None:
+        worker = decode_worker(worker_id, data)
+        if isinstance(worker, ErrorResult):
+            log("worker.report-refused", worker=worker_id, reason=worker.reason)
+            exchange.respond(400, [], worker.reason.encode())
+            return
+        gate.set_worker(worker)
+        acknowledge(exchange)
+
+    def acknowledge(exchange: Exchange) -> None:
+        exchange.respond(200, [(b"content-type", b"application/json")], b"{}")
+
+    return take
--- a/tests/sidecar/hosts.py
+++ b/tests/sidecar/hosts.py
@@ -1,6 +1,8 @@
 """Hosts of a mesh in one process: nodes, their workers, and a store in memory."""
 
+import itertools
 import json
+import os
 import random
 import socket
 
@@ -106,10 +108,19 @@
     )
 
 
+# Below the range from which the system takes ports of outgoing connections: a
+# port from there was taken by another connection between the choice and its use.
+_ports = itertools.count(20000 + os.getpid() % 500 * 20)
+
+
 def get_free_port():
-    with socket.socket() as held:
-        held.bind(("127.0.0.1", 0))
-        return held.getsockname()[1]
+    for port in _ports:
+        with socket.socket() as held:
+            try:
+                held.bind(("127.0.0.1", 20000 + port % 12000))
+            except OSError:
+                continue
+            return held.getsockname()[1]
 
 
 class Host:
@@ -289,7 +300,7 @@
             alive = [h for h in self.hosts if h.node.hooks.state == "serving"]
             return len(alive) == len(self.hosts) and all(
                 host.node.fleet.records_by_id.get(other.host_id)
-                == other.node._get_record()
+                == other.node.hosts.get_record()
                 and host.node.fleet.is_reachable(other.host_id)
                 and (other is host or host.node.hub.peers_by_id[other.host_id].is_open)
                 for host in alive
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -268,6 +268,17 @@
     assert caller.call()[0] == 200
 
 
+def test_restarted_node_finds_a_worker_that_was_down(mesh):
+    """Guards against a worker that is taken for gone after a restart."""
+    caller, target = make_pair(mesh)
+    target.node.gate._set_state("down")
+    target.node.gate.health_path = ""
+    spin(lambda: mesh.store.hosts["h1"].worker.state == "down")
+    stop_at_once(target.node)
+    target.start(incarnation=2000)
+    spin(lambda: target.node.gate.worker and target.node.gate.worker.state == "ready")
+
+
 def test_restarted_node_does_not_revive_a_leaving_worker(mesh):
     """Guards against an acknowledgement that is forgotten with its process."""
     caller, target = make_pair(mesh)
