Split origin and gate: flows, candidates, the worker's state and its requests

Requests that waited for a worker were forgotten, without an answer until their deadline, when another start of it took its place; they are refused now, so that they are placed elsewhere.

--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -34,13 +34,14 @@
     make_report_handler,
 )
 from bamboocove.sidecar.fleet import Fleet
+from bamboocove.sidecar.flows import NOT_CLOSING
 from bamboocove.sidecar.forwarding import Forwarding
 from bamboocove.sidecar.gate import Gate
 from bamboocove.sidecar.hosts import HostDirectory
 from bamboocove.sidecar.links import HubHandlers, LinkHub
 from bamboocove.sidecar.logs import STATE, log
 from bamboocove.sidecar.metrics import MeshMetrics
-from bamboocove.sidecar.origin import NOT_CLOSING, Origin
+from bamboocove.sidecar.origin import Origin
 from bamboocove.sidecar.rules import MoveTask, RuleBook
 from bamboocove.sidecar.settings import HostSettings
 from bamboocove.sidecar.stopping import drain
@@ -227,7 +228,7 @@
     @property
     def is_closing(self) -> bool:
         """Whether the node is about to stop."""
-        return self.origin.closing is not NOT_CLOSING
+        return self.origin.intake.closing is not NOT_CLOSING
 
     def drain(self) -> None:
         """Begin a graceful shutdown; ``finished`` fires at its end."""
@@ -314,10 +315,10 @@
         if not self.config.version:
             self._configured_at = self.clock.seconds()
         self.config = config
-        self.origin.use_config(config, table)
+        self.origin.intake.use_config(config, table)
         service = config.services_by_name.get(self.settings.service)
         if service is not None:
-            self.gate.health_path = service.health_path
+            self.gate.watch.health_path = service.health_path
         self.lifecycle.serve()
 
     def _on_rules(self, rules: list) -> None:
--- a/bamboocove/sidecar/gate.py
+++ b/bamboocove/sidecar/gate.py
@@ -7,11 +7,8 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, evolve, field
-
 from bamboocove.coordination.short_moves import Tally
 from bamboocove.coordination.worker_queue import WaitingRequest, WorkerQueue
-from bamboocove.errors import ErrorResult
 from bamboocove.protocol.hops import (
     ANSWERED,
     LOST,
@@ -23,14 +20,20 @@
     Reply,
 )
 from bamboocove.sidecar.dialect import Dialect
+from bamboocove.sidecar.gate_request import (
+    FIRST_ERROR_STATUS,
+    GateRequest,
+    format_worker_request,
+    is_own_answer,
+)
 from bamboocove.sidecar.logs import log
 from bamboocove.sidecar.settings import Address
+from bamboocove.sidecar.worker_watch import WorkerWatch
 from bamboocove.state.mesh import MeshWorker
 from bamboocove.transport.clients import ClientConnection, ConnectionPool
-from bamboocove.transport.fetching import Fetch, format_request, set_keepalive
+from bamboocove.transport.fetching import set_keepalive
 from bamboocove.transport.framing import (
     Headers,
-    format_fields,
     get_header,
     strip_headers,
 )
@@ -47,67 +50,12 @@
 TIMEOUTS_UNTIL_DOWN = 3
 # Time without any answer that goes with them, in seconds.
 SILENT_S = 1.0
-PROBE_INTERVAL_S = 0.5
-PROBE_TIMEOUT_S = 0.4
 FAILURE_WEIGHT = 0.1
 # Ranks whose waits are reported.
 REPORTED_RANKS = 4
-FIRST_ERROR_STATUS = 400
 MISDIRECTED = 421
 
 
-@define(eq=False)
-class GateRequest:
-    """One request at the gate.
-
-    Parameters
-    ----------
-    gate : Gate
-        Owner.
-    forward : Forward
-        The request.
-    reply : callable
-        Takes the Reply, once.
-    deadline : float
-        When its time ends, in seconds of the local clock.
-    """
-
-    gate: "Gate"
-    forward: Forward
-    reply: Callable[[Reply], None]
-    deadline: float
-    entry: WaitingRequest | None = None
-    connection: ClientConnection | None = None
-    connector: Any = None
-    timer: Any = None
-    attempt_id: bytes = b""
-    is_sent: bool = False
-    is_ended: bool = False
-    status: int = 0
-    headers: Headers = field(factory=list)
-    parts: list[bytes] = field(factory=list)
-
-    def on_response(self, status: int, headers: Headers, length: int | None) -> None:
-        """Take the head of the worker's answer."""
-        self.status = status
-        self.headers = headers
-
-    def on_response_data(self, data: bytes) -> None:
-        """Take a part of the body."""
-        self.parts.append(data)
-
-    def on_response_end(self, data: bytes) -> None:
-        """Take the last part of the body."""
-        self.connection = None
-        self.parts.append(data)
-        self.gate.on_answer(self)
-
-    def on_response_lost(self, reason: str) -> None:
-        """Take note that there is no whole answer."""
-        self.connection = None
-        self.gate.on_lost(self, reason)
-
-
 class Gate:
     """Queue of the worker on this host, and the connections to it.
 
@@ -141,75 +89,40 @@
         self._pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
         self._timeouts = 0
         self._answered_at = 0.0
-        self._probe_at = 0.0
-        self._is_probing = False
         self._requests: set[GateRequest] = set()
         self._running_ids: set[bytes] = set()
         self._failure_average = 0.0
         self.queue = WorkerQueue(1)
-        self.worker: MeshWorker | None = None
-        self.health_path = ""
+        self.watch = WorkerWatch(
+            address, dialect, clock, self._pool, self._on_state, self._on_replaced
+        )
         self.tallies_by_route: dict[str, Tally] = {}
         self.is_closing = False
 
     # The worker.
 
+    @property
+    def worker(self) -> MeshWorker | None:
+        """The worker on this host, once it is known."""
+        return self.watch.worker
+
     def set_worker(self, worker: MeshWorker) -> None:
         """Take what the worker says of itself, unless it is older news."""
-        held = self.worker
-        if held is not None:
-            is_other = held.worker_id != worker.worker_id
-            if is_other and worker.born_ms < held.born_ms:
-                log("worker.old-report", worker=worker.worker_id, held=held.worker_id)
-                return
-            is_same_start = not is_other and worker.born_ms == held.born_ms
-            if is_same_start and worker.sequence <= held.sequence:
-                return
-            if is_same_start and held.state == "gone":
-                return
-            if not is_same_start:
-                self._forget_worker()
-        changed = held is None or (
-            (held.worker_id, held.state, held.version, held.slots, held.born_ms)
-            != (
-                worker.worker_id,
-                worker.state,
-                worker.version,
-                worker.slots,
-                worker.born_ms,
-            )
-        )
-        self.worker = worker
-        self.queue.slots = worker.slots
-        self._timeouts = 0
-        if changed:
-            log(
-                "worker.state",
-                worker=worker.worker_id,
-                service=worker.service,
-                version=worker.version,
-                state=worker.state,
-            )
-            self._react()
+        self.watch.take(worker)
 
     def sign_off(self, worker_id: str) -> None:
         """Take note that the worker leaves for good."""
-        if self.worker is not None and self.worker.worker_id == worker_id:
-            self._set_state("gone")
-
-    def _set_state(self, state: str) -> None:
-        if self.worker.state == state:
-            return
-        self.worker = evolve(self.worker, state=state)
-        log("worker.state", worker=self.worker.worker_id, state=state)
-        self._react()
+        self.watch.sign_off(worker_id)
 
-    def _react(self) -> None:
-        if self.worker.state != "ready":
-            self._refuse_waiting(f"worker is {self.worker.state}")
-        self._on_worker(self.worker)
+    def _on_state(self, worker: MeshWorker) -> None:
+        self.queue.slots = worker.slots
+        self._timeouts = 0
+        if worker.state != "ready":
+            self._refuse_waiting(f"worker is {worker.state}")
+        self._on_worker(worker)
 
-    def _forget_worker(self) -> None:
+    def _on_replaced(self) -> None:
+        self._refuse_waiting("worker was replaced")
         self._pool.close()
         self._failure_average = 0.0
         self.tallies_by_route = {}
@@ -220,13 +133,6 @@
         for entry in waiting:
             self._end(entry.payload, REFUSED, reason=reason)
 
-    def _suspect_worker(self, reason: str) -> None:
-        if self.worker is not None and self.worker.state == "ready":
-            log("worker.suspect", worker=self.worker.worker_id, reason=reason)
-            self._pool.close()
-            self._set_state("down")
-            self._probe_at = self._clock.seconds() + PROBE_INTERVAL_S / 5
-
     def tick(self, now: float) -> None:
         """Look after waiting requests and a worker that is down."""
         self._pool.sweep(now)
@@ -234,32 +140,7 @@
             if entry.deadline <= now:
                 self.queue.discard(entry)
                 self._end(entry.payload, REFUSED, reason="waited too long")
-        if (
-            self.worker is not None
-            and self.worker.state == "down"
-            and now >= self._probe_at
-            and not self._is_probing
-        ):
-            self._probe_at = now + PROBE_INTERVAL_S
-            self.probe()
-
-    def probe(self) -> None:
-        """Ask the worker's health check whether it can be used."""
-        if not self.health_path or self.worker is None:
-            return
-        self._is_probing = True
-        data = format_request(b"GET", self.health_path.encode(), self._address, [], b"")
-        fetch = Fetch(self._pool, self._address, data)
-        fetch.start(PROBE_TIMEOUT_S).addCallback(self._on_probed, self.worker)
-
-    def _on_probed(self, result: Any, worker: MeshWorker) -> None:
-        self._is_probing = False
-        if isinstance(result, ErrorResult) or self.worker is not worker:
-            return
-        answering = get_header(result.headers, self._dialect.answering_worker_id)
-        if result.status == 200 and answering == worker.worker_id.encode():
-            self._timeouts = 0
-            self._set_state("ready")
+        self.watch.tick(now)
 
     # Requests.
 
@@ -328,7 +209,7 @@
         request.connector = None
         if not request.is_ended:
             self._end(request, REFUSED, reason="worker is unreachable")
-            self._suspect_worker(reason)
+            self.watch.suspect(reason)
 
     def _send(self, request: GateRequest, connection: ClientConnection) -> None:
         request.connector = None
@@ -344,44 +225,14 @@
         request.attempt_id = attempt_id or b""
         self._running_ids.add(request.attempt_id)
         connection.send(
-            self._format(request, now),
+            format_worker_request(request, self._dialect, self.worker.worker_id, now),
             forward.method == b"HEAD",
             True,
             request,
             lambda held: self._pool.put(self._address, held),
-            lambda status, headers: self._is_own(status, headers, attempt_id),
-        )
-
-    def _is_own(self, status: int, headers: Headers, attempt_id: bytes | None) -> bool:
-        """Return whether an answer is the one to an attempt.
-
-        A worker repeats the identifier in each answer to a request that it
-        ran; refusals may come without one.
-        """
-        answered = get_header(headers, self._dialect.attempt_id)
-        if answered is None:
-            return status >= FIRST_ERROR_STATUS
-        return attempt_id is None or answered == attempt_id
-
-    def _format(self, request: GateRequest, now: float) -> bytes:
-        forward = request.forward
-        dialect = self._dialect
-        left_ms = max(1, int((request.deadline - now) * 1000))
-        length = b""
-        if forward.body or forward.method in (b"POST", b"PUT", b"PATCH"):
-            length = b"content-length: %d\r\n" % len(forward.body)
-        return b"%b %b HTTP/1.1\r\n%b%b%b: %d\r\n%b: %b\r\n%b: %b\r\n\r\n%b" % (
-            forward.method,
-            forward.target,
-            format_fields(forward.headers),
-            length,
-            dialect.time_left_ms,
-            left_ms,
-            dialect.worker_id,
-            self.worker.worker_id.encode(),
-            dialect.caller_service,
-            forward.caller.encode(),
-            forward.body,
+            lambda status, headers: is_own_answer(
+                status, headers, self._dialect, attempt_id
+            ),
         )
 
     def cancel(self, request: GateRequest) -> None:
@@ -409,7 +260,7 @@
         if status == MISDIRECTED or not_run:
             self._end(request, SHED, is_failure=True)
             if status == MISDIRECTED:
-                self._suspect_worker("another worker answered at its address")
+                self.watch.suspect("another worker answered at its address")
             return
         self._end(request, ANSWERED, is_failure=status >= 500)
 
@@ -431,7 +282,7 @@
             self._pool.put(self._address, connection)
 
         self._pool.connect(
-            self._address, on_alive, lambda reason: self._suspect_worker(reason)
+            self._address, on_alive, lambda reason: self.watch.suspect(reason)
         )
 
     def _on_deadline(self, request: GateRequest) -> None:
@@ -445,7 +296,7 @@
         self._timeouts += 1
         self._end(request, TIMED_OUT, is_failure=True, reason="no answer in time")
         if self._timeouts >= TIMEOUTS_UNTIL_DOWN and now - self._answered_at > SILENT_S:
-            self._suspect_worker("worker does not answer")
+            self.watch.suspect("worker does not answer")
 
     def _end(
         self,
--- a/bamboocove/sidecar/origin.py
+++ b/bamboocove/sidecar/origin.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, field, frozen
-
 from bamboocove.coordination.placement import (
     HostView,
     QueueReport,
@@ -13,19 +11,10 @@
 )
 from bamboocove.coordination.repeats import (
     CrashTable,
-    PatienceTable,
     RepeatBudgets,
     may_repeat,
 )
-from bamboocove.coordination.route_table import (
-    PrefixTable,
-    ShareCounter,
-    VersionCounter,
-    find_route,
-)
-from bamboocove.coordination.short_moves import count_workers_used
 from bamboocove.coordination.suspects import digest_body, make_fingerprint
-from bamboocove.coordination.worker_queue import INTERNAL_PRIORITY
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.protocol.hops import (
     ANSWERED,
@@ -39,17 +28,18 @@
     Reply,
 )
 from bamboocove.sidecar.answers import refuse
+from bamboocove.sidecar.candidates import Candidates
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.fleet import Fleet
-from bamboocove.sidecar.gate import Gate, GateRequest
+from bamboocove.sidecar.flows import Flow, Intake
+from bamboocove.sidecar.gate import Gate
 from bamboocove.sidecar.links import LinkHub
 from bamboocove.sidecar.logs import log
 from bamboocove.sidecar.metrics import MeshMetrics
 from bamboocove.sidecar.rules import RuleBook
 from bamboocove.sidecar.settings import HostSettings
-from bamboocove.state.mesh import HostRoute, MeshConfig
 from bamboocove.transport.exchanges import Exchange
-from bamboocove.transport.framing import get_header, strip_headers
+from bamboocove.transport.framing import get_header
 
 # Hosts that are asked for one request before it is refused.
 MOST_ASKED = 4
@@ -65,78 +55,6 @@
 LEAST_LEFT_S = 0.02
 
 
-@frozen
-class Closing:
-    """Until when a node that stops takes requests.
-
-    Parameters
-    ----------
-    refuse_at : float
-        From when on requests are refused that may not end in time.
-    end_at : float
-        When the process ends, in seconds of the local clock.
-    """
-
-    refuse_at: float
-    end_at: float
-
-
-NOT_CLOSING = Closing(float("inf"), float("inf"))
-
-
-@define(eq=False)
-class Flow:
-    """One request of a caller.
-
-    Parameters
-    ----------
-    exchange : Exchange
-        Request and answer on the caller's side.
-    route : HostRoute
-        Its route.
-    service : str
-        Service that it goes to.
-    started_at, deadline, target_at : float
-        When it came, and when its time and its objective end, in seconds of
-        the local clock.
-    priority : int
-        Rank under load.
-    attempt_id : bytes
-        Identifier that the caller gave it.
-    headers : list
-        Fields that are passed on.
-    patient_until : float
-        How long the caller waits, also beyond the route's time-out.
-    """
-
-    exchange: Exchange
-    route: HostRoute
-    service: str
-    started_at: float
-    deadline: float
-    target_at: float
-    priority: int
-    attempt_id: bytes
-    headers: list[list[bytes]]
-    patient_until: float
-    body: bytes = b""
-    is_new_version: bool = False
-    excluded: set[str] = field(factory=set)
-    asked: int = 0
-    sent: int = 0
-    host_id: str = ""
-    view: HostView | None = None
-    stream: int = 0
-    gate_request: GateRequest | None = None
-    timer: Any = None
-    fingerprint: str = ""
-    was_lost: bool = False
-    is_ended: bool = False
-    held_reply: Reply | None = None
-    last_reason: str = ""
-    parts: list[bytes] = field(factory=list)
-
-
 class Origin:
     """Takes the requests of callers and has them run somewhere.
 
@@ -183,33 +101,24 @@
         self._metrics = metrics
         self._clock = clock
         self._random = random
-        self._table: PrefixTable = {}
-        self._shares = ShareCounter()
-        self._versions = VersionCounter()
-        self._patience = PatienceTable()
+        self.intake = Intake(dialect, gate.is_running)
+        self._candidates = Candidates(fleet, rules, random)
         self._flows_by_stream: dict[int, Flow] = {}
         self._next_stream = 1
         self._flows: set[Flow] = set()
-        self.config = MeshConfig()
         self.crashes = CrashTable()
         self.budgets = RepeatBudgets()
-        self.closing = NOT_CLOSING
 
     @property
     def in_flight(self) -> int:
         """Requests without an answer."""
         return len(self._flows)
 
-    def use_config(self, config: MeshConfig, table: PrefixTable) -> None:
-        """Put a configuration in force."""
-        self.config = config
-        self._table = table
-
     # From the caller.
 
     def take(self, exchange: Exchange) -> None:
         """Take a request."""
-        flow = self._begin(exchange)
+        flow = self.intake.begin(exchange, self._clock.seconds())
         if isinstance(flow, ErrorResult):
             status = refuse(exchange, flow, self._get_return(flow))
             self._metrics.count_own_answer(flow.kind.value)
@@ -218,7 +127,7 @@
                 id=get_header(exchange.headers, self._dialect.attempt_id),
                 status=status,
                 reason=str(flow),
-                config=self.config.version,
+                config=self.intake.config.version,
             )
             return
         self._flows.add(flow)
@@ -231,58 +140,11 @@
         else:
             exchange.receive(flow.parts.append, lambda: self._on_body(flow))
 
-    def _begin(self, exchange: Exchange) -> Flow | ErrorResult:
-        if not self.config.version:
-            return ErrorResult(ErrorKind.NOT_READY, "no configuration yet")
-        closing = self.closing
-        if closing is not NOT_CLOSING:
-            exchange.is_keep_alive = False
-        headers = exchange.headers
-        host = get_header(headers, b"host") or b""
-        path = exchange.target.partition(b"?")[0].decode("latin-1")
-        route = find_route(self._table, host.decode("latin-1"), path)
-        if route is None:
-            return ErrorResult(ErrorKind.NO_ROUTE, f"no route for {host!r} {path}")
-        now = self._clock.seconds()
-        patience_s = route.timeout_s
-        waited_s = 0.0
-        value = get_header(headers, self._dialect.time_left_ms)
-        if value is not None:
-            if not value.isdigit() or len(value) > 9:
-                reason = "the time left is not a number of milliseconds"
-                return ErrorResult(ErrorKind.BAD_REQUEST, reason)
-            patience_s = int(value) / 1000
-            waited_s = self._patience.get_waited(route.name, patience_s)
-        left_s = min(route.timeout_s, patience_s)
-        if now > closing.refuse_at and now + left_s > closing.end_at:
-            # Callers may go on for seconds after they were told that this node
-            # is not ready; what cannot end in time is not begun.
-            return ErrorResult(ErrorKind.DRAINING, "the node is stopping")
-        attempt_id = get_header(headers, self._dialect.attempt_id) or b""
-        is_internal = self._gate.is_running(self._dialect.get_parent(attempt_id))
-        return Flow(
-            exchange,
-            route,
-            self._shares.pick(route),
-            now,
-            now + left_s,
-            now + route.target_s - waited_s,
-            INTERNAL_PRIORITY if is_internal else route.priority,
-            attempt_id,
-            self._strip(headers),
-            now + patience_s,
-        )
-
     def _get_return(self, error: ErrorResult) -> float:
         if error.kind in (ErrorKind.NOT_READY, ErrorKind.DRAINING):
             return OTHER_NODE_S * (0.5 + self._random())
         return 0.0
 
-    def _strip(self, headers: list) -> list[list[bytes]]:
-        dialect = self._dialect
-        own = (dialect.time_left_ms, dialect.worker_id, dialect.caller_service)
-        return [list(item) for item in strip_headers(headers) if item[0] not in own]
-
     def _on_body(self, flow: Flow) -> None:
         flow.body = b"".join(flow.parts)
         flow.parts = []
@@ -298,32 +160,6 @@
 
     # Placement.
 
-    def _get_candidates(self, flow: Flow) -> list[HostView]:
-        views = self._fleet.get_views(flow.service)
-        rule = self._rules.get(flow.service)
-        if rule is None:
-            current = self._fleet.get_oldest_version(flow.service)
-            return [view for view in views if view.version == current]
-        share = self._rules.get_share(flow.service)
-        new, old = [], []
-        for view in views:
-            if not rule.allows(view.version):
-                continue
-            is_new = rule.state == "running" and view.version == rule.to_version
-            (new if is_new else old).append(view)
-        if rule.state != "running":
-            return old
-        if flow.asked == 0:
-            flow.is_new_version = bool(new) and self._versions.is_new(
-                flow.service, share, self._random
-            )
-        if share >= 1.0 and new:
-            return new if flow.asked < 2 or not old else old
-        if flow.is_new_version and share > 0.0 and flow.asked == 0:
-            new.sort(key=lambda view: view.host_id)
-            return new[: count_workers_used(share, len(old))]
-        return old
-
     def _place(self, flow: Flow) -> None:
         if flow.is_ended:
             return
@@ -343,7 +179,7 @@
     def _ask(self, flow: Flow, now: float) -> None:
         """Send the request to the best host that may still run it."""
         while True:
-            views = self._get_candidates(flow)
+            views = self._candidates.get(flow)
             view = None
             if flow.asked < MOST_ASKED:
                 view = pick_host(
@@ -487,7 +323,7 @@
             sent=flow.sent,
             seconds=round(seconds, 4),
             service_ms=reply.service_ms,
-            config=self.config.version,
+            config=self.intake.config.version,
         )
         exchange = flow.exchange
         exchange.on_closed = None
@@ -513,7 +349,7 @@
             flow.asked = 1
             self._ask(flow, now)
         else:
-            self._refuse_unplaced(flow, self._get_candidates(flow))
+            self._refuse_unplaced(flow, self._candidates.get(flow))
 
     def _may_repeat(self, flow: Flow, now: float) -> bool:
         return may_repeat(
@@ -615,7 +451,7 @@
             asked=flow.asked,
             sent=flow.sent,
             held_s=round(now - flow.started_at, 4),
-            config=self.config.version,
+            config=self.intake.config.version,
             return_s=round(return_s, 3),
         )
 
--- a/bamboocove/sidecar/stopping.py
+++ b/bamboocove/sidecar/stopping.py
@@ -4,8 +4,8 @@
 
 from twisted.internet.task import deferLater
 
+from bamboocove.sidecar.flows import Closing
 from bamboocove.sidecar.logs import log
-from bamboocove.sidecar.origin import Closing
 
 POLL_S = 0.05
 # Callers stop to send new requests after two questions, one a second, that
@@ -30,7 +30,7 @@
     started_at = clock.seconds()
     log("node.draining", in_flight=origin.in_flight + gate.in_flight)
     end = started_at + GRACE_PART * application.settings.bounds.grace_s
-    origin.closing = Closing(started_at + LEAVE_S, end)
+    origin.intake.closing = Closing(started_at + LEAVE_S, end)
     # The worker serves other hosts while the callers of this one leave.
     await deferLater(clock, HAND_OVER_S)
     gate.is_closing = True
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet import reactor
 
-from bamboocove.sidecar.origin import Closing
+from bamboocove.sidecar.flows import Closing
 from tests.callpath import run, spin
 from tests.sidecar.hosts import (
     HostMesh,
@@ -271,8 +271,8 @@
 def test_restarted_node_finds_a_worker_that_was_down(mesh):
     """Guards against a worker that is taken for gone after a restart."""
     caller, target = make_pair(mesh)
-    target.node.gate._set_state("down")
-    target.node.gate.health_path = ""
+    target.node.gate.watch.set_state("down")
+    target.node.gate.watch.health_path = ""
     spin(lambda: mesh.store.hosts["h1"].worker.state == "down")
     stop_at_once(target.node)
     target.start(incarnation=2000)
@@ -313,7 +313,7 @@
     caller, target = make_pair(mesh)
     caller.node.drain()
     now = reactor.seconds()
-    caller.node.origin.closing = Closing(now - 1, now + 0.5)
+    caller.node.origin.intake.closing = Closing(now - 1, now + 0.5)
     status, fields, _ = caller.call(left_ms=900)
     assert status == 503 and float(fields["retry-after"]) > 0
     assert fields["connection"] == "close"
