Offer what a node knows to a peer of its zone twice a second

A call that waits for changes may hang without a sign while the store takes connections; keep-alive does not show it, and the call's own time-out is 21 s.

--- a/bamboocove/protocol/hops.py
+++ b/bamboocove/protocol/hops.py
@@ -29,9 +29,25 @@
     records: list[Any]
 
 
+@frozen
+class NewsOffer:
+    """What the sender knows, in short; one that knows less asks for it.
+
+    Parameters
+    ----------
+    config_version : int
+        Version of the configuration that the sender has.
+    rules_digest : int
+        Checksum of its version rules.
+    """
+
+    config_version: int
+    rules_digest: int
+
+
 @frozen
 class NewsWanted:
-    """The sender cannot read the store and asks for what the receiver knows.
+    """The sender asks for what the receiver knows.
 
     Parameters
     ----------
@@ -202,6 +218,7 @@
 _TYPES = (
     Greeting,
     Records,
+    NewsOffer,
     NewsWanted,
     ConfigCopy,
     Forward,
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -18,6 +18,7 @@
     ConfigCopy,
     Forward,
     Greeting,
+    NewsOffer,
     NewsWanted,
     Outcomes,
     Records,
@@ -55,7 +56,9 @@
 TICK_S = 0.1
 BACKLOG = 1024
 MAX_BODY_BYTES = 64 * 1024 * 1024
-# Interval at which a node without the store asks its peers for news, in seconds.
+# Interval at which a node tells a peer of its zone what it knows, and one without
+# the store asks a peer, in seconds. A call that waits for changes may hang
+# without a sign; a peer then offers the configuration before it must be in force.
 NEWS_S = 0.5
 # After this time with a configuration a node is ready even if it knows no
 # worker of some service.
@@ -266,9 +269,9 @@
         if now >= self._sweep_at:
             self._sweep_at = now + SWEEP_S
             self._sweep(now)
-        if self.watch.failed_since is not None and now >= self._news_at:
+        if now >= self._news_at:
             self._news_at = now + NEWS_S
-            self._ask_for_news()
+            self._exchange_news()
 
     def _sweep(self, now: float) -> None:
         for server in self.servers:
@@ -326,7 +329,7 @@
         for rule in rules:
             self.moves.take_rule(rule, True, now)
 
-    def _ask_for_news(self) -> None:
+    def _exchange_news(self) -> None:
         peers = [peer for peer in self.hub.peers_by_id.values() if peer.is_open]
         if not peers:
             return
@@ -335,8 +338,13 @@
             for peer in peers
             if self.fleet.records_by_id[peer.host_id].zone == self.settings.zone
         ]
+        is_lost = self.watch.failed_since is not None
         peer = self.random.choice(near if near and self.config.version else peers)
-        self.hub.send(peer.host_id, NewsWanted(self.config.version))
+        if is_lost or not self.config.version:
+            message: Any = NewsWanted(self.config.version)
+        else:
+            message = NewsOffer(self.config.version, self.book.get_digest())
+        self.hub.send(peer.host_id, message)
 
     # Links.
 
@@ -375,6 +383,12 @@
             self.moves.take_news(message, now)
         elif isinstance(message, Records):
             self.hosts.take_message(message)
+        elif isinstance(message, NewsOffer):
+            if (
+                message.config_version > self.config.version
+                or message.rules_digest != self.book.get_digest()
+            ):
+                link.send_encoded(encode_hop(NewsWanted(self.config.version)))
         elif isinstance(message, NewsWanted):
             self._send_news(link, message)
         elif isinstance(message, ConfigCopy):
--- a/bamboocove/sidecar/rules.py
+++ b/bamboocove/sidecar/rules.py
@@ -59,6 +59,14 @@
         rule = self.rules_by_service.get(service)
         return rule is None or rule.allows(version)
 
+    def get_digest(self) -> int:
+        """Return a checksum that is equal on nodes with the same rules."""
+        states = sorted(
+            (rule.service, rule.order_revision, rule.state)
+            for rule in self.rules_by_service.values()
+        )
+        return crc32(repr(states).encode())
+
     def merge(self, rule: VersionRule, is_confirmed: bool) -> bool:
         """Take a rule; return whether it changed anything.
 
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -2,6 +2,7 @@
 
 import pytest
 from twisted.internet import reactor
+from twisted.internet.defer import Deferred
 
 from bamboocove.sidecar.flows import Closing
 from tests.callpath import run, spin
@@ -259,6 +260,24 @@
     assert caller.call()[0] == 200
 
 
+def test_node_whose_watch_hangs_gets_the_configuration_of_a_peer(mesh):
+    """Guards against a store that takes a call and never answers it."""
+    caller, target = make_pair(mesh)
+    watch = mesh.store.watch_operator
+
+    async def hang(revision):
+        await Deferred()
+
+    caller.node.watch._store.watch_operator = hang
+    spin(lambda: caller.node.watch.failed_since is None)
+    # The call that is under way ends with this change, the next one hangs.
+    mesh.store.put_config(make_config(2))
+    spin(lambda: mesh.get_versions() == [2, 2])
+    target.node._use_config(make_config(3, read={"orders": 1}, b={"orders": 1}), "test")
+    spin(lambda: mesh.get_versions() == [3, 3], 2)
+    mesh.store.watch_operator = watch
+
+
 def test_restarted_node_serves_its_worker_before_the_next_report(mesh):
     caller, target = make_pair(mesh)
     stop_at_once(target.node)
