--- a/bamboocove/coordination/worker_queue.py
+++ b/bamboocove/coordination/worker_queue.py
@@ -38,7 +38,7 @@
 RESCUED_RANK = -0.5
 # Part of a class's requests below which that holds, also as a part of what a
 # more urgent class gets, and the weight of the newest request in the averages.
-LEAST_TAKEN_PART = 0.3
+LEAST_TAKEN_PART = 0.4
 TAKEN_WEIGHT = 0.05
 # Part of the slots that late requests leave free, so that one that is in time
 # seldom has to wait for a late one.
