Cancel where a request was sent second; block only what takes its worker down

Two faults found by reading. The gate's refusal of a request of this host came before the request was noted, so that a cancel went to the refused one and the worker that got it second went on (the test fails without the check). Any lost answer counted as a crash of the worker: with two of them the caller's return was refused for 60 s. The gate now opens a connection first, and only a worker that cannot be reached counts.

--- a/bamboocove/protocol/hops.py
+++ b/bamboocove/protocol/hops.py
@@ -155,6 +155,8 @@
 LOST = 3
 # The request was still running when its time ended.
 TIMED_OUT = 4
+# The request was lost together with the worker that ran it.
+CRASHED = 6
 # The node refused, because its worker is not the one that the sender expects.
 MISPLACED = 5
 
--- a/bamboocove/sidecar/gate.py
+++ b/bamboocove/sidecar/gate.py
@@ -11,6 +11,7 @@
 from bamboocove.coordination.worker_queue import WaitingRequest, WorkerQueue
 from bamboocove.protocol.hops import (
     ANSWERED,
+    CRASHED,
     LOST,
     MISPLACED,
     REFUSED,
@@ -265,7 +266,11 @@
         self._end(request, ANSWERED, is_failure=status >= 500)
 
     def on_lost(self, request: GateRequest, reason: str) -> None:
-        """Report a request whose answer will not come."""
+        """Report a request whose answer will not come.
+
+        A new connection tells first whether the worker was lost with it: only
+        then the request may be what takes workers down.
+        """
         if request.is_ended:
             return
         log(
@@ -273,18 +278,22 @@
             id=get_header(request.forward.headers, self._dialect.attempt_id),
             reason=reason,
         )
-        self._end(request, LOST, is_failure=True, reason=reason)
-        if self.worker is not None and self.worker.state == "ready":
-            self._check_crash()
-
-    def _check_crash(self) -> None:
-        def on_alive(connection: ClientConnection) -> None:
-            self._pool.put(self._address, connection)
-
         self._pool.connect(
-            self._address, on_alive, lambda reason: self.watch.suspect(reason)
+            self._address,
+            lambda connection: self._on_alive(request, connection, reason),
+            lambda failure: self._on_crash(request, failure),
         )
 
+    def _on_alive(
+        self, request: GateRequest, connection: ClientConnection, reason: str
+    ) -> None:
+        self._pool.put(self._address, connection)
+        self._end(request, LOST, is_failure=True, reason=reason)
+
+    def _on_crash(self, request: GateRequest, reason: str) -> None:
+        self._end(request, CRASHED, is_failure=True, reason=reason)
+        self.watch.suspect(reason)
+
     def _on_deadline(self, request: GateRequest) -> None:
         request.timer = None
         if request.is_ended:
--- a/bamboocove/sidecar/origin.py
+++ b/bamboocove/sidecar/origin.py
@@ -18,6 +18,7 @@
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.protocol.hops import (
     ANSWERED,
+    CRASHED,
     LOST,
     MISPLACED,
     REFUSED,
@@ -227,7 +228,10 @@
         view.sent_since_report += 1
         self._flows_by_stream[stream] = flow
         if view.host_id == self.settings.host_id:
-            flow.gate_request = self._gate.submit(forward, self.on_reply)
+            gate_request = self._gate.submit(forward, self.on_reply)
+            # A refusal comes before this and may have sent the request elsewhere.
+            if flow.stream == stream:
+                flow.gate_request = gate_request
             return True
         if self._hub.send(view.host_id, forward):
             self._hub.peers_by_id[view.host_id].waiting += 1
@@ -279,9 +283,10 @@
         elif reply.outcome == SHED:
             flow.sent += 1
             self._retry_unrun(flow, now)
-        elif reply.outcome == LOST:
+        elif reply.outcome in (LOST, CRASHED):
             flow.sent += 1
-            self._on_lost(flow, reply.body.decode("latin-1"), now)
+            reason = reply.body.decode("latin-1")
+            self._on_lost(flow, reason, now, reply.outcome == CRASHED)
         elif reply.outcome == TIMED_OUT:
             self._fail(flow, ErrorKind.DEADLINE_AFTER_DISPATCH, "no answer in time")
 
@@ -356,10 +361,12 @@
             flow.sent, flow.route.attempts, flow.deadline - now, LEAST_LEFT_S
         )
 
-    def _on_lost(self, flow: Flow, reason: str, now: float) -> None:
+    def _on_lost(
+        self, flow: Flow, reason: str, now: float, is_crash: bool = False
+    ) -> None:
         flow.was_lost = True
         flow.excluded.add(flow.host_id)
-        if reason:
+        if is_crash:
             flow.fingerprint = self._make_fingerprint(flow)
             self.crashes.record(flow.fingerprint, now)
         if (
@@ -380,7 +387,7 @@
             if flow.host_id == host_id:
                 self._forget_stream(flow)
                 flow.sent += 1
-                self._on_lost(flow, "", now)
+                self._on_lost(flow, "the host was lost", now)
 
     def on_host_suspect(self, host_id: str, now: float) -> None:
         """Repeat elsewhere what may be repeated while a host does not answer."""
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -140,12 +140,42 @@
     others = [mesh.add("orders") for _ in range(3)]
     mesh.settle()
     for host in (target, *others):
-        host.behave = host.worker.lose
+        host.behave = host.worker.crash
     for _ in range(5):
         assert caller.call()[0] in (502, 503)
     assert sum(len(host.requests) for host in (target, *others)) <= 2
 
 
+def test_lost_answers_do_not_block_a_request(mesh):
+    """Guards against a sound request that is refused, since answers get lost."""
+    caller, target = make_pair(mesh)
+    others = [mesh.add("orders") for _ in range(2)]
+    mesh.settle()
+    for host in (target, *others):
+        host.behave = host.worker.lose
+    assert caller.call()[0] == 502
+    for host in (target, *others):
+        host.behave = None
+    assert caller.call()[0] == 200
+
+
+def test_cancel_reaches_the_host_that_got_the_request_second(mesh):
+    """Guards against a worker that goes on for a caller that has left.
+
+    A refusal of the own gate came before its request was noted, which then
+    took the place of the one that was sent on.
+    """
+    mesh.store.put_config(make_config(read={"orders": 1}))
+    own, other = mesh.add("orders"), mesh.add("orders")
+    mesh.settle()
+    other.behave = other.worker.wait
+    own.node.gate.is_closing = True
+    socket = own.open(format_call("/read/1"))
+    spin(lambda: other.requests)
+    socket.close()
+    spin(lambda: other.worker.closed, 0.5)
+
+
 def test_caller_that_leaves_cancels_the_request(mesh):
     caller, target = make_pair(mesh)
     target.behave = target.worker.wait
