--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -166,7 +166,7 @@
     took the place of the one that was sent on.
     """
     mesh.store.put_config(make_config(read={"orders": 1}))
-    own, other = mesh.add("orders"), mesh.add("orders")
+    own, other = mesh.add("orders"), mesh.add("orders", zone="y")
     mesh.settle()
     other.behave = other.worker.wait
     own.node.gate.is_closing = True
