--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -61,14 +61,7 @@
             self.on_replaced()
         self.worker = worker
         if held is None or _get_content(held) != _get_content(worker):
-            log(
-                "worker.state",
-                worker=worker.worker_id,
-                service=worker.service,
-                version=worker.version,
-                state=worker.state,
-            )
-            self.on_state(worker)
+            self._report()
 
     def _is_news(self, held: MeshWorker, worker: MeshWorker) -> bool:
         if _get_start(held) == _get_start(worker):
@@ -88,8 +81,18 @@
         if self.worker.state == state:
             return
         self.worker = evolve(self.worker, state=state)
-        log("worker.state", worker=self.worker.worker_id, state=state)
-        self.on_state(self.worker)
+        self._report()
+
+    def _report(self) -> None:
+        worker = self.worker
+        log(
+            "worker.state",
+            worker=worker.worker_id,
+            service=worker.service,
+            version=worker.version,
+            state=worker.state,
+        )
+        self.on_state(worker)
 
     def suspect(self, reason: str) -> None:
         """Give the worker no requests until it answers a probe or reports."""
