--- a/bamboocove/platform/host_settings.py
+++ b/bamboocove/platform/host_settings.py
@@ -88,7 +88,6 @@
         # Heartbeats of the worker, not control of the node.
         heartbeat_address=reader.get_address("network.listen.control"),
         store_address=reader.get_address("platform.platform.address"),
-        heartbeat_s=reader.get("platform.heartbeatS", float, 1.5),
         bounds=Bounds(
             grace_s=reader.get(
                 "terms.bounds.gracePeriodS", float, default=bounds.grace_s
@@ -99,12 +98,6 @@
             retry_slack=reader.get(
                 "terms.bounds.budgetSlack", float, default=bounds.retry_slack
             ),
-            retry_window_s=reader.get(
-                "terms.bounds.budgetWindowS", float, default=bounds.retry_window_s
-            ),
-            in_touch_s=reader.get(
-                "terms.bounds.contactS", float, default=bounds.in_touch_s
-            ),
         ),
     )
 
--- a/bamboocove/sidecar/settings.py
+++ b/bamboocove/sidecar/settings.py
@@ -13,18 +13,14 @@
     ----------
     grace_s : float
         Time between the signal to stop and the end of the process, in seconds.
-    retry_ratio, retry_slack, retry_window_s : float
-        Retries that all nodes together may send to a service in a window: a
+    retry_ratio, retry_slack : float
+        Retries that all nodes together may send to a service in any 10 s: a
         part of its requests, and a number on top.
-    in_touch_s : float
-        Time after which a host that is no longer disturbed must act as usual.
     """
 
     grace_s: float = 6.0
     retry_ratio: float = 0.2
     retry_slack: float = 60.0
-    retry_window_s: float = 10.0
-    in_touch_s: float = 3.0
 
 
 @frozen
@@ -44,8 +40,6 @@
         whether it is ready, and for reports of its worker.
     store_address : (str, int)
         The platform's store.
-    heartbeat_s : float
-        Time between two reports of the worker, in seconds.
     bounds : Bounds
         Figures that the deployment sets.
     """
@@ -60,5 +54,4 @@
     readiness_address: Address
     heartbeat_address: Address
     store_address: Address
-    heartbeat_s: float = 1.5
     bounds: Bounds = Bounds()
