--- a/bamboocove/sidecar/rules.py
+++ b/bamboocove/sidecar/rules.py
@@ -33,7 +33,7 @@
 WRITE_RETRY_S = 0.5
 # A move without a worker of the new version is taken back at this part of its
 # time after the deadline.
-LATE_PART = 1.0
+NO_WORKER_PART = 1.0
 
 
 @define
@@ -312,7 +312,7 @@
         if harm:
             self._decide(rule, "rolled_back", harm, now)
             return
-        if facts.age_s > (1 + LATE_PART) * order.duration_s and pace.step < 0:
+        if facts.age_s > (1 + NO_WORKER_PART) * order.duration_s and pace.step < 0:
             reason = f"no worker of {rule.to_version} is ready"
             self._decide(rule, "rolled_back", reason, now)
             return
