Refuse a body that does not fit a link, and no host because of it

Found by reading: a request above 4 MiB could not be sent on any link, and each host that was tried was passed over for 0.4 s for all requests of the node; a larger answer was dropped and its caller waited until the deadline.

--- a/bamboocove/protocol/hops.py
+++ b/bamboocove/protocol/hops.py
@@ -13,6 +13,10 @@
 
 Headers = list[list[bytes]]
 
+# Largest body of a request or an answer: a message on a link holds at most
+# 4 MiB, and the fields of the request take some of it.
+MAX_FORWARD_BYTES = 4 * 1024 * 1024 - 128 * 1024
+
 
 @frozen
 class Greeting:
--- a/bamboocove/sidecar/gate.py
+++ b/bamboocove/sidecar/gate.py
@@ -13,6 +13,7 @@
     ANSWERED,
     CRASHED,
     LOST,
+    MAX_FORWARD_BYTES,
     MISPLACED,
     REFUSED,
     SHED,
@@ -254,6 +255,9 @@
         not_run = get_header(request.headers, self._dialect.not_run) is not None
         self._timeouts = 0
         self._answered_at = self._clock.seconds()
+        if sum(map(len, request.parts)) > MAX_FORWARD_BYTES:
+            self._end(request, LOST, reason="answer does not fit a link")
+            return
         signature = get_header(request.headers, self._dialect.signature)
         if status < FIRST_ERROR_STATUS and signature is None:
             self._end(request, LOST, is_failure=True, reason="answer is not signed")
--- a/bamboocove/sidecar/origin.py
+++ b/bamboocove/sidecar/origin.py
@@ -20,6 +20,7 @@
     ANSWERED,
     CRASHED,
     LOST,
+    MAX_FORWARD_BYTES,
     MISPLACED,
     REFUSED,
     SHED,
@@ -149,6 +150,10 @@
     def _on_body(self, flow: Flow) -> None:
         flow.body = b"".join(flow.parts)
         flow.parts = []
+        if len(flow.body) > MAX_FORWARD_BYTES:
+            reason = f"a body of {len(flow.body)} bytes does not fit a link"
+            self._answer_error(flow, ErrorResult(ErrorKind.TOO_LARGE, reason))
+            return
         self._place(flow)
 
     def _on_caller_gone(self, flow: Flow) -> None:
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -1,5 +1,7 @@
 """Requests through whole nodes on loopback, and what happens when parts fail."""
 
+import threading
+
 import pytest
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
@@ -224,6 +226,24 @@
     assert caller.call("/pay/1", "POST", b"1")[0] == 502
 
 
+def test_body_that_does_not_fit_a_link_harms_nobody_else(mesh):
+    """Guards against hosts that are passed over because of one large request."""
+    caller, target = make_pair(mesh, pay={"orders": 1}, read={"orders": 1})
+    body = b"x" * (5 << 20)
+    socket = caller.open(b"")
+    socket.socket.setblocking(True)
+    data = format_call("/pay/1", "POST", body, left_ms=5000)
+    thread = threading.Thread(target=socket.socket.sendall, args=(data,))
+    thread.start()
+    spin(lambda: not thread.is_alive())
+    socket.socket.setblocking(False)
+    assert read_answer(socket)[0] == 413
+    assert caller.call()[0] == 200
+    fields = [(b"x-attempt-id", b"a1"), (b"x-response-signature", b"s")]
+    target.behave = lambda exchange: exchange.respond(200, fields, body)
+    assert caller.call("/pay/1", "POST", b"1", left_ms=3000)[0] == 502
+
+
 def test_timeout_of_the_route_ends_a_request(mesh):
     mesh.store.put_config(make_config(pay={"orders": 1}, timeout_s=0.2))
     caller, target = mesh.add("front"), mesh.add("orders")
