--- a/bamboocove/coordination/placement.py
+++ b/bamboocove/coordination/placement.py
@@ -15,9 +15,9 @@
 ZONE_PENALTY_S = 0.03
 # Part of the objective below which an earlier answer is worth little: a request
 # then stays in its zone, even if a worker in another one is faster.
-EASY_PART = 0.4
+FAST_ENOUGH_PART = 0.4
 # What remains of the difference between two such times.
-EASY_WEIGHT = 0.15
+FAST_ENOUGH_WEIGHT = 0.15
 # A report older than this says nothing about the queue of a host, in seconds.
 REPORT_S = 0.5
 # Service time that is assumed for a host before its first answer, in seconds.
@@ -215,15 +215,15 @@
     best_score = 0.0
     default_s = get_default_time(views, route)
     # A call of a worker holds a slot of the worker that waits for it.
-    easy_s = EASY_PART * target_s if priority >= 0 else 0.0
+    fast_enough_s = FAST_ENOUGH_PART * target_s if priority >= 0 else 0.0
     for view in views:
         if view.suspended_until > now or view.host_id in excluded:
             continue
         if view.busy_until > now and priority >= view.busy_priority:
             continue
         score = estimate_time(view, route, priority, default_s, now)
-        if score < easy_s:
-            score = easy_s - EASY_WEIGHT * (easy_s - score)
+        if score < fast_enough_s:
+            score = fast_enough_s - FAST_ENOUGH_WEIGHT * (fast_enough_s - score)
         score += estimate_failure(view, now) * FAILURE_COST * target_s
         score *= 1.0 + NOISE * random()
         if view.zone != zone:
--- a/bamboocove/coordination/worker_queue.py
+++ b/bamboocove/coordination/worker_queue.py
@@ -35,7 +35,7 @@
 SHORT_WAIT_PART = 0.15
 # Rank of a request of a class of which hardly any was taken lately: before the
 # most urgent class, behind calls of workers.
-RESCUED_RANK = -0.5
+STARVED_RANK = -0.5
 # Part of a class's requests below which that holds, also as a part of what a
 # more urgent class gets, and the weight of the newest request in the averages.
 LEAST_TAKEN_PART = 0.4
@@ -166,7 +166,7 @@
             default=0.0,
         )
         if taken < LEAST_TAKEN_PART and taken < LEAST_TAKEN_PART * 2 * best:
-            return RESCUED_RANK
+            return STARVED_RANK
         return rank
 
     def _note_taken(self, request: WaitingRequest, is_taken: bool) -> None:
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -27,7 +27,7 @@
     encode_hop,
 )
 from bamboocove.sidecar.dialect import Dialect
-from bamboocove.sidecar.doors import (
+from bamboocove.sidecar.endpoints import (
     MAX_REPORT_BYTES,
     DecodeWorker,
     make_metrics_handler,
--- a/bamboocove/sidecar/doors.py
+++ b/bamboocove/sidecar/endpoints.py
@@ -1,4 +1,4 @@
-"""Small interfaces of a node: readiness, metrics, and reports of its worker."""
+"""HTTP endpoints of a node: readiness, metrics, and reports of its worker."""
 
 from collections.abc import Callable
 
