End responses that have no end

What callers saw: a worker that sends bytes without end, in a head or a body, held their request until its time-out, while the node kept every byte that arrived.

Cause: the client limited the head, but counted anew after each interim response (1xx), and did not limit the body, nor responses that are skipped because they belong to another attempt. The inbound proxy compared the size with the limit of a link only once the response had ended. In the product's call path the body of a refusal was read to its end before the refusal was passed on.

Fix: a receiver that holds the whole response gives its maximum size, which counts all bytes since the request was sent: head, framing, body and skipped responses. A declared length above it fails at once. Interim responses count towards the head. The response is then lost, as if its connection had failed: idempotent requests go to another worker, others get 502 with the reason. The probe of a worker and the calls of the store have limits too. A refusal whose body exceeds 64 KiB is passed on without its end. Streamed bodies have no limit: they are bounded by back pressure (test_slow_caller_pauses_the_worker).

--- a/bamboocove/call.py
+++ b/bamboocove/call.py
@@ -37,6 +37,9 @@
 # Request body bytes that are buffered so that a refused call can be sent to
 # another worker.
 MAX_REPLAY_BODY_BYTES = 64 * 1024
+# Body bytes of a refusal after which its end is no longer awaited. A shorter body
+# is read to its end, so that the connection can be reused.
+MAX_REFUSAL_BODY_BYTES = 64 * 1024
 
 
 @define(eq=False)
@@ -118,6 +121,7 @@
     is_body_ended: bool = False
     is_replayable: bool = True
     is_refusal: bool = False
+    refusal_body_bytes: int = 0
     is_responding: bool = False
     has_request_producer: bool = False
     has_response_producer: bool = False
@@ -270,6 +274,7 @@
         run = get_header(headers, RUN_HEADER) if status >= 400 else None
         if status == 503 and run == NOT_RUN:
             self.is_refusal = True
+            self.refusal_body_bytes = 0
             self.response_headers = headers
             return
         headers = strip_hop_by_hop_headers(headers)
@@ -292,7 +297,10 @@
 
     def on_response_data(self, data: bytes) -> None:
         """Forward a part of the response body."""
-        if self.is_done or self.is_refusal:
+        if self.is_done:
+            return
+        if self.is_refusal:
+            self._skip_refusal_body(data)
             return
         if self.outcome_body is not None:
             self._record_response_body(data)
@@ -321,6 +329,14 @@
         self.exchange.finish(data)
         self.dispatcher.on_completed(self)
 
+    def _skip_refusal_body(self, data: bytes) -> None:
+        self.refusal_body_bytes += len(data)
+        if self.refusal_body_bytes > MAX_REFUSAL_BODY_BYTES:
+            self._unregister_request_producer()
+            connection, self.connection = self.connection, None
+            connection.abort()
+            self._report_refusal()
+
     def _report_refusal(self) -> None:
         self.is_refusal = self.is_dispatched = False
         retry_after = get_header(self.response_headers, b"retry-after")
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -254,6 +254,7 @@
             lambda status, headers: answers_attempt(
                 status, headers, self._dialect, attempt_id
             ),
+            MAX_FORWARDED_BODY_BYTES,
         )
 
     def cancel(self, request: InboundRequest) -> None:
@@ -274,9 +275,6 @@
         not_run = get_header(request.headers, self._dialect.not_run) is not None
         self._consecutive_timeouts = 0
         self._last_response_at = self._clock.seconds()
-        if sum(map(len, request.parts)) > MAX_FORWARDED_BODY_BYTES:
-            self._end(request, LOST, reason="answer does not fit a link")
-            return
         signature = get_header(request.headers, self._dialect.signature)
         if status < FIRST_ERROR_STATUS and signature is None:
             self._end(request, LOST, is_failure=True, reason="answer is not signed")
@@ -371,7 +369,7 @@
         body = reason.encode()
         if outcome == ANSWERED:
             headers = [list(item) for item in strip_hop_by_hop_headers(request.headers)]
-            body = b"".join(request.parts)
+            body = bytes(request.body)
         request.reply(
             Reply(
                 request.forward.stream,
--- a/bamboocove/sidecar/inbound_request.py
+++ b/bamboocove/sidecar/inbound_request.py
@@ -36,7 +36,7 @@
         Whether the request was sent to the worker.
     is_ended : bool
         Whether the reply was sent.
-    status, headers, parts
+    status, headers, body
         Response of the worker, as far as it was received.
     """
 
@@ -53,7 +53,7 @@
     is_ended: bool = False
     status: int = 0
     headers: Headers = field(factory=list)
-    parts: list[bytes] = field(factory=list)
+    body: bytearray = field(factory=bytearray)
 
     def on_response(self, status: int, headers: Headers, length: int | None) -> None:
         """Store status and header fields of the worker's response."""
@@ -62,12 +62,12 @@
 
     def on_response_data(self, data: bytes) -> None:
         """Store a part of the response body."""
-        self.parts.append(data)
+        self.body += data
 
     def on_response_end(self, data: bytes) -> None:
         """Store the last part of the response body and complete the request."""
         self.connection = None
-        self.parts.append(data)
+        self.body += data
         self.proxy.on_response_end(self)
 
     def on_response_lost(self, reason: str) -> None:
--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -19,6 +19,7 @@
 PROBE_INTERVAL_S = 0.5
 FIRST_PROBE_S = 0.1
 PROBE_TIMEOUT_S = 0.4
+MAX_PROBE_RESPONSE_BYTES = 64 * 1024
 
 
 @define(eq=False)
@@ -124,7 +125,7 @@
         self._is_probing = True
         path = self.health_path.encode()
         data = format_request(b"GET", path, self.address, [], b"")
-        fetch = Fetch(self.pool, self.address, data)
+        fetch = Fetch(self.pool, self.address, data, max_bytes=MAX_PROBE_RESPONSE_BYTES)
         fetch.start(PROBE_TIMEOUT_S).addCallback(self._on_probe_result, self.worker)
 
     def _on_probe_result(self, result: Any, worker: MeshWorker) -> None:
--- a/bamboocove/transport/clients.py
+++ b/bamboocove/transport/clients.py
@@ -54,6 +54,8 @@
         self._on_free: Callable[[ClientConnection], None] | None = None
         self._headers: Headers = []
         self._head_bytes = 0
+        self._received_bytes = 0
+        self._max_bytes: int | None = None
         self._status = 0
         self._length: int | None = None
         self._is_head_request = False
@@ -85,6 +87,7 @@
         receiver: ResponseReceiver,
         on_free: Callable[["ClientConnection"], None],
         accepts: Callable[[int, Headers], bool] | None = None,
+        max_bytes: int | None = None,
     ) -> None:
         """Start a request.
 
@@ -104,6 +107,10 @@
             Takes status code and header fields, and returns whether they belong
             to the response to this request. Other responses are skipped, as
             they belong to an earlier request.
+        max_bytes : int, optional
+            Maximum size of the response, including its head, its framing and the
+            responses that are skipped before it. Without it only the head is
+            limited, for a receiver that streams the body.
         """
         self._receiver = receiver
         self._accepts = accepts
@@ -114,7 +121,8 @@
         self._has_response = False
         self._is_close_delimited = False
         self._is_complete = False
-        self._head_bytes = 0
+        self._head_bytes = self._received_bytes = 0
+        self._max_bytes = max_bytes
         write_immediately(self.transport, data)
 
     def write(self, data: bytes) -> None:
@@ -141,16 +149,23 @@
             self.abort()
             return
         self._head_bytes += len(data)
+        self._received_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except (HttpParserError, HttpParserUpgrade) as error:
             if self._error is None and not self._is_complete:
                 self._error = f"malformed response: {error}"
             self._is_reusable = False
-        if self._head_bytes > MAX_HEAD_BYTES and self._error is None:
-            self._error = "response head is too large"
+        if self._error is None:
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self._error = "response head is too large"
+            elif self._is_too_large(self._received_bytes):
+                self._error = f"response is too large: over {self._max_bytes} bytes"
         self._deliver()
 
+    def _is_too_large(self, size: int) -> bool:
+        return self._max_bytes is not None and size > self._max_bytes
+
     # Callbacks of the parser; they only store what was parsed.
 
     def on_message_begin(self) -> None:
@@ -168,11 +183,12 @@
         """Determine how the response body is framed."""
         if self._is_complete:
             return
-        self._head_bytes = 0
         status = self._parser.get_status_code()
         if status < 200:
-            # Interim response; the parser itself stops at a 101.
+            # Interim response; the parser itself stops at a 101. Its bytes count
+            # towards the head, so that interim responses cannot go on forever.
             return
+        self._head_bytes = 0
         if self._accepts is not None and not self._accepts(status, self._headers):
             self._is_skipping = True
             self._is_reusable = False
@@ -181,6 +197,9 @@
         if isinstance(length, ErrorResult):
             self._error = length.reason
             return
+        if length is not None and self._is_too_large(length):
+            self._error = f"response is too large: body of {length} bytes"
+            return
         if self._is_head_request or status in (204, 304):
             if self._is_head_request:
                 # The parser expects a body, because it does not know the method.
@@ -202,8 +221,8 @@
 
     def on_message_complete(self) -> None:
         """Record the end of a final response."""
-        self._head_bytes = 0
         if self._is_skipping:
+            self._head_bytes = 0
             self._is_skipping = False
             return
         if self._has_response and not self._is_complete:
--- a/bamboocove/transport/fetching.py
+++ b/bamboocove/transport/fetching.py
@@ -15,6 +15,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# Default limit of a response; a page of the store is about 1.5 MB at most.
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 
 
 @frozen
@@ -49,6 +51,8 @@
         Complete request, see ``format_request``.
     is_head : bool
         Whether the method is HEAD, whose response has no body.
+    max_bytes : int
+        Maximum size of the response; the request fails if it is larger.
 
     Attributes
     ----------
@@ -62,13 +66,14 @@
     address: Address
     data: bytes
     is_head: bool = False
+    max_bytes: int = MAX_RESPONSE_BYTES
     done: Deferred = field(factory=Deferred)
     _timer: Any = None
     _connector: Any = None
     _connection: ClientConnection | None = None
     _status: int = 0
     _headers: Headers = field(factory=list)
-    _body_parts: list[bytes] = field(factory=list)
+    _body: bytearray = field(factory=bytearray)
     _is_ended: bool = False
 
     def start(self, timeout_s: float) -> Deferred:
@@ -100,6 +105,7 @@
             True,
             self,
             lambda freed: self.pool.put(self.address, freed),
+            max_bytes=self.max_bytes,
         )
 
     def _handle_connect_failure(self, reason: str) -> None:
@@ -113,13 +119,13 @@
 
     def on_response_data(self, data: bytes) -> None:
         """Store a part of the body."""
-        self._body_parts.append(data)
+        self._body += data
 
     def on_response_end(self, data: bytes) -> None:
         """Store the last part of the body and complete the response."""
         self._connection = None
-        self._body_parts.append(data)
-        self._end(Response(self._status, self._headers, b"".join(self._body_parts)))
+        self._body += data
+        self._end(Response(self._status, self._headers, bytes(self._body)))
 
     def on_response_lost(self, reason: str) -> None:
         """Report that the response is incomplete."""
--- a/tests/test_call.py
+++ b/tests/test_call.py
@@ -184,3 +184,27 @@
     for index in range(2, 5):
         data = mesh.call(make_request(path=f"/orders/{index}"))
         assert f"x-path: /orders/{index}\r\n".encode() in data
+
+
+def test_refusal_with_an_endless_body_is_passed_on_at_once(mesh):
+    """Guards against a refused call that waits for its deadline."""
+    worker = mesh.add_worker()
+
+    def refuse(exchange):
+        exchange.start(503, [(b"bamboocove-run", b"not-run")], -1)
+        exchange.write(b"busy")
+
+        def go_on():
+            if not exchange.is_closed:
+                exchange.write(b"x" * 4096)
+                reactor.callLater(0, go_on)
+
+        go_on()
+
+    worker.answer = refuse
+    mesh.start()
+    started_at = reactor.seconds()
+    data = mesh.call(make_request(bamboocove_deadline_ms=4000))
+    assert data.startswith(b"HTTP/1.1 503") and b"bamboocove-run: not-run" in data
+    assert reactor.seconds() - started_at < 2.0
+    run_reactor_until(lambda: worker.closed)
