Survive SIGHUP during the start of a node

What callers saw: a node that got SIGHUP while it started was gone; its requests failed until the platform started it again.

Cause: the handler was installed once the reactor ran. Before that, mostly during the imports, the default action of SIGHUP ended the process.

Fix: the entry point ignores SIGHUP before it imports the node, whose settings are read later; the node installs its handler before the reactor runs, and the first poll of the settings file comes at once, so that a change between the two is noticed. The node moves to platform/node.py, so that the entry point imports only the standard library. What remains is the start of the interpreter itself, before the first line of the program.

--- a/tests/sidecar/test_start.py
+++ b/tests/sidecar/test_start.py
@@ -3,7 +3,7 @@
 import subprocess
 import sys
 
-CODE = "import sys, bamboocove.platform.__main__; print(*sorted(sys.modules))"
+CODE = "import sys, bamboocove.platform.node; print(*sorted(sys.modules))"
 
 
 def test_node_imports_no_modules_that_only_the_other_mesh_uses():
