Soak: replace the two checks of configurations

Cause: the checks, not the nodes. The seventh added route removes the oldest one; both checks ignored `removed_route`.

The new checks derive from each response which configurations explain it, with routes added and removed. A 404 is allowed only if the removal was written before the response ended. What a 404 of a removed route no longer shows is shown by another rule, so the check is stricter than before: a process that serves a removed route after it has shown a newer version has gone back, and a 404 of a removed route proves a version as a served route does. The check "removed routes" stays as it was.

Tests: two tests of the checks; with the old checks the first fails where the removal is written before the response ended, the second because a removed route that returns was not noticed.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,7 +3,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
-from soak.records import ClientRequest, Journal
+from soak.records import ClientRequest, ConfigChange, Journal
 
 # Limits from the users' requirements, in seconds.
 RECONNECT_S = 3.0
@@ -105,8 +105,32 @@
     ]
 
 
+def _needs_older_version(
+    request: ClientRequest, version: int, removals_by_route: dict[int, ConfigChange]
+) -> bool:
+    """Return whether only a configuration before ``version`` explains a response.
+
+    Each configuration is identified by the number of the route that it adds. A
+    removed route may be gone as soon as its removal was written.
+    """
+    removal = removals_by_route.get(request.route)
+    if request.status == 200:
+        return removal is not None and removal.added_route <= version
+    is_removed = removal is not None and removal.acknowledged_at <= request.ended_at
+    return request.status == 404 and request.route <= version and not is_removed
+
+
+def _index_removals(journal: Journal) -> dict[int, ConfigChange]:
+    return {
+        change.removed_route: change
+        for change in journal.changes
+        if change.removed_route
+    }
+
+
 def check_config_applied(journal: Journal) -> list[str]:
     """Check that undisturbed hosts apply acknowledged configurations in time."""
+    removals_by_route = _index_removals(journal)
     acknowledged_at = {
         change.added_route: change.acknowledged_at for change in journal.changes
     }
@@ -118,6 +142,7 @@
         if request.route
         and request.status == 404
         and request.sent_at > acknowledged_at[request.route] + CONFIG_APPLY_S
+        and _needs_older_version(request, request.route, removals_by_route)
         and is_undisturbed(
             journal, request.host_id, request.sent_at - CONFIG_APPLY_S, request.ended_at
         )
@@ -125,24 +150,32 @@
 
 
 def check_config_regression(journal: Journal) -> list[str]:
-    """Check that no node process reverts to an older configuration."""
-    newest_routes: dict[tuple[str, int], tuple[int, float]] = {}
+    """Check that no node process reverts to an older configuration.
+
+    A process has applied at least the version that added a route which it served,
+    or that removed a route which it lacks although it has applied the version that
+    added it.
+    """
+    removals_by_route = _index_removals(journal)
+    newest_versions: dict[tuple[str, int], tuple[int, float]] = {}
     violations = []
     for request in sorted(journal.requests, key=lambda item: item.ended_at):
-        if not request.route or not request.status:
+        if not request.route or request.status not in (200, 404):
             continue
         process = (request.host_id, request.start_number)
-        newest, at = newest_routes.get(process, (0, 0.0))
-        if request.status == 200 and request.route > newest:
-            newest_routes[process] = (request.route, request.ended_at)
-        elif (
-            request.status == 404
-            and request.route <= newest
-            and request.sent_at > at + REGRESSION_SLACK_S
-        ):
-            violations.append(
-                f"{request.host_id} lost route {request.route} after it served {newest}"
-            )
+        newest, at = newest_versions.get(process, (0, 0.0))
+        if _needs_older_version(request, newest, removals_by_route):
+            if request.sent_at > at + REGRESSION_SLACK_S:
+                violations.append(
+                    f"{request.host_id} answered {request.status} for route "
+                    f"{request.route} after it had applied version {newest}"
+                )
+            continue
+        shown = request.route if request.status == 200 else 0
+        if request.status == 404 and request.route <= newest:
+            shown = removals_by_route[request.route].added_route
+        if shown > newest:
+            newest_versions[process] = (shown, request.ended_at)
     return violations
 
 
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -123,6 +123,36 @@
     assert failed_checks(journal) == set()
 
 
+def test_removed_route_may_be_gone_once_its_removal_is_written():
+    """Guards against a removed route that is reported as late or as lost."""
+    changes = [ConfigChange(3, 0, 80.0), ConfigChange(9, 3, 90.0)]
+    expected = {"configuration in force", "no older configuration"}
+    seen, lost = make_probe(3, 200, 88.0), make_probe(3, 404, 89.5)
+    assert failed_checks(make_journal([seen, lost], changes=changes)) == expected
+    lost.ended_at = 90.0
+    assert failed_checks(make_journal([seen, lost], changes=changes)) == set()
+    # A node that has applied a later version must have the routes that remain.
+    changes.append(ConfigChange(10, 4, 91.0))
+    gone, missing = make_probe(4, 404, 92.0), make_probe(9, 404, 92.5)
+    journal = make_journal([seen, make_probe(4, 200, 90.5), gone], changes=changes)
+    journal.changes.append(ConfigChange(4, 0, 81.0))
+    assert failed_checks(journal) == set()
+    journal.requests.append(missing)
+    assert failed_checks(journal) == expected
+
+
+def test_removed_route_that_returns_is_reported_as_a_regression():
+    changes = [ConfigChange(3, 0, 80.0), ConfigChange(9, 3, 90.0)]
+    newer, returned = make_probe(9, 200, 90.2), make_probe(3, 200, 91.0)
+    expected = {"no older configuration"}
+    assert failed_checks(make_journal([newer, returned], changes=changes)) == expected
+    seen, gone = make_probe(3, 200, 89.0), make_probe(3, 404, 90.2)
+    journal = make_journal([seen, gone, returned], changes=changes)
+    assert failed_checks(journal) == expected
+    returned.sent_at = 90.4
+    assert failed_checks(journal) == set()
+
+
 def test_removed_route_that_is_served_is_reported():
     changes = [ConfigChange(3, 0, 80.0), ConfigChange(4, 3, 90.0)]
     journal = make_journal([make_probe(3, 200, 95.0)], changes=changes)
