Relay large configurations along a tree, and only from the readers

What callers saw: after a change that added some hundred routes, requests failed for 6 to 9 s in whole zones (502, 504, callers that gave up), and nodes got the change too late.

Cause: saturated network links. A reader sent each change uncompressed to every node of its zone: 1,400 routes took 232 KB, for 27 to 29 nodes over a link of 10 Mbit/s some 5 s. Requests and pings waited behind it: links were suspected after 0.25 s and closed after 1.5 s, and nodes heard no reader for 1.2 s. Such a node watches the store itself, and then also sent the change to all others, so that the links of the whole zone were full: load fed by its own failure, a metastable state.

Ruled out: a slow store or a hanging watch (all six readers applied the change within 25 ms), an older version applied again (no config.applied goes back), decoding (16 ms).

What fills a link for more than 50 ms goes to four nodes, each of which relays it to its part of the zone, in an order that differs between the two readers. Only the two chosen readers send changes and host records; a node that reads for itself does not. A node that is offered a newer version, or gets a change to a version that it does not have, waits 0.3 s for the change that is on its way before it requests the whole configuration. A new event, config.sent, tells the size and the receivers. During a rolling upgrade nodes of the two releases cannot read each other's changes; they get whole copies through offers, within about a second.

Tests: four in tests/sidecar/test_dissemination.py; on the code before, a reader sent 2.56 MB for one change (bound: a quarter of a second of 10 Mbit/s) and every node sent changes when none heard a reader.

--- a/bamboocove/coordination/readers.py
+++ b/bamboocove/coordination/readers.py
@@ -55,6 +55,10 @@
         """Record a signal from a reader of the zone that the store responds to."""
         self.heard_at = now
 
+    def is_reader(self, reachable_ids: Collection[str]) -> bool:
+        """Return whether this node is one of the readers of its zone."""
+        return self.own_id in choose_readers([*reachable_ids, self.own_id])
+
     def must_read(self, reachable_ids: Collection[str], now: float) -> bool:
         """Return whether this node must watch the store itself.
 
@@ -65,6 +69,6 @@
         now : float
             Current time in seconds of the local clock.
         """
-        if self.own_id in choose_readers([*reachable_ids, self.own_id]):
+        if self.is_reader(reachable_ids):
             return True
         return now - self.heard_at > READER_TIMEOUT_S
--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -80,10 +80,21 @@
 
 @frozen
 class ConfigDelta:
-    """Difference to a new configuration, encoded by ``bamboocove.state.codec``."""
+    """Difference to a new configuration.
+
+    Parameters
+    ----------
+    version : int
+        Version of the new configuration.
+    data : bytes
+        The difference, encoded by ``bamboocove.state.codec``, compressed.
+    relay_ids : list of str
+        Hosts to which the receiver relays it.
+    """
 
     version: int
     data: bytes
+    relay_ids: list[str]
 
 
 @frozen
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -362,7 +362,7 @@
 
     def _on_hosts(self, records: list[HostRecord]) -> None:
         changed = self.hosts.merge_records(records)
-        if changed and self.dissemination.must_read():
+        if changed and self.dissemination.is_reader():
             records = HostRecords([to_plain(record) for record in changed])
             self.dissemination.broadcast_in_zone(records)
 
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -51,6 +51,7 @@
         "a version was refused as a whole; the previous one stays in force",
         "read the reason; write a corrected version",
     ),
+    MeshEvent(823, "config.sent", "a change was sent to other nodes or relayed"),
     MeshEvent(831, "host.record", "a newer record of a host and its worker"),
     MeshEvent(
         832,
--- a/bamboocove/sidecar/dissemination.py
+++ b/bamboocove/sidecar/dissemination.py
@@ -5,7 +5,7 @@
 """
 
 import zlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 from attrs import astuple, define, field
@@ -18,6 +18,11 @@
 from bamboocove.coordination.load_reports import LoadRelay
 from bamboocove.coordination.outcome_batches import OutcomeBatches
 from bamboocove.coordination.readers import ReaderRole, choose_readers
+from bamboocove.coordination.relay_tree import (
+    CatchUp,
+    order_receivers,
+    split_receivers,
+)
 from bamboocove.errors import ErrorResult
 from bamboocove.protocol.mesh_messages import (
     ConfigCopy,
@@ -63,6 +68,8 @@
         Loads of this zone's workers that this node has collected.
     outcome_batches : OutcomeBatches
         Outcomes of this zone's workers that this node has collected.
+    catch_up : CatchUp
+        Decides when this node requests a configuration that it lacks.
     """
 
     settings: HostSettings
@@ -73,6 +80,7 @@
     watch: StoreWatch
     load_relay: LoadRelay = field(factory=LoadRelay)
     outcome_batches: OutcomeBatches = field(factory=OutcomeBatches)
+    catch_up: CatchUp = field(factory=CatchUp)
     _full_config_message: bytes = b""
     _full_config_version: int = 0
 
@@ -101,6 +109,10 @@
         """Return whether this node has to watch the store."""
         return self.role.must_read(self.get_zone_peer_ids(), self.clock.seconds())
 
+    def is_reader(self) -> bool:
+        """Return whether this node is one of the readers of its zone."""
+        return self.role.is_reader(self.get_zone_peer_ids())
+
     def is_reading(self) -> bool:
         """Return whether this node watches the store and receives its changes."""
         return (
@@ -207,7 +219,9 @@
     ) -> None:
         """Send what a newly applied configuration changes, if this node is a reader.
 
-        The first configuration after the start is not propagated.
+        The first configuration after the start is not propagated. A node that reads
+        the store only because it hears no reader does not propagate either: if all
+        nodes of a zone did, their links would be saturated.
 
         Parameters
         ----------
@@ -217,19 +231,49 @@
             Where this node received it. A change from the store also goes to the
             readers of other zones.
         """
-        if not before.version or not self.must_read():
+        if not before.version or not self.is_reader():
             return
-        change = compute_change(before, config)
-        data = encode_mesh_message(ConfigDelta(config.version, encode(change)))
+        data = zlib.compress(encode(compute_change(before, config)))
         for zone, host_ids in self.get_connected_ids_by_zone().items():
             if zone == self.settings.zone:
-                receivers = host_ids
+                self._send_change(config.version, data, host_ids)
             elif source == "store":
                 # Readers of other zones may have lost their connection to the store.
-                receivers = choose_readers(host_ids)
-            else:
-                continue
-            self._send(receivers, data)
+                self._send_change(config.version, data, choose_readers(host_ids))
+
+    def _send_change(self, version: int, data: bytes, host_ids: Sequence[str]) -> None:
+        if not host_ids:
+            return
+        receivers = order_receivers(self.settings.host_id, host_ids)
+        direct = split_receivers(receivers, len(data))
+        for host_id, relay_ids in direct:
+            message = ConfigDelta(version, data, list(relay_ids))
+            self._send([host_id], encode_mesh_message(message))
+        log(
+            "config.sent",
+            version=version,
+            bytes=len(data),
+            hosts=len(direct),
+            relayed=len(receivers) - len(direct),
+        )
+
+    def relay_change(self, message: ConfigDelta) -> None:
+        """Relay a change to the hosts that its sender has named."""
+        if not message.relay_ids:
+            return
+        connected_ids = set(self.get_zone_peer_ids())
+        host_ids = [
+            host_id for host_id in message.relay_ids if host_id in connected_ids
+        ]
+        self._send_change(message.version, message.data, host_ids)
+
+    def request_if_behind(
+        self, link: Any, offered_version: int, config: MeshConfig
+    ) -> None:
+        """Request the configuration from a node that has a newer one, if it is due."""
+        now = self.clock.seconds()
+        if self.catch_up.should_request(config.version, offered_version, now):
+            link.send_encoded(encode_mesh_message(StateRequest(config.version)))
 
     def get_full_config_message(self, config: MeshConfig) -> bytes:
         """Return the encoded message with a whole configuration, cached by version."""
@@ -242,34 +286,28 @@
         return self._full_config_message
 
     def decode_config(
-        self, link: Any, message: ConfigCopy | ConfigDelta, config: MeshConfig
+        self, message: ConfigCopy | ConfigDelta, config: MeshConfig
     ) -> MeshConfig | None:
         """Return the configuration that results from a message.
 
-        Returns None if the message is invalid or not newer. If it is a change to a
-        version that this node does not have, also requests the whole configuration
-        from the sender.
+        Returns None if the message is invalid or not newer, or if it is a change to
+        a version that this node does not have.
         """
         if message.version <= config.version:
             return None
+        data = _decompress(message.data)
         if isinstance(message, ConfigCopy):
-            return _accept_or_log(message.version, _decompress_config(message.data))
-        change = _accept_or_log(message.version, decode(ConfigChange, message.data))
-        if change is None:
-            return None
-        changed = apply_change(config, change)
-        if changed is None:
-            link.send_encoded(encode_mesh_message(StateRequest(config.version)))
-        return changed
+            return _accept_or_log(message.version, decode(MeshConfig, data))
+        change = _accept_or_log(message.version, decode(ConfigChange, data))
+        return None if change is None else apply_change(config, change)
 
 
-def _decompress_config(data: bytes) -> Any:
+def _decompress(data: bytes) -> bytes:
     try:
-        plain = zlib.decompressobj().decompress(data, MAX_CONFIG_BYTES)
+        return zlib.decompressobj().decompress(data, MAX_CONFIG_BYTES)
     except zlib.error as error:
-        plain = b""
         log("config.refused", version=0, reason=f"not compressed: {error}")
-    return decode(MeshConfig, plain)
+        return b""
 
 
 def _accept_or_log(version: int, value: Any) -> Any:
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -89,13 +89,14 @@
     elif isinstance(message, StateOffer):
         if message.reading_zone == application.settings.zone:
             application.readers.record_reader_signal(now)
-        if (
-            message.config_version > application.config.version
-            or message.rules_digest != application.rule_table.get_digest()
-        ):
+        if message.rules_digest != application.rule_table.get_digest():
             link.send_encoded(
                 encode_mesh_message(StateRequest(application.config.version))
             )
+        else:
+            application.dissemination.request_if_behind(
+                link, message.config_version, application.config
+            )
     elif isinstance(message, SuspectReport):
         application.hub.probe(message.host_id, now)
     elif isinstance(message, StateRequest):
@@ -111,11 +112,14 @@
             application.dissemination.relay(message)
             handle_message(application, link, host_id, relayed)
     elif isinstance(message, ConfigCopy | ConfigDelta):
-        config = application.dissemination.decode_config(
-            link, message, application.config
-        )
+        dissemination = application.dissemination
+        if isinstance(message, ConfigDelta):
+            dissemination.relay_change(message)
+        config = dissemination.decode_config(message, application.config)
         if config is not None:
             application.use_config(config, "peer")
+        else:
+            dissemination.request_if_behind(link, message.version, application.config)
 
 
 def _send_state(application: Any, link: Any, message: StateRequest) -> None:
--- a/tests/sidecar/test_dissemination.py
+++ b/tests/sidecar/test_dissemination.py
@@ -1,11 +1,23 @@
 """Dissemination of configurations and host records from readers to other nodes."""
 
+import random
+
 import pytest
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
 
-from bamboocove.coordination.readers import READER_TIMEOUT_S, choose_readers
-from bamboocove.protocol.mesh_messages import RelayedMessage, decode_mesh_message
+from bamboocove.coordination.readers import (
+    READER_TIMEOUT_S,
+    ReaderRole,
+    choose_readers,
+)
+from bamboocove.protocol.mesh_messages import (
+    ConfigCopy,
+    ConfigDelta,
+    RelayedMessage,
+    decode_mesh_message,
+)
+from bamboocove.sidecar.dissemination import Dissemination
 from bamboocove.sidecar.watch import WATCH_TIMEOUT_S
 from tests.callpath import run, run_reactor_until
 from tests.sidecar.hosts import HostMesh, make_config
@@ -166,3 +178,86 @@
         assert len(relayed) == 2
     finally:
         mesh.close()
+
+
+def record_config_messages(mesh):
+    """Return the sizes of the configuration messages that each node sends, by host."""
+    sizes = {host.host_id: [] for host in mesh.hosts}
+
+    def record(host, link):
+        def send(data, send_encoded=link.send_encoded):
+            if isinstance(decode_mesh_message(data), ConfigCopy | ConfigDelta):
+                sizes[host.host_id].append(len(data))
+            return send_encoded(data)
+
+        link.send_encoded = send
+
+    for host in mesh.hosts:
+        for peer in host.node.hub.peers_by_id.values():
+            record(host, peer.link)
+        for link in host.node.hub._accepted:
+            record(host, link)
+    return sizes
+
+
+def make_large_config(version, count=1400):
+    """Return a configuration with routes whose names do not compress well."""
+    source = random.Random(version)
+    names = [f"r-{source.getrandbits(64):016x}" for _ in range(count)]
+    return make_config(version, **{name: {"orders": 1} for name in names})
+
+
+@pytest.fixture
+def large_zone():
+    mesh = HostMesh()
+    for _ in range(12):
+        mesh.add()
+    mesh.settle()
+    run_reactor_until(lambda: do_only_readers_watch(mesh))
+    yield mesh
+    mesh.close()
+
+
+def test_large_change_occupies_no_link_for_long(large_zone):
+    """Guards against a reader whose link is full of copies of one configuration.
+
+    Changes must be in force 2.5 s after they were accepted, on hosts with links of
+    10 Mbit/s, and requests must not wait behind them.
+    """
+    sizes = record_config_messages(large_zone)
+    large_zone.store.put_config(make_large_config(2))
+    run_reactor_until(lambda: large_zone.get_versions() == [2] * 12)
+    link_bytes_per_s = 10e6 / 8
+    assert max(map(sum, sizes.values())) < 0.25 * link_bytes_per_s
+
+
+def test_large_change_is_received_at_most_once_from_each_reader(large_zone):
+    """Guards against nodes that request a change which is already on its way."""
+    sizes = record_config_messages(large_zone)
+    for version in range(2, 6):
+        large_zone.store.put_config(make_large_config(version))
+        run_reactor_until(
+            lambda version=version: large_zone.get_versions() == [version] * 12
+        )
+    run(pause(1.2))
+    assert sum(map(len, sizes.values())) <= 4 * 2 * 11
+
+
+def test_large_change_reaches_nodes_behind_a_relay_that_fails(large_zone, monkeypatch):
+    """Guards against nodes that wait for a relay which has stopped."""
+    monkeypatch.setattr(Dissemination, "relay_change", lambda self, message: None)
+    large_zone.store.put_config(make_large_config(2))
+    run_reactor_until(lambda: large_zone.get_versions() == [2] * 12, 2)
+
+
+def test_only_readers_send_changes_when_no_node_hears_a_reader(large_zone, monkeypatch):
+    """Guards against a zone in which every node sends each change to all others."""
+    monkeypatch.setattr(ReaderRole, "record_reader_signal", lambda self, now: None)
+    run_reactor_until(
+        lambda: all(h.node.dissemination.must_read() for h in large_zone.hosts)
+    )
+    sizes = record_config_messages(large_zone)
+    large_zone.store.put_config(make_config(2, other={"orders": 1}))
+    run_reactor_until(lambda: large_zone.get_versions() == [2] * 12)
+    readers = choose_readers([host.host_id for host in large_zone.hosts])
+    assert {host_id for host_id, sent in sizes.items() if sent} <= set(readers)
