Refuse numbers out of range in configurations, and skip unreadable rows

What could be seen: nodes on which no later configuration comes into force.

Cause: the decoder of the platform's documents took NaN and negative or zero time-outs and weights, and raised OverflowError for Infinity and huge numbers; a row with a value that is not base64, or a revision that is not a number, raised too. The error ended the task that follows the store, for the life of the node. An empty list of services would have failed at the first request of its route.

Fix: numbers are checked once, where they are read; a configuration with one that is out of range is refused as a whole, with the reason, and the one in force stays. Rows and revisions that cannot be read are logged and skipped.

--- a/bamboocove/platform/documents.py
+++ b/bamboocove/platform/documents.py
@@ -18,6 +18,8 @@
 
 # Timeout of a route that sets none.
 DEFAULT_TIMEOUT_S = 30.0
+# Largest integer that a JSON number represents exactly in all implementations.
+MAX_NUMBER = 2**53
 
 
 def _load_object(data: bytes) -> Any:
@@ -30,9 +32,19 @@
 def _read_number(value: Any) -> float:
     if isinstance(value, bool) or not isinstance(value, int | float):
         raise TypeError(f"not a number: {value!r}")
+    # Also false for NaN, which json reads like Infinity.
+    if not abs(value) <= MAX_NUMBER:
+        raise ValueError("not a finite number in range")
     return float(value)
 
 
+def _read_positive_number(value: Any) -> float:
+    number = _read_number(value)
+    if number <= 0.0:
+        raise ValueError(f"not positive: {value!r}")
+    return number
+
+
 def _read_string(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError(f"not a text: {value!r}")
@@ -79,7 +91,10 @@
         )
     else:
         shares = (ServiceShare(_read_string(route["service"]), 1.0),)
-    timeout_s = _read_number(route.get("timeoutS", DEFAULT_TIMEOUT_S))
+    weights = [share.weight for share in shares]
+    if min(weights, default=0.0) < 0.0 or sum(weights) <= 0.0:
+        raise ValueError(f"route {name}: no service has a positive weight")
+    timeout_s = _read_positive_number(route.get("timeoutS", DEFAULT_TIMEOUT_S))
     return HostRoute(
         name=name,
         host=_read_string(route["hostname"]).lower(),
@@ -88,7 +103,7 @@
         # A request on a "safe" route may run more than once, on an "unsafe" one not.
         is_idempotent=route["kind"] == "safe",
         timeout_s=timeout_s,
-        target_s=_read_number(route.get("targetLatencyS", timeout_s)),
+        target_s=_read_positive_number(route.get("targetLatencyS", timeout_s)),
         attempts=max(1, int(_read_number(route.get("attempts", 1)))),
         priority=max(0, int(_read_number(route.get("priority", 0)))),
     )
--- a/bamboocove/platform/store.py
+++ b/bamboocove/platform/store.py
@@ -1,7 +1,6 @@
 """Client of the platform's store: reads, writes and watches rows in tables."""
 
 import base64
-import binascii
 import json
 from typing import Any
 from urllib.parse import quote, urlencode
@@ -111,9 +110,7 @@
         if isinstance(document, ErrorResult):
             return document
         return _make_update(
-            _parse_rows(document),
-            int(document.get("ver", revision)),
-            is_full_read=False,
+            _parse_rows(document), _get_revision(document, revision), is_full_read=False
         )
 
     async def read_hosts(self) -> list[HostRecord] | ErrorResult:
@@ -191,7 +188,7 @@
             page = _parse_rows(document)
             rows += page
             if not document.get("hasMore") or not page:
-                return rows, int(document.get("ver", 0))
+                return rows, _get_revision(document, 0)
             query["from"] = page[-1].key + "\0"
 
     async def _write(
@@ -222,7 +219,7 @@
         document = await self._call(b"POST", "/api/rows-tx", data, CALL_TIMEOUT_S)
         if isinstance(document, ErrorResult):
             return document
-        return int(document.get("ver", 0))
+        return _get_revision(document, 0)
 
     async def _call(
         self, method: bytes, target: str, body: bytes, timeout_s: float
@@ -264,6 +261,14 @@
     return document
 
 
+def _get_revision(document: dict, default: int) -> int:
+    revision = document.get("ver", default)
+    if isinstance(revision, bool) or not isinstance(revision, int):
+        log("store.row-unreadable", key="ver", reason=f"not a revision: {revision!r}")
+        return default
+    return revision
+
+
 def _parse_rows(document: dict) -> list[_Row]:
     rows = []
     for row in document.get("rows") or ():
@@ -272,7 +277,13 @@
             if not row.get("deleted"):
                 value = base64.b64decode(row["value"])
             rows.append(_Row(row["key"], value, int(row.get("ver", 0))))
-        except (KeyError, TypeError, AttributeError, binascii.Error) as error:
+        except (
+            KeyError,
+            TypeError,
+            AttributeError,
+            ValueError,
+            OverflowError,
+        ) as error:
             log("store.row-unreadable", reason=f"{type(error).__name__}: {error}")
     return rows
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -71,6 +71,10 @@
     assert second.attempts == 1
 
 
+def change_route(**fields):
+    return {"r1": {**CONFIG["routes"]["r1"], **fields}}
+
+
 @pytest.mark.parametrize(
     "data",
     [
@@ -82,6 +86,25 @@
         encode_changed(CONFIG, routes=[]),
         encode_changed(CONFIG, routes={"r": {"hostname": "h", "prefix": "/"}}),
         encode_changed(CONFIG, services=None),
+        encode_changed(CONFIG, version=float("inf")),
+        encode_changed(CONFIG, version=10**400),
+        encode_changed(CONFIG, limits={"idleTimeoutS": float("nan")}),
+        encode_changed(CONFIG, routes=change_route(timeoutS=-1)),
+        encode_changed(CONFIG, routes=change_route(timeoutS=0)),
+        encode_changed(CONFIG, routes=change_route(attempts=float("inf"))),
+        encode_changed(CONFIG, routes=change_route(trafficSplit=[])),
+        encode_changed(
+            CONFIG,
+            routes=change_route(
+                trafficSplit=[
+                    {"service": "a", "weight": -1},
+                    {"service": "b", "weight": 2},
+                ]
+            ),
+        ),
+        encode_changed(
+            CONFIG, routes=change_route(trafficSplit=[{"service": "a", "weight": 0}])
+        ),
     ],
 )
 def test_decode_config_rejects_invalid_document(data):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -116,3 +116,25 @@
     standin.port.stopListening()
     result = run(store.write_host(make_record("h")))
     assert result.kind is ErrorKind.STORE_UNAVAILABLE
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        {"key": "config", "value": "\u00e4", "ver": 5},
+        {"key": "config", "value": "e30=", "ver": "five"},
+        {"key": "config", "value": "e30=", "ver": float("inf")},
+        {"key": "config", "value": 7, "ver": 5},
+        "config",
+    ],
+)
+def test_unreadable_row_is_skipped(store, monkeypatch, row):
+    """Guards against a row that ends the task which follows the store."""
+
+    async def respond(self, *args):
+        order = {"key": "rollout/a", "value": "e30=", "ver": 6}
+        return {"rows": [row, order], "ver": "seven"}
+
+    monkeypatch.setattr(PlatformStore, "_call", respond)
+    update = run(store.watch_operator(4))
+    assert update.config is None and update.revision == 4
