Start weighted round robin at a random point of its cycle

What could be seen: after a route was split, or after many nodes were restarted, the service with the largest weight gets more than its share while each node has had few requests.

Cause: the counts are exact for each node, but all nodes began at the same point of the cycle. 85 nodes with one request each and weights 3:1 sent all of them to the first service.

Fix: each node draws its starting point. Each node's counts stay as exact as before (test_shares_are_exact_over_few_requests), and over all nodes each request has the right mean.

--- a/bamboocove/coordination/route_table.py
+++ b/bamboocove/coordination/route_table.py
@@ -58,14 +58,27 @@
     return None
 
 
+# Requests of one cycle from which a balancer draws the point where it starts.
+START_POSITIONS = 100
+
+
 @define
 class WeightedRoundRobin:
     """Smooth weighted round robin over the services of each route.
 
     Unlike a random choice, it keeps the shares exact over few requests: in 300
-    random choices, a share of 10% would often be off by 5%.
+    random choices, a share of 10% would often be off by 5%. It starts at a random
+    point of its cycle. Otherwise the first requests of all nodes would go to the
+    service with the largest weight, and many nodes with few requests each would
+    together miss the shares.
+
+    Parameters
+    ----------
+    random : callable
+        Returns a float from 0 to 1.
     """
 
+    _random: Callable[[], float]
     _credits_by_route: dict[str, dict[str, float]] = field(factory=dict)
 
     def pick(self, route: HostRoute) -> str:
@@ -76,13 +89,19 @@
         if credits is None or credits.keys() != {s.service for s in route.shares}:
             credits = {share.service: 0.0 for share in route.shares}
             self._credits_by_route[route.name] = credits
-        total = 0.0
-        for share in route.shares:
-            credits[share.service] += share.weight
-            total += share.weight
-        best = max(credits, key=credits.__getitem__)
-        credits[best] -= total
-        return best
+            for _ in range(int(self._random() * START_POSITIONS)):
+                _advance(credits, route)
+        return _advance(credits, route)
+
+
+def _advance(credits: dict[str, float], route: HostRoute) -> str:
+    total = 0.0
+    for share in route.shares:
+        credits[share.service] += share.weight
+        total += share.weight
+    best = max(credits, key=credits.__getitem__)
+    credits[best] -= total
+    return best
 
 
 @define
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -104,7 +104,7 @@
         self._metrics = metrics
         self._clock = clock
         self._random = random
-        self.router = RequestRouter(dialect, inbound.is_running)
+        self.router = RequestRouter(dialect, inbound.is_running, random)
         self._candidates = CandidateSelector(fleet, rules, random)
         self._requests_by_stream: dict[int, OutboundRequest] = {}
         self._next_stream = 1
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -124,6 +124,8 @@
     is_running : callable
         Takes an attempt identifier; returns whether the worker on this host is
         running that request.
+    random : callable
+        Returns a float from 0 to 1.
 
     Attributes
     ----------
@@ -133,11 +135,16 @@
         Bounds on new requests while the node drains; else ``NOT_DRAINING``.
     """
 
-    def __init__(self, dialect: Dialect, is_running: Callable[[bytes], bool]):
+    def __init__(
+        self,
+        dialect: Dialect,
+        is_running: Callable[[bytes], bool],
+        random: Callable[[], float],
+    ):
         self._dialect = dialect
         self._is_running = is_running
         self._table: PrefixTable = {}
-        self._shares = WeightedRoundRobin()
+        self._shares = WeightedRoundRobin(random)
         self._caller_waits = CallerWaitEstimator()
         self.config = MeshConfig()
         self.drain_window = NOT_DRAINING
--- a/tests/coordination/test_route_table.py
+++ b/tests/coordination/test_route_table.py
@@ -58,14 +58,29 @@
 
 def test_shares_are_exact_over_few_requests():
     """Guards against a random choice, which can miss a share of 10% by half."""
-    balancer = WeightedRoundRobin()
+    balancer = WeightedRoundRobin(random.Random(1).random)
     route = make_route("r", "/", s=90, t=10)
     picks = [balancer.pick(route) for _ in range(300)]
     assert abs(picks.count("t") - 30) <= 1
 
 
+@pytest.mark.parametrize("weights", [(1, 1), (3, 1), (9, 1), (7, 2, 1)])
+@pytest.mark.parametrize("count", [1, 2, 3, 5])
+def test_shares_are_kept_by_many_nodes_with_few_requests_each(weights, count):
+    """Guards against nodes that all send their first requests to one service."""
+    source = random.Random(1)
+    route = make_route("r", "/", **dict(zip("stu", weights)))
+    picks = []
+    for _ in range(600):
+        balancer = WeightedRoundRobin(source.random)
+        picks += [balancer.pick(route) for _ in range(count)]
+    for share in route.shares:
+        expected = share.weight / sum(weights)
+        assert abs(picks.count(share.service) / len(picks) - expected) < 0.06
+
+
 def test_changed_weights_apply_immediately():
-    balancer = WeightedRoundRobin()
+    balancer = WeightedRoundRobin(random.Random(1).random)
     for _ in range(7):
         balancer.pick(make_route("r", "/", s=90, t=10))
     picks = [balancer.pick(make_route("r", "/", s=10, t=90)) for _ in range(100)]
