Soak: series of faults, open connections, faults that end on their own

What was seen: three ways in which the soak was kinder to nodes, or less fair, than its description. The end of one fault also ended those that overlapped it, although they were recorded until their own end, so hosts counted as disturbed while nothing disturbed them. After a delay had ended, a proxy delivered new bytes before delayed ones, and a close could overtake them, which TCP never does. Clients stopped as soon as a node was not ready, though they go on using the connections that are open.

Change: a fault is undone when the last one on its subject has ended; proxies keep the order of bytes and of the close; clients use open connections until the process is gone. `many` takes the number of hosts and the rate.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -46,6 +46,7 @@
             default="20",
         ),
         option("folder", None, "directory for logs and the report", flag=False),
+        option("series", None, "also repeat faults in quick succession", flag=True),
         option("plot", None, "also write a plot (needs matplotlib)", flag=True),
     ]
 
@@ -61,6 +62,7 @@
             float(self.option("rate")),
             int(self.option("network")),
             folder,
+            bool(self.option("series")),
         )
         journal, peak_kib = run_seed(options)
         report = summarize(journal, peak_kib)
@@ -76,7 +78,7 @@
     """Runs several seeds in parallel processes."""
 
     name = "many"
-    description = "run several seeds in parallel"
+    description = "run several seeds, with series of faults, in parallel"
     options = [
         option("first", None, "first seed; the time if missing", flag=False),
         option("count", None, "number of seeds", flag=False, default="10"),
@@ -90,6 +92,8 @@
             flag=False,
             default="20",
         ),
+        option("hosts", None, "hosts at the start", flag=False, default="9"),
+        option("rate", None, "requests/s on each host", flag=False, default="8"),
         option("folder", None, "directory for logs and reports", flag=False),
     ]
 
@@ -130,7 +134,9 @@
     def _start(self, seed: int, network: int, folder: Path) -> Any:
         command = [sys.executable, "-m", "soak", "run", "--seed", str(seed)]
         command += ["--network", str(network), "--folder", str(folder)]
-        command += ["--duration", self.option("duration")]
+        for name in ("duration", "hosts", "rate"):
+            command += [f"--{name}", self.option(name)]
+        command.append("--series")
         return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
 
 
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+from collections import Counter
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -73,6 +74,11 @@
         Source of time, connections and processes.
     journal : Journal
         Receives the observations.
+
+    Attributes
+    ----------
+    faults_by_subject : Counter
+        Number of faults that affect a subject now, see ``soak.faults``.
     """
 
     network: int
@@ -81,6 +87,7 @@
     clock: Any
     journal: Journal
     hosts_by_id: dict[str, Host] = field(factory=dict)
+    faults_by_subject: Counter = field(factory=Counter)
     store: StoreStandin | None = None
     config_version: int = 0
     newest_route: int = 0
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,7 +5,7 @@
 from random import Random
 from typing import Any
 
-from attrs import frozen
+from attrs import evolve, frozen
 from twisted.internet.task import deferLater
 
 from bamboocove.events import run_logged
@@ -18,6 +18,10 @@
 # Time between SIGTERM and SIGKILL of a planned stop.
 KILL_DELAY_S = 6.0
 ROLLOUT_S = 12.0
+# Fraction of the faults that are repeated, how often, and how soon.
+SERIES_RATE = 0.35
+MAX_REPEATS = 4
+MAX_REPEAT_DELAY_S = 1.2
 FAULTY_ERROR_RATE = 0.6
 STORE_ERROR_STATUSES = (429, 503)
 
@@ -44,8 +48,33 @@
     draw: float
 
 
-def plan_faults(random: Random, duration_s: float) -> list[FaultEvent]:
-    """Return the events of a run, sorted by time."""
+def plan_faults(
+    random: Random, duration_s: float, series_random: Random | None = None
+) -> list[FaultEvent]:
+    """Return the events of a run.
+
+    With ``series_random``, some events are repeated in quick succession, on the
+    same host or on others.
+    """
+    events = _plan_single_faults(random, duration_s)
+    if series_random is None:
+        return events
+    for event in list(events):
+        if series_random.random() >= SERIES_RATE:
+            continue
+        is_same_host = series_random.random() < 0.5
+        for _ in range(series_random.randint(1, MAX_REPEATS)):
+            event = evolve(
+                event,
+                at=event.at + series_random.uniform(0.0, MAX_REPEAT_DELAY_S),
+                draw=event.draw if is_same_host else series_random.random(),
+            )
+            if event.at < duration_s:
+                events.append(event)
+    return events
+
+
+def _plan_single_faults(random: Random, duration_s: float) -> list[FaultEvent]:
     events = []
     at = 0.0
     while True:
@@ -64,10 +93,18 @@
     INJECTORS_BY_KIND[event.kind](cluster, host, event)
 
 
-def _call_at_end(
-    cluster: Cluster, event: FaultEvent, callback: Callable, *args: Any
+def _restore_at_end(
+    cluster: Cluster, event: FaultEvent, subject: Any, restore: Callable[[], None]
 ) -> None:
-    cluster.clock.callLater(event.duration_s, callback, *args)
+    """Restore a subject once this fault and all that overlap it have ended."""
+    cluster.faults_by_subject[subject] += 1
+
+    def end() -> None:
+        cluster.faults_by_subject[subject] -= 1
+        if not cluster.faults_by_subject[subject]:
+            restore()
+
+    cluster.clock.callLater(event.duration_s, end)
 
 
 def _kill(cluster: Cluster, host: Host, event: FaultEvent) -> None:
@@ -90,7 +127,7 @@
         if host.node.start_number == start_number:
             host.node.send_signal(signal.SIGCONT)
 
-    _call_at_end(cluster, event, resume)
+    _restore_at_end(cluster, event, (host.host_id, start_number), resume)
 
 
 def _stop(cluster: Cluster, host: Host, event: FaultEvent) -> None:
@@ -118,19 +155,19 @@
     cluster.record_disruption("cut_links", host.host_id, event.duration_s)
     variant = event.draw * 7 % 1
     host.link_proxy.cut(variant < 0.67, variant > 0.33)
-    _call_at_end(cluster, event, host.link_proxy.heal)
+    _restore_at_end(cluster, event, host.link_proxy, host.link_proxy.heal)
 
 
 def _reset_links(cluster: Cluster, host: Host, event: FaultEvent) -> None:
     cluster.record_disruption("reset_links", host.host_id, event.duration_s)
     host.link_proxy.reset(is_refusing=event.draw * 7 % 1 < 0.5)
-    _call_at_end(cluster, event, host.link_proxy.heal)
+    _restore_at_end(cluster, event, host.link_proxy, host.link_proxy.heal)
 
 
 def _delay_links(cluster: Cluster, host: Host, event: FaultEvent) -> None:
     cluster.record_disruption("delay_links", host.host_id, event.duration_s)
     host.link_proxy.delay_s = 0.02 + 0.3 * (event.draw * 7 % 1)
-    _call_at_end(cluster, event, host.link_proxy.heal)
+    _restore_at_end(cluster, event, host.link_proxy, host.link_proxy.heal)
 
 
 def _cut_store(cluster: Cluster, host: Host, event: FaultEvent) -> None:
@@ -139,20 +176,22 @@
         host.store_proxy.cut()
     else:
         host.store_proxy.reset(is_refusing=True)
-    _call_at_end(cluster, event, host.store_proxy.heal)
+    _restore_at_end(cluster, event, host.store_proxy, host.store_proxy.heal)
 
 
 def _fail_store(cluster: Cluster, host: Host, event: FaultEvent) -> None:
     cluster.record_disruption("fail_store", "store", event.duration_s)
     faults = (*STORE_ERROR_STATUSES, "silent", "lose")
     cluster.store.fault = faults[int(event.draw * 97) % len(faults)]
-    _call_at_end(cluster, event, setattr, cluster.store, "fault", None)
+    store = cluster.store
+    _restore_at_end(cluster, event, "fault", lambda: setattr(store, "fault", None))
 
 
 def _slow_store(cluster: Cluster, host: Host, event: FaultEvent) -> None:
     cluster.record_disruption("slow_store", "store", event.duration_s)
     cluster.store.delay_s = 0.3
-    _call_at_end(cluster, event, setattr, cluster.store, "delay_s", 0.0)
+    store = cluster.store
+    _restore_at_end(cluster, event, "delay", lambda: setattr(store, "delay_s", 0.0))
 
 
 def _forget_history(cluster: Cluster, host: Host, event: FaultEvent) -> None:
@@ -180,7 +219,9 @@
         WorkerFaults(abort_rate=0.1, truncation_rate=0.1),
         WorkerFaults(error_rate=0.3),
     )[int(event.draw * 97) % 3]
-    _call_at_end(cluster, event, setattr, worker, "troubles", WorkerFaults())
+    _restore_at_end(
+        cluster, event, worker, lambda: setattr(worker, "troubles", WorkerFaults())
+    )
 
 
 def _drain_worker(cluster: Cluster, host: Host, event: FaultEvent) -> None:
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -1,5 +1,6 @@
 """Loopback TCP proxies that delay, hold or reset the connections they forward."""
 
+from collections import deque
 from typing import Any
 
 from attrs import define, field
@@ -85,6 +86,7 @@
         self.client_side: _Endpoint | None = None
         self.target_side: _Endpoint | None = None
         self._buffered: list[bytes] = []
+        self._delayed: deque[tuple[_Endpoint, bytes | None]] = deque()
 
     def open(self, client_side: "_Endpoint") -> None:
         """Accept the client side and connect to the target."""
@@ -125,32 +127,40 @@
             else:
                 side.transport.resumeProducing()
 
-    def forward(self, side: "_Endpoint", data: bytes) -> None:
-        """Send bytes from one side to the other, after the delay if one is set."""
-        if self.proxy.delay_s:
-            self.proxy.clock.callLater(self.proxy.delay_s, self._write, side, data)
+    def forward(self, side: "_Endpoint", data: bytes | None) -> None:
+        """Send bytes of one side to the other, or close it if ``data`` is None.
+
+        Bytes keep their order while the delay changes.
+        """
+        if self.proxy.delay_s or self._delayed:
+            self._delayed.append((side, data))
+            self.proxy.clock.callLater(self.proxy.delay_s, self._forward_oldest)
         else:
-            self._write(side, data)
+            self._forward_now(side, data)
+
+    def _forward_oldest(self) -> None:
+        if self._delayed:
+            self._forward_now(*self._delayed.popleft())
 
-    def _write(self, side: "_Endpoint", data: bytes) -> None:
-        if side is self.target_side:
-            self.client_side.transport.write(data)
-        elif self.target_side is None:
+    def _forward_now(self, side: "_Endpoint", data: bytes | None) -> None:
+        other = self.client_side if side is self.target_side else self.target_side
+        if data is None:
+            if other is not None:
+                other.transport.loseConnection()
+        elif other is None:
             self._buffered.append(data)
         else:
-            self.target_side.transport.write(data)
+            other.transport.write(data)
 
     def on_closed(self, side: "_Endpoint") -> None:
         """Close the other side once all bytes for it are sent."""
         self.proxy.connections.discard(self)
-        other = self.client_side if side is self.target_side else self.target_side
-        if other is not None:
-            delay_s = self.proxy.delay_s
-            self.proxy.clock.callLater(delay_s, other.transport.loseConnection)
+        self.forward(side, None)
 
     def abort(self) -> None:
         """Reset both sides."""
         self.proxy.connections.discard(self)
+        self._delayed.clear()
         for side in (self.client_side, self.target_side):
             if side is not None:
                 side.transport.abortConnection()
--- a/soak/run.py
+++ b/soak/run.py
@@ -44,6 +44,8 @@
         Second octet of the loopback addresses.
     folder : Path
         Directory for settings and logs.
+    has_series : bool
+        Whether faults also come in quick succession.
     """
 
     seed: int
@@ -52,6 +54,7 @@
     rate: float
     network: int
     folder: Path
+    has_series: bool = False
 
 
 async def _wait_until_ready(cluster: Cluster, clock: Any) -> None:
@@ -97,7 +100,8 @@
     start_load: Any,
 ) -> None:
     clock, random, journal = cluster.clock, cluster.random, cluster.journal
-    events = plan_faults(random, options.duration_s)
+    series_random = Random(f"{options.seed}/series") if options.has_series else None
+    events = plan_faults(random, options.duration_s, series_random)
     rollout_at = random.uniform(0.0, 0.6) * options.duration_s
     cluster.start_store()
     for number in range(options.hosts):
--- a/soak/traffic.py
+++ b/soak/traffic.py
@@ -25,7 +25,7 @@
 CONNECT_TIMEOUT_S = 1.0
 READINESS_INTERVAL_S = 1.0
 READINESS_TIMEOUT_S = 0.9
-# Consecutive failed readiness checks after which clients send no new requests.
+# Consecutive failed readiness checks after which clients open no new connections.
 UNREADY_AFTER_FAILURES = 2
 PROBE_INTERVAL_S = 0.5
 
@@ -109,7 +109,7 @@
         self.cluster.clock.callLater(
             self.random.expovariate(self.rate), self._send_next
         )
-        if self._readiness_failures >= UNREADY_AFTER_FAILURES:
+        if self._readiness_failures >= UNREADY_AFTER_FAILURES and not self._is_open():
             return
         service = self.random.choice(SERVICES)
         draw = self.random.random()
@@ -121,6 +121,17 @@
         else:
             self._send("read", b"GET", f"/{service}/x?q=1", b"")
 
+    def _is_open(self) -> bool:
+        """Return whether an idle connection to the node is open.
+
+        Clients go on using it after the node has become unready.
+        """
+        connection = self._pool.take(self.host.outbound_address)
+        if connection is None:
+            return False
+        self._pool.put(self.host.outbound_address, connection)
+        return True
+
     def _send_probes(self) -> None:
         route = self.cluster.newest_route
         if self._readiness_failures < UNREADY_AFTER_FAILURES and route:
