Reproduce the promotion of a slow version, as a known failure

The reproduction needs neither: of 200 simulated moves in a calm mesh of 300 requests/s, with a new version whose requests are five times slower in half of the cases, 134 succeed (0 may).

After 0.6 of the time the steps no longer wait for outcomes, so that time running out promotes it.

--- a/tests/coordination/test_short_moves.py
+++ b/tests/coordination/test_short_moves.py
@@ -42,7 +42,13 @@
         return is_failure or slow_factor > 3
 
     def run(
-        self, fault, fault_starts_s=0.0, bad_fraction=0.5, only_route=None, ready_s=2.0
+        self,
+        fault,
+        fault_starts_s=0.0,
+        bad_fraction=0.5,
+        only_route=None,
+        ready_s=2.0,
+        slow_x=8.0,
     ):
         """Return how the move ends, and after how many seconds."""
         progress = MoveProgress()
@@ -65,7 +71,7 @@
                 failure_rate = (
                     1.0 if is_bad and fault == "errors" else self.old_failure_rate
                 )
-                slow_factor = 8.0 if is_bad and fault == "slow" else 1.0
+                slow_factor = slow_x if is_bad and fault == "slow" else 1.0
                 self.bad_responses += self.record(
                     self.new, route, failure_rate, slow_factor
                 )
@@ -113,6 +119,15 @@
         assert ended_s - simulation.bad_since_s <= 5.0
 
 
+def test_version_with_half_of_its_requests_five_times_slower_is_never_completed():
+    """Guards against taking a slow version for a good one because time runs out."""
+    states = [
+        MoveSimulation(300, 16.0, seed).run("slow", slow_x=5.0)[0]
+        for seed in range(200)
+    ]
+    assert states.count("succeeded") == 0
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_failures_of_both_versions_are_no_regression(seed):
     """Guards against a rollback because of a network fault."""
