--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -41,6 +41,7 @@
     link_proxy: FaultProxy
     store_proxy: FaultProxy
     worker_proxy: FaultProxy
+    worker_start: Any = None
 
     @property
     def outbound_address(self) -> Address:
@@ -164,12 +165,11 @@
 
     def replace_worker(self, host: Host, version: str, wait_s: float = 0.0) -> None:
         """Stop the worker of a host at once; start another one after ``wait_s``."""
-        host.worker.stop()
+        _stop_worker(host)
         host.worker = self._make_worker(
             host.service, version, host.zone, host.ip, host.proxy_ip
         )
-        worker = host.worker
-        self.clock.callLater(wait_s, worker.start)
+        host.worker_start = self.clock.callLater(wait_s, host.worker.start)
 
     async def drain_worker(self, host: Host) -> None:
         """Drain the worker of a host, then replace it by another one."""
@@ -252,9 +252,17 @@
         """Stop everything, and wait until all node processes have exited."""
         self.kill_nodes()
         for host in self.hosts_by_id.values():
-            host.worker.stop()
+            _stop_worker(host)
             for proxy in host.proxies:
                 proxy.close()
         self.store.close()
         while any(host.node.is_alive for host in self.hosts_by_id.values()):
             await deferLater(self.clock, 0.05)
+
+
+def _stop_worker(host: Host) -> None:
+    """Stop the worker of a host, or cancel its start if that is still to come."""
+    if host.worker_start is not None and host.worker_start.active():
+        host.worker_start.cancel()
+    else:
+        host.worker.stop()
