--- a/bamboocove/coordination/route_table.py
+++ b/bamboocove/coordination/route_table.py
@@ -9,6 +9,10 @@
 
 PrefixTable = dict[str, dict[str, HostRoute]]
 
+# Number of positions in the cycle of a weighted round robin from which a node draws
+# its first one.
+START_POSITIONS = 100
+
 
 def compile_routes(config: MeshConfig) -> PrefixTable | ErrorResult:
     """Return the routes of a configuration by host name and path prefix.
@@ -58,10 +62,6 @@
     return None
 
 
-# Requests of one cycle from which a balancer draws the point where it starts.
-START_POSITIONS = 100
-
-
 @define
 class WeightedRoundRobin:
     """Smooth weighted round robin over the services of each route.
