Detect versions that are slow on some requests among slow hosts

Cause, three parts. A request was slow above 4.5 times the old version's mean: workers differ in speed by 2 to 3, so half of the slow requests stay below. The mean itself rises with slow and frozen hosts of the old version, and the limit of the rate is twice the old one. After 0.6 of the time steps waited for no outcomes at all.

Ruled out: cold workers (158 against 137 ms), and a freeze that empties a window (counts are cumulative).

Fix: hosts also count outliers, requests above three times the lower quartile of the last eight of their route; late steps need outcomes that show few bad requests; no step while the new version looks worse, and rollback if it still does at 0.9 of the time; services with few requests get a first step of up to 15%, so that they have outcomes in time. Reports carry the outliers; a node of the release before discards them as unreadable.

Not solved: a version that is slower on all requests (docs/decisions/moves.md).

--- a/bamboocove/coordination/short_moves.py
+++ b/bamboocove/coordination/short_moves.py
@@ -7,7 +7,8 @@
 """
 
 import math
-from collections.abc import Iterable, Mapping
+from collections import deque
+from collections.abc import Collection, Iterable, Mapping
 
 from attrs import define, field, frozen
 
@@ -19,9 +20,19 @@
 STEP_FRACTIONS = (0.3, 0.1, 0.1, 0.15)
 # Outcomes of the new version that each step needs before the next one.
 STEP_CALLS_MIN = (40, 60, 100, 60)
-# Fraction of the move's duration after which steps take half the time and no
-# longer wait for enough outcomes.
+# Fraction of the move's duration after which steps take half the time, and need
+# only as many outcomes as show that the rate of failed or slow requests exceeds the
+# highest acceptable one by less than LATE_MARGIN.
 LATE_FRACTION = 0.6
+LATE_MARGIN = 0.3
+# Fraction of the move's duration after which a version that looks worse than the old
+# one is rolled back, though there are too few outcomes to be sure.
+LAST_CHANCE_FRACTION = 0.9
+# With fewer requests than this to both versions, late steps need no outcomes.
+IDLE_CALLS = 20
+# Largest share of the first step, which services with few requests need to get
+# STEP_CALLS_MIN outcomes in time.
+MAX_FIRST_SHARE = 0.15
 # Width of the confidence bounds in standard deviations.
 CONFIDENCE_SIGMAS = 3.0
 # Highest rate of failed or slow requests at which the new version is not bad:
@@ -33,6 +44,12 @@
 # mean. With a smaller one a slow host would look like a bad version: the speed of
 # workers differs by a factor of up to 2.5, and requests differ in cost.
 SLOW_FACTOR = 4.5
+# A request is an outlier if it takes longer than this multiple of the lower quartile
+# of the last requests of its route on its host. A slow host raises the quartile, so
+# its requests are no outliers; a version that is slow on some requests does not.
+OUTLIER_FACTOR = 3.0
+OUTLIER_MARGIN = 0.15
+OUTLIER_WINDOW = 8
 # Failed or slow requests that a regression needs at least.
 BAD_CALLS_MIN = 4
 # Successful requests to the old version from which on latencies are compared.
@@ -53,12 +70,18 @@
         Sum of the latencies of successful requests, in seconds.
     buckets : list of int
         Histogram of these latencies; the last bucket has no upper bound.
+    outliers : int
+        Successful requests that took far longer than most of those before them.
     """
 
     calls: int = 0
     failed: int = 0
     total_s: float = 0.0
     buckets: list[int] = field(factory=lambda: [0] * (len(BUCKET_BOUNDS_S) + 1))
+    outliers: int = 0
+    _recent_s: deque[float] = field(
+        factory=lambda: deque(maxlen=OUTLIER_WINDOW), init=False, eq=False
+    )
 
     def record(self, is_failure: bool, seconds: float) -> None:
         """Count one outcome with its latency in seconds."""
@@ -67,6 +90,10 @@
             self.failed += 1
             return
         self.total_s += seconds
+        if len(self._recent_s) == OUTLIER_WINDOW:
+            lower_quartile_s = sorted(self._recent_s)[OUTLIER_WINDOW // 4 - 1]
+            self.outliers += seconds > OUTLIER_FACTOR * lower_quartile_s
+        self._recent_s.append(seconds)
         index = 0
         while index < len(BUCKET_BOUNDS_S) and seconds > BUCKET_BOUNDS_S[index]:
             index += 1
@@ -77,6 +104,7 @@
         self.calls += other.calls
         self.failed += other.failed
         self.total_s += other.total_s
+        self.outliers += other.outliers
         for index, count in enumerate(other.buckets):
             self.buckets[index] += count
 
@@ -103,61 +131,158 @@
     return merged
 
 
-def compute_wilson_lower_bound(bad: int, calls: int) -> float:
-    """Return the lower bound of the Wilson score interval of a rate.
+def compute_wilson_bounds(bad: int, calls: int) -> tuple[float, float]:
+    """Return the bounds of the Wilson score interval of a rate.
 
     Examples
     --------
-    >>> compute_wilson_lower_bound(0, 10)
+    >>> compute_wilson_bounds(0, 10)[0]
     0.0
-    >>> round(compute_wilson_lower_bound(10, 20), 2)
-    0.22
+    >>> [round(bound, 2) for bound in compute_wilson_bounds(10, 20)]
+    [0.22, 0.78]
     """
-    if not bad:
-        return 0.0
+    if not calls:
+        return 0.0, 1.0
     rate = bad / calls
     z2_per_call = CONFIDENCE_SIGMAS * CONFIDENCE_SIGMAS / calls
     center = rate + z2_per_call / 2
     spread = math.sqrt(rate * (1 - rate) * z2_per_call + z2_per_call * z2_per_call / 4)
-    return max(0.0, (center - spread) / (1 + z2_per_call))
+    lower = (center - spread) / (1 + z2_per_call) if bad else 0.0
+    return max(0.0, lower), min(1.0, (center + spread) / (1 + z2_per_call))
 
 
-def find_regression(old: Mapping[str, Tally], new: Mapping[str, Tally]) -> str:
-    """Return why a new version is bad, or an empty string if it is not.
+@frozen
+class Comparison:
+    """Rate of one kind of bad requests of a new version, against a limit.
+
+    Parameters
+    ----------
+    kind : str
+        Kind of bad requests: ``failed``, ``slow`` or ``outlier``.
+    bad, calls : int
+        Bad requests of the new version, and all of them.
+    limit : float
+        Highest rate at which the new version is not bad.
+    text : str
+        Explanation for operators.
+    """
+
+    kind: str
+    bad: int
+    calls: int
+    limit: float
+    text: str
+
+    @property
+    def is_suspicious(self) -> bool:
+        """Whether the observed rate exceeds the limit."""
+        return self.bad >= BAD_CALLS_MIN and self.bad > self.limit * self.calls
+
+    @property
+    def is_regression(self) -> bool:
+        """Whether the rate exceeds the limit with the required confidence."""
+        return (
+            self.is_suspicious
+            and compute_wilson_bounds(self.bad, self.calls)[0] > self.limit
+        )
+
+
+def compare_versions(
+    old: Mapping[str, Tally], new: Mapping[str, Tally]
+) -> list[Comparison]:
+    """Compare failures and latencies of a new version with those of the old one.
 
     Parameters
     ----------
     old, new : mapping of str to Tally
         Outcomes of each version by route since the move began.
     """
+    comparisons = []
     for route, tally in new.items():
         old_tally = old.get(route, Tally())
         old_rate = (old_tally.failed + 0.5) / (old_tally.calls + 25.0)
-        limit = FAILURE_FACTOR * old_rate + FAILURE_MARGIN
-        if (
-            tally.failed >= BAD_CALLS_MIN
-            and compute_wilson_lower_bound(tally.failed, tally.calls) > limit
-        ):
-            return (
+        comparisons.append(
+            Comparison(
+                "failed",
+                tally.failed,
+                tally.calls,
+                FAILURE_FACTOR * old_rate + FAILURE_MARGIN,
                 f"{tally.failed} of {tally.calls} requests of route {route} failed, "
-                f"{old_tally.failed} of {old_tally.calls} on the old version"
+                f"{old_tally.failed} of {old_tally.calls} on the old version",
             )
-        if old_tally.calls - old_tally.failed < OLD_CALLS_MIN:
+        )
+        old_successes = old_tally.calls - old_tally.failed
+        if old_successes < OLD_CALLS_MIN:
             continue
-        limit_s = SLOW_FACTOR * old_tally.total_s / (old_tally.calls - old_tally.failed)
-        slow, old_slow = tally.count_slower(limit_s), old_tally.count_slower(limit_s)
-        limit = FAILURE_FACTOR * old_slow / old_tally.calls + SLOW_MARGIN
-        if (
-            slow >= BAD_CALLS_MIN
-            and compute_wilson_lower_bound(slow, tally.calls) > limit
+        limit_s = SLOW_FACTOR * old_tally.total_s / old_successes
+        old_slow = old_tally.count_slower(limit_s)
+        for kind, slow, old_slow, limit, description in (
+            (
+                "slow",
+                tally.count_slower(limit_s),
+                old_slow,
+                FAILURE_FACTOR * old_slow / old_tally.calls + SLOW_MARGIN,
+                f"took over {limit_s:.3f} s",
+            ),
+            (
+                "outlier",
+                tally.outliers,
+                old_tally.outliers,
+                old_tally.outliers / old_tally.calls + OUTLIER_MARGIN,
+                "took far longer than others on the same host",
+            ),
         ):
-            return (
-                f"{slow} of {tally.calls} requests of route {route} took over "
-                f"{limit_s:.3f} s, {old_slow} of {old_tally.calls} on the old version"
+            comparisons.append(
+                Comparison(
+                    kind,
+                    slow,
+                    tally.calls,
+                    limit,
+                    f"{slow} of {tally.calls} requests of route {route} "
+                    f"{description}, {old_slow} of {old_tally.calls} on the old "
+                    "version",
+                )
             )
+    return comparisons
+
+
+def find_regression(
+    comparisons: Iterable[Comparison], age_s: float, duration_s: float
+) -> str:
+    """Return why a new version is bad, or an empty string if it is not.
+
+    Near the deadline of the move, looking worse than the old version is enough.
+
+    Parameters
+    ----------
+    comparisons : iterable of Comparison
+        The new version compared with the old one.
+    age_s, duration_s : float
+        Time since the move was ordered, and from the order to the deadline, in
+        seconds.
+    """
+    is_last_chance = age_s >= LAST_CHANCE_FRACTION * duration_s
+    for comparison in comparisons:
+        if comparison.is_regression or (is_last_chance and comparison.is_suspicious):
+            return comparison.text
     return ""
 
 
+def is_shown_harmless(comparisons: Collection[Comparison]) -> bool:
+    """Return whether few of the new version's requests can be bad.
+
+    The routes are taken together, because some have too few requests.
+    """
+    for kind in ("failed", "slow", "outlier"):
+        of_kind = [c for c in comparisons if c.kind == kind]
+        bad, calls = sum(c.bad for c in of_kind), sum(c.calls for c in of_kind)
+        highest_rate = compute_wilson_bounds(bad, calls)[1]
+        mean_limit = sum(c.limit * c.calls for c in of_kind) / max(1, calls)
+        if highest_rate > mean_limit + LATE_MARGIN:
+            return False
+    return True
+
+
 @frozen
 class MoveProgress:
     """Current step of a move.
@@ -170,16 +295,14 @@
         When the step began, in seconds of the local clock.
     new_calls_at_start : int
         Outcomes of the new version counted before the step began.
+    share : float
+        Share of requests that the new version gets, from 0 to 1.
     """
 
     step: int = -1
     step_started_at: float = 0.0
     new_calls_at_start: int = 0
-
-    @property
-    def share(self) -> float:
-        """Share of requests that the new version gets, from 0 to 1."""
-        return 0.0 if self.step < 0 else STEP_SHARES[self.step]
+    share: float = 0.0
 
 
 @frozen
@@ -191,17 +314,42 @@
     age_s, duration_s : float
         Time since the move was ordered, and from the order to the deadline, in
         seconds.
-    new_calls : int
-        Outcomes of the new version since the move began.
+    old_calls, new_calls : int
+        Outcomes of the old and the new version since the move began.
     new_ready, old_ready : int
         Ready workers of the new and the old version.
+    is_suspicious : bool
+        Whether the new version looks worse than the old one.
+    is_harmless : bool
+        Whether the outcomes show that few requests to the new version can be bad.
     """
 
     age_s: float
     duration_s: float
+    old_calls: int
     new_calls: int
     new_ready: int
     old_ready: int
+    is_suspicious: bool
+    is_harmless: bool
+
+
+def _choose_first_share(observation: MoveObservation) -> float:
+    rate = (observation.old_calls + observation.new_calls) / max(observation.age_s, 0.1)
+    expected_calls = rate * STEP_FRACTIONS[0] * observation.duration_s
+    needed = STEP_CALLS_MIN[0] / max(expected_calls, 1.0)
+    return min(MAX_FIRST_SHARE, max(STEP_SHARES[0], needed))
+
+
+def _has_outcomes(progress: MoveProgress, observation: MoveObservation) -> bool:
+    """Return whether there are enough outcomes for the next step."""
+    step_calls = observation.new_calls - progress.new_calls_at_start
+    if step_calls >= STEP_CALLS_MIN[progress.step]:
+        return True
+    if observation.age_s <= LATE_FRACTION * observation.duration_s:
+        return False
+    calls = observation.old_calls + observation.new_calls
+    return observation.is_harmless or calls < IDLE_CALLS
 
 
 def advance(
@@ -212,23 +360,21 @@
     if not observation.new_ready or progress.step >= last_step:
         return progress
     if progress.step < 0:
-        return MoveProgress(0, now, observation.new_calls)
+        share = _choose_first_share(observation)
+        return MoveProgress(0, now, observation.new_calls, share)
     is_late = observation.age_s > LATE_FRACTION * observation.duration_s
     fraction = STEP_FRACTIONS[progress.step] * (0.5 if is_late else 1.0)
-    if now - progress.step_started_at < fraction * observation.duration_s:
-        return progress
     if (
-        not is_late
-        and observation.new_calls - progress.new_calls_at_start
-        < STEP_CALLS_MIN[progress.step]
+        observation.is_suspicious
+        or now - progress.step_started_at < fraction * observation.duration_s
+        or not _has_outcomes(progress, observation)
     ):
         return progress
-    if (
-        progress.step + 1 == last_step
-        and 2 * observation.new_ready < observation.old_ready
-    ):
+    step = progress.step + 1
+    if step == last_step and 2 * observation.new_ready < observation.old_ready:
         return progress
-    return MoveProgress(progress.step + 1, now, observation.new_calls)
+    share = max(progress.share, STEP_SHARES[step])
+    return MoveProgress(step, now, observation.new_calls, share)
 
 
 def is_complete(
@@ -239,6 +385,7 @@
     return (
         progress.step == last_step
         and observation.new_ready > 0
+        and not observation.is_suspicious
         and now - progress.step_started_at
         >= min(2.0, STEP_FRACTIONS[last_step] * observation.duration_s)
     )
--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -226,8 +226,8 @@
     order_revision : int
         Revision of the move order that the counts belong to.
     tallies : list
-        For each route: its name, calls, failed calls, total time in ms, and
-        latency histogram buckets.
+        For each route: its name, calls, failed calls, total time in ms, latency
+        histogram buckets, and outliers.
     """
 
     host_id: str
@@ -274,10 +274,14 @@
     is_sign : bool
         Whether the receiver collects the reports and relays them, together with
         those of other hosts.
+    has_outliers : bool
+        Always true. Releases that do not expect outliers discard a message that
+        has this field.
     """
 
     items: list[list[Any]]
     is_sign: bool = False
+    has_outliers: bool = True
 
 
 @frozen
--- a/bamboocove/sidecar/rules.py
+++ b/bamboocove/sidecar/rules.py
@@ -16,8 +16,10 @@
     MoveProgress,
     Tally,
     advance,
+    compare_versions,
     find_regression,
     is_complete,
+    is_shown_harmless,
     merge_tallies,
 )
 from bamboocove.errors import ErrorResult
@@ -313,7 +315,14 @@
             worker.version,
             rule.order_revision,
             [
-                [route, t.calls, t.failed, int(t.total_s * 1000), t.buckets]
+                [
+                    route,
+                    t.calls,
+                    t.failed,
+                    int(t.total_s * 1000),
+                    t.buckets,
+                    t.outliers,
+                ]
                 for route, t in tallies.items()
             ],
         )
@@ -323,8 +332,10 @@
     def _sum_tallies(self, service: str, is_wanted: Callable[[str], bool]) -> dict:
         return merge_tallies(
             {
-                route: Tally(calls, failed, total_ms / 1000, list(buckets))
-                for route, calls, failed, total_ms, buckets in outcomes.tallies
+                route: Tally(calls, failed, total_ms / 1000, list(buckets), *outliers)
+                for route, calls, failed, total_ms, buckets, *outliers in (
+                    outcomes.tallies
+                )
             }
             for outcomes in self._outcomes.values()
             if outcomes.service == service and is_wanted(outcomes.version)
@@ -334,17 +345,21 @@
         service = rule.service
         new = self._sum_tallies(service, lambda version: version == rule.to_version)
         old = self._sum_tallies(service, lambda version: version != rule.to_version)
-        regression = find_regression(old, new)
+        comparisons = compare_versions(old, new)
         views = self._fleet.get_views(service)
         versions = {view.version for view in views}
         observation = MoveObservation(
             now - self._started_at_by_service.get(service, now),
             order.duration_s,
+            sum(tally.calls for tally in old.values()),
             sum(tally.calls for tally in new.values()),
             self._fleet.count_ready(service, {rule.to_version}),
             self._fleet.count_ready(service, versions - {rule.to_version}),
+            any(comparison.is_suspicious for comparison in comparisons),
+            is_shown_harmless(comparisons),
         )
         progress = self.rule_table.progress_by_service.get(service, MoveProgress())
+        regression = find_regression(comparisons, observation.age_s, order.duration_s)
         if regression:
             self._decide(rule, "rolled_back", regression, now)
             return
