--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -38,9 +38,10 @@
 from bamboocove.sidecar.logs import WRITER, log
 from bamboocove.sidecar.messages import exchange_state, handle_message
 from bamboocove.sidecar.metrics import MeshMetrics
+from bamboocove.sidecar.moves import MoveController
 from bamboocove.sidecar.outbound import OutboundProxy
 from bamboocove.sidecar.outbound_request import NOT_DRAINING
-from bamboocove.sidecar.rules import MoveController, RuleTable
+from bamboocove.sidecar.rules import RuleTable
 from bamboocove.sidecar.settings import HostSettings
 from bamboocove.sidecar.shutdown import drain
 from bamboocove.sidecar.store import OperatorUpdate, Store
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from bamboocove.coordination.short_moves import Tally
+from bamboocove.coordination.version_comparison import Tally
 from bamboocove.coordination.worker_queue import QueuedRequest, WorkerQueue
 from bamboocove.protocol.mesh_messages import (
     ANSWERED,
--- a/tests/coordination/test_short_moves.py
+++ b/tests/coordination/test_short_moves.py
@@ -7,13 +7,15 @@
 from bamboocove.coordination.short_moves import (
     MoveObservation,
     MoveProgress,
-    Tally,
     advance,
+    count_workers_used,
+    is_complete,
+)
+from bamboocove.coordination.version_comparison import (
+    Tally,
     compare_versions,
     compute_wilson_bounds,
-    count_workers_used,
     find_regression,
-    is_complete,
     is_shown_harmless,
     merge_tallies,
 )
