--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -100,7 +100,10 @@
         self.is_stopping = False
         environment = dict(os.environ)
         environment[SETTINGS_VARIABLE] = str(self.folder / f"{self.host_id}.toml")
-        command = [sys.executable, "-m", "bamboocove.platform"]
+        # As in deploy/system.toml: without the site module, which finds the packages
+        # of a virtual environment, so that their folders must be named.
+        environment["PYTHONPATH"] = os.pathsep.join(sys.path)
+        command = [sys.executable, "-S", "-m", "bamboocove.platform"]
         log = os.open(self.log_path, os.O_WRONLY | os.O_CREAT | os.O_APPEND)
         try:
             self.clock.spawnProcess(
