Soak: check the memory of the node processes

The limit of the smallest hosts, 128 MB, was a constant that no check used. The peak of each host's processes is now an observation and checked.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -64,8 +64,8 @@
             folder,
             bool(self.option("series")),
         )
-        journal, peak_kib = run_seed(options)
-        report = summarize(journal, peak_kib)
+        journal = run_seed(options)
+        report = summarize(journal)
         text = json.dumps(report, indent=1)
         (folder / "report.json").write_text(text, encoding="utf-8")
         if self.option("plot"):
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -13,6 +13,8 @@
 ROLLBACK_TIMEOUT_S = 5.0
 RECOVERY_S = 15.0
 LOSS_SLACK_S = 0.2
+# Memory of a node on the smallest hosts, in KiB.
+MEMORY_LIMIT_KIB = 128 * 1024
 # Error responses of a faulty version after which ROLLBACK_TIMEOUT_S begins.
 ROLLBACK_MIN_ERRORS = 50
 # The requirement is a quarter; once all faults have ended, nothing prevents more.
@@ -294,6 +296,15 @@
     return list(journal.unexpected_exits)
 
 
+def check_memory(journal: Journal) -> list[str]:
+    """Check that no node process needed more memory than the smallest hosts have."""
+    return [
+        f"{host_id} used {peak_kib} KiB"
+        for host_id, peak_kib in journal.peak_kib_by_host.items()
+        if peak_kib > MEMORY_LIMIT_KIB
+    ]
+
+
 CHECKS_BY_NAME = {
     "at most once": check_at_most_once,
     "true refusals": check_refusals,
@@ -307,6 +318,7 @@
     "exposure": check_rollback,
     "recovery": check_recovery,
     "own ends": check_unexpected_exits,
+    "memory": check_memory,
 }
 
 
--- a/soak/nodes.py
+++ b/soak/nodes.py
@@ -15,8 +15,6 @@
 from bamboocove.platform.host_settings import SETTINGS_VARIABLE
 
 RESTART_DELAY_S = 0.3
-# Memory available to a node on the users' smallest hosts.
-MEMORY_LIMIT_BYTES = 128 * 1024 * 1024
 
 SETTINGS_TEMPLATE = """\
 [self]
--- a/soak/records.py
+++ b/soak/records.py
@@ -107,6 +107,8 @@
         Last reported state of the rollout.
     recovery_deadline : float
         Time from which requests must be served again.
+    peak_kib_by_host : dict
+        Largest resident memory of each host's node processes, in KiB.
     """
 
     seed: int
@@ -120,3 +122,4 @@
     unexpected_exits: list[str] = field(factory=list)
     rollout_state: str = ""
     recovery_deadline: float = 0.0
+    peak_kib_by_host: dict[str, int] = field(factory=dict)
--- a/soak/report.py
+++ b/soak/report.py
@@ -11,7 +11,7 @@
 MAX_LISTED_VIOLATIONS = 10
 
 
-def summarize(journal: Journal, peak_kib: int) -> dict[str, Any]:
+def summarize(journal: Journal) -> dict[str, Any]:
     """Return the report of a run: its statistics and the checks that failed."""
     requests = [request for request in journal.requests if request.kind != "probe"]
     statuses = Counter(request.status for request in requests)
@@ -32,7 +32,7 @@
             Counter(disruption.kind for disruption in journal.disruptions)
         ),
         "move": [*journal.faulty_version, journal.rollout_state],
-        "peak_mib": peak_kib // 1024,
+        "peak_mib": max(journal.peak_kib_by_host.values()) // 1024,
     }
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -70,7 +70,7 @@
     pool.close()
 
 
-async def _run(options: RunOptions, clock: Any) -> tuple[Journal, int]:
+async def _run(options: RunOptions, clock: Any) -> Journal:
     random = Random(options.seed)
     journal = Journal(options.seed)
     cluster = Cluster(options.network, options.folder, random, clock, journal)
@@ -90,7 +90,7 @@
             generator.stop()
             generator.close()
         await cluster.stop()
-    return journal, max(host.node.peak_kib for host in cluster.hosts_by_id.values())
+    return journal
 
 
 async def _run_scenario(
@@ -133,10 +133,11 @@
     await deferLater(clock, 0.5)
     for host in cluster.hosts_by_id.values():
         host.node.record_peak_memory()
+        journal.peak_kib_by_host[host.host_id] = host.node.peak_kib
 
 
-def run_seed(options: RunOptions) -> tuple[Journal, int]:
-    """Run a seed; return its observations and the peak memory of a node in KiB."""
+def run_seed(options: RunOptions) -> Journal:
+    """Run a seed and return its observations."""
     from twisted.internet import reactor
 
     results: list[Any] = []
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -3,7 +3,12 @@
 from attrs import evolve
 
 from bamboocove.platform.standin_worker import Arrival
-from soak.checks import CHECKS_BY_NAME, ROLLBACK_MIN_ERRORS, run_checks
+from soak.checks import (
+    CHECKS_BY_NAME,
+    MEMORY_LIMIT_KIB,
+    ROLLBACK_MIN_ERRORS,
+    run_checks,
+)
 from soak.records import (
     AcknowledgedDrain,
     ClientRequest,
@@ -189,6 +194,11 @@
     assert failed_checks(make_journal(unexpected_exits=["h: exit 1"])) == {"own ends"}
 
 
+def test_node_that_needs_too_much_memory_is_reported():
+    sizes = {"h": MEMORY_LIMIT_KIB, "i": MEMORY_LIMIT_KIB + 1}
+    assert failed_checks(make_journal(peak_kib_by_host=sizes)) == {"memory"}
+
+
 def test_every_check_is_tested():
     tested = {
         "at most once",
@@ -203,5 +213,6 @@
         "exposure",
         "recovery",
         "own ends",
+        "memory",
     }
     assert tested == set(CHECKS_BY_NAME)
