Compare failures with those observed on the old version, however few

Cause: the rate of the old version is estimated as if 25 more requests had been served. On a route on which all requests fail (14 of 14 on the old version) it is 0.37, so 6 of 6 looked worse.

Fix: the estimate is never below the observed rate.

Test: three cases of such a route; all failed before.

--- a/bamboocove/coordination/version_comparison.py
+++ b/bamboocove/coordination/version_comparison.py
@@ -185,7 +185,12 @@
     comparisons = []
     for route, tally in new.items():
         old_tally = old.get(route, Tally())
-        old_rate = (old_tally.failed + 0.5) / (old_tally.calls + 25.0)
+        # The added requests stand for what is unknown while there are few outcomes;
+        # they must not hide a rate that was observed.
+        old_rate = max(
+            (old_tally.failed + 0.5) / (old_tally.calls + 25.0),
+            old_tally.failed / max(1, old_tally.calls),
+        )
         comparisons.append(
             Comparison(
                 "failed",
--- a/tests/coordination/test_short_moves.py
+++ b/tests/coordination/test_short_moves.py
@@ -264,6 +264,21 @@
     assert simulation.run(None)[0] == "succeeded"
 
 
+@pytest.mark.parametrize("old_calls, new_calls", [(14, 6), (14, 40), (3, 60)])
+def test_route_that_always_fails_is_no_regression(old_calls, new_calls):
+    """Guards against a rollback because of requests that fail on every version.
+
+    A good version was rolled back since 6 of 6 requests of a route failed, as 14 of
+    14 had on the old version.
+    """
+    old, new = Tally(), Tally()
+    for tally, calls in ((old, old_calls), (new, new_calls)):
+        for _ in range(calls):
+            tally.record(True, 0.0)
+    comparisons = compare_versions({"r": old}, {"r": new})
+    assert not any(comparison.is_suspicious for comparison in comparisons)
+
+
 def test_move_waits_for_workers():
     """Guards against requests to a version that has no ready worker."""
     observation = MoveObservation(5.0, 16.0, 0, 0, 0, 5, False, True)
