Send the outcomes of a move as sums of each zone

Cause: one node of each zone collects the outcomes of a move and sends those of each host to all nodes of its zone, 0.2 s apart, and relays those of the other zones. With eighty workers in the move that is more than its link of 10 Mbit/s transmits beside the loads, so requests, replies and cancels of that host wait behind it.

Fix: the collecting node sends the sum over the hosts of its zone for each version and route. Its size does not depend on the number of hosts. Counts are cumulative, the higher count of a route holds, and outcomes from before a node's restart stay in the sum. When another node collects, hosts send it all their outcomes at once. Nodes now add up three sums instead of the outcomes of all hosts, four times a second.

--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -213,16 +213,17 @@
 
 @frozen
 class OutcomeReport:
-    """Cumulative request outcomes of one worker since a move began.
+    """Cumulative request outcomes of one version since a move began.
 
     Parameters
     ----------
-    host_id : str
-        Host of the worker.
+    source_id : str
+        Host whose worker had the outcomes, or availability zone of which they are
+        the sum.
     incarnation : int
-        Incarnation of that host's node; the counts restart with each.
+        Incarnation of that host's node; the counts restart with each. 0 for a zone.
     service, version : str
-        Service and version that the worker runs.
+        Service and version of the workers.
     order_revision : int
         Revision of the move order that the counts belong to.
     tallies : list
@@ -230,7 +231,7 @@
         histogram buckets, and outliers.
     """
 
-    host_id: str
+    source_id: str
     incarnation: int
     service: str
     version: str
@@ -265,15 +266,15 @@
 
 @frozen
 class OutcomeBatch:
-    """Outcome reports of several hosts.
+    """Outcome reports of a host, or of an availability zone.
 
     Parameters
     ----------
     items : list
-        Field values of ``OutcomeReport``, one list for each host.
+        Field values of ``OutcomeReport``, one list for each report.
     is_sign : bool
-        Whether the receiver collects the reports and relays them, together with
-        those of other hosts.
+        Whether the receiver collects the reports of a host, to send their sums over
+        all hosts of the zone.
     has_outliers : bool
         Always true. Releases that do not expect outliers discard a message that
         has this field.
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -175,7 +175,13 @@
         self.readers = ReaderRole(settings.host_id)
         self.load_reporter = LoadReporter()
         self.dissemination = Dissemination(
-            settings, self.fleet, self.hub, self.readers, self.clock, self.watch
+            settings,
+            self.fleet,
+            self.hub,
+            self.readers,
+            self.clock,
+            self.watch,
+            self.moves.record_outcomes,
         )
         self.hooks = LifecycleHooks(
             self._on_bootstrapping,
--- a/bamboocove/sidecar/dissemination.py
+++ b/bamboocove/sidecar/dissemination.py
@@ -5,7 +5,7 @@
 """
 
 import zlib
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from typing import Any
 
 from attrs import astuple, define, field
@@ -66,6 +66,8 @@
         The task that reads the store.
     load_relay : LoadRelay
         Loads of this zone's workers that this node has collected.
+    on_outcomes : callable
+        Called with each sum of outcomes that this node sends.
     outcome_batches : OutcomeBatches
         Outcomes of this zone's workers that this node has collected.
     catch_up : CatchUp
@@ -78,12 +80,17 @@
     role: ReaderRole
     clock: Any
     watch: StoreWatch
+    on_outcomes: Callable[[OutcomeReport], None]
     load_relay: LoadRelay = field(factory=LoadRelay)
-    outcome_batches: OutcomeBatches = field(factory=OutcomeBatches)
+    outcome_batches: OutcomeBatches = field(init=False)
     catch_up: CatchUp = field(factory=CatchUp)
+    _outcome_collector_id: str = ""
     _full_config_message: bytes = b""
     _full_config_version: int = 0
 
+    def __attrs_post_init__(self) -> None:
+        self.outcome_batches = OutcomeBatches(self.settings.zone)
+
     def get_connected_ids_by_zone(self) -> dict[str, list[str]]:
         """Return the hosts with an open, responsive link, by availability zone.
 
@@ -146,10 +153,21 @@
                 encode_mesh_message(LoadUpdate({own_id: load}, is_sign=True)),
             )
 
-    def send_outcomes(self, outcomes: OutcomeReport) -> None:
-        """Send outcomes of this host's worker to the collecting node of the zone."""
+    def send_outcomes(self, outcomes: OutcomeReport) -> bool:
+        """Send outcomes of this host's worker to the collecting node of the zone.
+
+        Returns
+        -------
+        is_new_collector : bool
+            Whether the previous outcomes went to another node. This one lacks the
+            outcomes of routes that have not changed since.
+        """
         own_id = self.settings.host_id
         collector_id = choose_readers([*self.get_zone_peer_ids(), own_id], 1)[0]
+        previous_id, self._outcome_collector_id = (
+            self._outcome_collector_id,
+            collector_id,
+        )
         if collector_id == own_id:
             self.outcome_batches.add(outcomes)
         else:
@@ -157,6 +175,7 @@
             self._send(
                 [collector_id], encode_mesh_message(OutcomeBatch([item], is_sign=True))
             )
+        return collector_id != previous_id
 
     def send_collected(self, now: float) -> None:
         """Send the collected loads and outcomes that are due."""
@@ -164,6 +183,8 @@
         items = self.outcome_batches.take(now)
         if not items:
             return
+        for item in items:
+            self.on_outcomes(OutcomeReport(*item))
         data = encode_mesh_message(OutcomeBatch(items))
         for zone, host_ids in self.get_connected_ids_by_zone().items():
             if zone == self.settings.zone:
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -136,6 +136,7 @@
 def _record_outcomes(application: Any, message: OutcomeBatch) -> None:
     for item in message.items:
         outcomes = OutcomeReport(*item)
-        application.moves.record_outcomes(outcomes)
         if message.is_sign:
             application.dissemination.outcome_batches.add(outcomes)
+        else:
+            application.moves.record_outcomes(outcomes)
--- a/bamboocove/sidecar/moves.py
+++ b/bamboocove/sidecar/moves.py
@@ -10,7 +10,11 @@
 
 from attrs import evolve
 
-from bamboocove.coordination.outcome_batches import merge_outcomes
+from bamboocove.coordination.outcome_batches import (
+    format_tallies,
+    get_tallies,
+    merge_outcomes,
+)
 from bamboocove.coordination.short_moves import (
     MoveObservation,
     MoveProgress,
@@ -18,7 +22,6 @@
     is_complete,
 )
 from bamboocove.coordination.version_comparison import (
-    Tally,
     compare_versions,
     find_regression,
     is_shown_harmless,
@@ -66,7 +69,8 @@
     broadcast : callable
         Sends a message to all nodes.
     send_outcomes : callable
-        Sends outcomes of the worker on this host on their way to all nodes.
+        Sends outcomes of the worker on this host to the node that collects them;
+        returns whether that is another node than before.
     clock : reactor
         Source of time.
     host_id : str
@@ -81,7 +85,7 @@
         store: Store,
         fleet: Fleet,
         broadcast: Callable[[Any], None],
-        send_outcomes: Callable[[OutcomeReport], None],
+        send_outcomes: Callable[[OutcomeReport], bool],
         inbound: InboundProxy,
         clock: Any,
         host_id: str,
@@ -208,11 +212,11 @@
         return known.order_revision == rule.order_revision and known.state == "running"
 
     def record_outcomes(self, outcomes: OutcomeReport) -> None:
-        """Add the outcomes of a host's worker to those of the move."""
+        """Add the outcomes of a host or an availability zone to those of the move."""
         rule = self.rule_table.get(outcomes.service)
         if rule is None or rule.order_revision != outcomes.order_revision:
             return
-        key = (outcomes.service, outcomes.host_id, outcomes.version)
+        key = (outcomes.service, outcomes.source_id, outcomes.version)
         self._outcomes[key] = merge_outcomes(self._outcomes.get(key), outcomes)
 
     def tick(self, now: float) -> None:
@@ -258,29 +262,14 @@
             worker.service,
             worker.version,
             rule.order_revision,
-            [
-                [
-                    route,
-                    t.calls,
-                    t.failed,
-                    int(t.total_s * 1000),
-                    t.buckets,
-                    t.outliers,
-                ]
-                for route, t in tallies.items()
-            ],
+            format_tallies(tallies),
         )
-        self.record_outcomes(outcomes)
-        self._send_outcomes(outcomes)
+        if self._send_outcomes(outcomes):
+            self._next_full_outcomes_at = 0.0
 
     def _sum_tallies(self, service: str, is_wanted: Callable[[str], bool]) -> dict:
         return merge_tallies(
-            {
-                route: Tally(calls, failed, total_ms / 1000, list(buckets), *outliers)
-                for route, calls, failed, total_ms, buckets, *outliers in (
-                    outcomes.tallies
-                )
-            }
+            get_tallies(outcomes)
             for outcomes in self._outcomes.values()
             if outcomes.service == service and is_wanted(outcomes.version)
         )
--- a/tests/sidecar/test_dissemination.py
+++ b/tests/sidecar/test_dissemination.py
@@ -1,6 +1,7 @@
 """Dissemination of configurations and host records from readers to other nodes."""
 
 import random
+from types import SimpleNamespace
 
 import pytest
 from twisted.internet import reactor
@@ -15,6 +16,7 @@
 from bamboocove.protocol.mesh_messages import (
     ConfigCopy,
     ConfigDelta,
+    OutcomeReport,
     RelayedMessage,
     decode_mesh_message,
 )
@@ -266,3 +268,69 @@
     run_reactor_until(lambda: large_zone.get_versions() == [2] * 12)
     readers = choose_readers([host.host_id for host in large_zone.hosts])
     assert {host_id for host_id, sent in sizes.items() if sent} <= set(readers)
+
+
+class CountingLink:
+    """A link that counts the bytes sent on it, and keeps the last message."""
+
+    def __init__(self):
+        self.sent = 0
+        self.last = None
+
+    def send_encoded(self, data):
+        self.sent += len(data)
+        self.last = decode_mesh_message(data)
+
+
+def make_collector(zones, hosts_per_zone):
+    """Return the node that collects for the first zone, and its links."""
+    zones_by_id = {f"{zone}-{n}": zone for zone in zones for n in range(hosts_per_zone)}
+    own_zone_ids = [i for i, zone in zones_by_id.items() if zone == zones[0]]
+    own_id = choose_readers(own_zone_ids, 1)[0]
+    links = {i: CountingLink() for i in zones_by_id if i != own_id}
+    fleet = SimpleNamespace(
+        records_by_id={
+            i: SimpleNamespace(zone=zone, is_leaving=False)
+            for i, zone in zones_by_id.items()
+        }
+    )
+    hub = SimpleNamespace(
+        peers_by_id={
+            i: SimpleNamespace(host_id=i, is_open=True, is_suspect=False, link=link)
+            for i, link in links.items()
+        }
+    )
+    settings = SimpleNamespace(host_id=own_id, zone=zones[0])
+    role = ReaderRole(own_id)
+    dissemination = Dissemination(
+        settings, fleet, hub, role, None, None, lambda outcomes: None
+    )
+    return dissemination, own_zone_ids, links
+
+
+def test_outcomes_of_a_move_leave_the_link_of_the_collector_to_requests():
+    """Guards against a collecting node whose link is full of outcomes of a move.
+
+    Requests of and to that host waited for a second, and reached workers long after
+    their callers had left. The slowest links transmit 5 Mbit/s.
+    """
+    dissemination, host_ids, links = make_collector(["a", "b", "c"], 43)
+    for turn in range(8):
+        calls = turn + 1
+        for number, host_id in enumerate(host_ids):
+            tallies = [
+                [f"r-route{n}", calls, 0, 200 * calls, [calls] * 19, 0]
+                for n in range(2)
+            ]
+            dissemination.outcome_batches.add(
+                OutcomeReport(host_id, 7, "orders", f"v{number % 2}", 12, tallies)
+            )
+        dissemination.send_collected(0.25 * turn)
+        for link in links.values():
+            if isinstance(link.last, RelayedMessage):
+                # The other zones, which have as many hosts, send the same.
+                dissemination.relay(link.last)
+                link.last = None
+    link_bytes_per_s = 5e6 / 8
+    sent = sum(link.sent for link in links.values())
+    assert 0 < sent / (8 * 0.25) < 0.25 * link_bytes_per_s
