Ignore SIGHUP while a stopped node ends

What operators saw: a node that is told to reload while it stops ends with signal 1 instead of status 0, as if it had failed.

Cause: as the interpreter exits, it restores the default action of the signals that have a handler. A SIGHUP after that ends the process.

Fix: SIGHUP is ignored once the reactor has stopped; an ignored signal stays ignored.

--- a/bamboocove/platform/node.py
+++ b/bamboocove/platform/node.py
@@ -84,6 +84,8 @@
     reactor.callWhenRunning(settings_poll.start, SETTINGS_POLL_INTERVAL_S)
     reactor.addSystemEventTrigger("before", "shutdown", stop)
     reactor.run()
+    # The interpreter restores the default action of handled signals as it exits.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     return EXIT_MISUSE if start_errors else 0
 
 
--- a/tests/platform/test_start.py
+++ b/tests/platform/test_start.py
@@ -60,3 +60,19 @@
         assert node.wait(WAIT_S) == 0
     finally:
         node.kill()
+
+
+def test_sighup_while_the_node_ends_does_not_change_its_exit_status(tmp_path):
+    """Guards against a planned stop that looks like the end of a broken process."""
+    node = start_node(tmp_path)
+    log = tmp_path / "log"
+    try:
+        wait_until(lambda: b"node.started" in log.read_bytes())
+        node.send_signal(signal.SIGTERM)
+        end = time.monotonic() + WAIT_S
+        while node.poll() is None and time.monotonic() < end:
+            node.send_signal(signal.SIGHUP)
+            time.sleep(0.002)
+        assert node.poll() == 0
+    finally:
+        node.kill()
