--- a/bamboocove/sidecar/dissemination.py
+++ b/bamboocove/sidecar/dissemination.py
@@ -164,10 +164,8 @@
         """
         own_id = self.settings.host_id
         collector_id = choose_readers([*self.get_zone_peer_ids(), own_id], 1)[0]
-        previous_id, self._outcome_collector_id = (
-            self._outcome_collector_id,
-            collector_id,
-        )
+        is_new_collector = collector_id != self._outcome_collector_id
+        self._outcome_collector_id = collector_id
         if collector_id == own_id:
             self.outcome_batches.add(outcomes)
         else:
@@ -175,7 +173,7 @@
             self._send(
                 [collector_id], encode_mesh_message(OutcomeBatch([item], is_sign=True))
             )
-        return collector_id != previous_id
+        return is_new_collector
 
     def send_collected(self, now: float) -> None:
         """Send the collected loads and outcomes that are due."""
