Roll back a version that keeps looking worse once 30 requests are bad

Cause: a rollback needs a rate above the limit by three standard deviations. A version that looks worse gets no larger share, so at 5% it has some 18 requests a second, and a rate of outliers of 0.25 against a limit of 0.16 is sure only after some 195 requests, 11 s. Log of: 'share 0.05' at 7.16 s, decided at 17.82 s by '48 of 196 requests took far longer than others on the same host, 49 of 3441 on the old version'.

Ruled out: the sums of outcomes. The simulation, which has no messages, shows it as well.

Fix: with 30 bad requests of one kind the observed rate is enough. The limit already has a margin above the old version's rate.

--- a/bamboocove/coordination/version_comparison.py
+++ b/bamboocove/coordination/version_comparison.py
@@ -31,6 +31,10 @@
 OUTLIER_WINDOW = 8
 # Failed or slow requests that a regression needs at least.
 BAD_CALLS_MIN = 4
+# Failed or slow requests from which on the observed rate is enough. A bad version must
+# get no more requests 5 s after its 50th bad response; while it gets a small share, the
+# confidence bounds need longer for a rate near the limit.
+BAD_CALLS_ENOUGH = 30
 # Successful requests to the old version from which on latencies are compared.
 OLD_CALLS_MIN = 20
 # Upper bounds of the latency buckets, each 1.5 times the one before.
@@ -165,10 +169,10 @@
 
     @property
     def is_regression(self) -> bool:
-        """Whether the rate exceeds the limit with the required confidence."""
-        return (
-            self.is_suspicious
-            and compute_wilson_bounds(self.bad, self.calls)[0] > self.limit
+        """Whether enough requests are bad, or the rate surely exceeds the limit."""
+        return self.is_suspicious and (
+            self.bad >= BAD_CALLS_ENOUGH
+            or compute_wilson_bounds(self.bad, self.calls)[0] > self.limit
         )
 
 
--- a/tests/coordination/test_short_moves.py
+++ b/tests/coordination/test_short_moves.py
@@ -128,6 +128,22 @@
         assert ended_s - simulation.bad_since_s <= 5.0
 
 
+@pytest.mark.parametrize("seed", range(20))
+@pytest.mark.parametrize(
+    "slow_x, bad_fraction", [(3.5, 0.5), (4.0, 0.5), (5.0, 0.5), (5.0, 0.3)]
+)
+def test_slightly_slower_version_is_rolled_back_in_time(slow_x, bad_fraction, seed):
+    """Guards against a version that stays at a small share until the bounds are sure.
+
+    It must get no more requests 5 s after its 50th bad response.
+    """
+    simulation = MoveSimulation(320, 18.0, seed)
+    state, ended_s = simulation.run("slow", slow_x=slow_x, bad_fraction=bad_fraction)
+    assert state == "rolled_back"
+    if simulation.bad_since_s is not None:
+        assert ended_s - simulation.bad_since_s <= 5.0
+
+
 def test_version_with_half_of_its_requests_five_times_slower_is_never_completed():
     """Guards against taking a slow version for a good one because time runs out."""
     states = [
