--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -309,6 +309,19 @@
     host_id: str
 
 
+@frozen
+class HostsOffer:
+    """Checksum of the sender's host records, sent by readers of the store."""
+
+    digest: int
+
+
+@frozen
+class HostsRequest:
+    """Asks the receiver for all its host records."""
+
+
+# The index of a type is its number on the wire; new types are added at the end.
 _MESSAGE_TYPES = (
     Greeting,
     HostRecords,
@@ -327,6 +340,8 @@
     LoadUpdate,
     SuspectReport,
     OutcomeBatch,
+    HostsOffer,
+    HostsRequest,
 )
 _FIELD_NAMES_BY_TYPE = {
     cls: tuple(f.name for f in fields(cls)) for cls in _MESSAGE_TYPES
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -138,6 +138,7 @@
             self.incarnation,
             lambda: self.watch.publish(),
             lambda message: self.dissemination.broadcast(message),
+            self.rule_table.get_moving_versions,
         )
         self.forwarding = Forwarding(self.inbound, self.clock)
         self.moves = MoveController(
@@ -304,8 +305,8 @@
     def _sweep(self, now: float) -> None:
         for server in self.servers:
             server.sweep(now)
-        if self.fleet.remove_unreachable(now):
-            self.hub.set_peers(self.fleet.get_addresses(), self.fleet.get_zones())
+        self.fleet.remove_unreachable(now)
+        self.hosts.update_links(now)
         bounds = self.settings.bounds
         node_count = len(self.fleet.records_by_id)
         self.outbound.budgets.configure(
--- a/bamboocove/sidecar/candidates.py
+++ b/bamboocove/sidecar/candidates.py
@@ -33,12 +33,12 @@
     _splitter: VersionSplitter = field(factory=VersionSplitter)
 
     def select(self, request: OutboundRequest) -> list[HostView]:
-        """Return the hosts that may run a request.
+        """Return the hosts with a link that may run a request.
 
         During a move, the first call for a request also decides whether it counts
         towards the traffic share of the new version.
         """
-        views = self.fleet.get_views(request.service)
+        views = self.fleet.get_linked_views(request.service)
         rule = self.rules.get(request.service)
         if rule is None:
             current = self.fleet.get_oldest_version(request.service)
@@ -48,6 +48,13 @@
             return allowed
         return self._select_during_move(request, rule, allowed)
 
+    def _count_old(self, rule: VersionRule) -> int:
+        """Count the workers of all hosts, linked or not, that the move replaces."""
+        return sum(
+            view.version != rule.to_version and rule.allows(view.version)
+            for view in self.fleet.get_views(rule.service)
+        )
+
     def _select_during_move(
         self, request: OutboundRequest, rule: VersionRule, allowed: list[HostView]
     ) -> list[HostView]:
@@ -62,5 +69,5 @@
             return new if request.hosts_tried < 2 or not old else old
         if request.is_new_version and share > 0.0 and request.hosts_tried == 0:
             new.sort(key=lambda view: view.host_id)
-            return new[: count_workers_used(share, len(old))]
+            return new[: count_workers_used(share, self._count_old(rule))]
         return old
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -52,6 +52,11 @@
         "read the reason; write a corrected version",
     ),
     MeshEvent(823, "config.sent", "a change was sent to other nodes or relayed"),
+    MeshEvent(
+        830,
+        "host.records-requested",
+        "records of hosts differ from those of a reader, which is asked for its own",
+    ),
     MeshEvent(831, "host.record", "a newer record of a host and its worker"),
     MeshEvent(
         832,
--- a/bamboocove/sidecar/fleet.py
+++ b/bamboocove/sidecar/fleet.py
@@ -1,9 +1,11 @@
 """Host records of the mesh, and the views from which placement chooses hosts."""
 
 from collections.abc import Iterable
+from zlib import crc32
 
 from attrs import define, field
 
+from bamboocove.coordination.link_selection import LinkCandidate, LinkChoice
 from bamboocove.coordination.placement import HostView, QueueReport
 from bamboocove.sidecar.logs import log
 from bamboocove.state.mesh import HostRecord
@@ -11,6 +13,9 @@
 # Time after which an unreachable host is removed, in seconds. If it is only
 # partitioned, the store still has its record.
 UNREACHABLE_EXPIRY_S = 60.0
+# Time after which an unreachable host is replaced by another one among the links of
+# this node, in seconds. Most interruptions of a link are shorter.
+LOST_AFTER_S = 3.0
 # Time for which a host is suspended after one sign that it does not answer, in
 # seconds; repeated while it stays unresponsive.
 SUSPEND_S = 0.4
@@ -20,19 +25,27 @@
 class Fleet:
     """Holds the newest record of each host and a view of each ready worker.
 
-    A host has a view only while its worker is ready and the host is not leaving.
+    A host has a view only while its worker is ready and the host is not leaving. This
+    node keeps links to selected hosts, and sends requests to no others.
 
     Parameters
     ----------
     own_id : str
         Identifier of this host.
+    digest : int
+        Checksum of all records, equal on nodes with equal records.
     """
 
     own_id: str
     records_by_id: dict[str, HostRecord] = field(factory=dict)
     views_by_id: dict[str, HostView] = field(factory=dict)
+    digest: int = 0
+    _selected_ids: set[str] = field(factory=set)
+    _target_ids: set[str] = field(factory=set)
+    _connected_ids: set[str] = field(factory=set)
     _unreachable_since_by_id: dict[str, float] = field(factory=dict)
     _views_by_service: dict[str, list[HostView]] = field(factory=dict)
+    _linked_views_by_service: dict[str, list[HostView]] = field(factory=dict)
     _oldest_by_service: dict[str, str] = field(factory=dict)
 
     def merge(self, record: HostRecord, now: float) -> bool:
@@ -40,8 +53,9 @@
         known = self.records_by_id.get(record.host_id)
         if known is not None and known.age_key >= record.age_key:
             return False
-        if known is None and record.host_id != self.own_id:
-            self._unreachable_since_by_id[record.host_id] = now
+        if known is not None:
+            self.digest ^= _compute_digest(known)
+        self.digest ^= _compute_digest(record)
         self.records_by_id[record.host_id] = record
         self._update_view(record, now)
         return True
@@ -72,8 +86,7 @@
         else:
             view.slots = worker.slots
             view.busy_until = 0.0
-        self._views_by_service = {}
-        self._oldest_by_service = {}
+        self._forget_cached_views()
         log(
             "host.record",
             host=record.host_id,
@@ -86,6 +99,11 @@
             state=worker.state if worker else "",
         )
 
+    def _forget_cached_views(self) -> None:
+        self._views_by_service = {}
+        self._linked_views_by_service = {}
+        self._oldest_by_service = {}
+
     def update_load(self, host_id: str, load: list[int], now: float) -> None:
         """Update the view of a host with the load that it reported.
 
@@ -113,6 +131,19 @@
             self._views_by_service[service] = views
         return views
 
+    def get_linked_views(self, service: str) -> list[HostView]:
+        """Return those views of a service to whose hosts requests can be sent."""
+        views = self._linked_views_by_service.get(service)
+        if views is None:
+            views = [
+                view
+                for view in self.get_views(service)
+                if self.is_reachable(view.host_id)
+                and (view.host_id in self._target_ids or view.host_id == self.own_id)
+            ]
+            self._linked_views_by_service[service] = views
+        return views
+
     def get_oldest_version(self, service: str) -> str:
         """Return the version of the ready worker that was started first.
 
@@ -129,22 +160,47 @@
             version = self._oldest_by_service[service] = oldest.version
         return version
 
-    def get_addresses(self) -> dict[str, tuple[str, int]]:
-        """Return the addresses at which the other hosts accept links, by host."""
-        return {
-            host_id: tuple(record.address)
-            for host_id, record in self.records_by_id.items()
-            if host_id != self.own_id
-        }
+    def get_link_candidates(self) -> list[LinkCandidate]:
+        """Return all other hosts, with what their workers run if they are ready."""
+        candidates = []
+        for host_id, record in self.records_by_id.items():
+            if host_id == self.own_id:
+                continue
+            view = self.views_by_id.get(host_id)
+            service, version = (view.service, view.version) if view else ("", "")
+            candidates.append(
+                LinkCandidate(host_id, record.zone, service, version, record.is_leaving)
+            )
+        return candidates
 
-    def get_zones(self) -> dict[str, str]:
-        """Return the availability zones of the other hosts, by host."""
+    def get_lost_ids(self, now: float) -> set[str]:
+        """Return the selected hosts that are unreachable for ``LOST_AFTER_S``."""
         return {
-            host_id: record.zone
-            for host_id, record in self.records_by_id.items()
-            if host_id != self.own_id
+            host_id
+            for host_id, since in self._unreachable_since_by_id.items()
+            if now - since > LOST_AFTER_S
         }
 
+    def select(self, choice: LinkChoice, now: float) -> None:
+        """Set the hosts that this node keeps links to."""
+        for host_id in self._selected_ids.difference(choice.link_ids):
+            self._unreachable_since_by_id.pop(host_id, None)
+            self._set_suspended_until(host_id, float("inf"))
+        added_ids = choice.link_ids.difference(self._selected_ids)
+        self._selected_ids = choice.link_ids
+        self._target_ids = choice.target_ids
+        for host_id in added_ids:
+            if host_id in self._connected_ids:
+                self._set_suspended_until(host_id, 0.0)
+            else:
+                self._unreachable_since_by_id.setdefault(host_id, now)
+        self._linked_views_by_service = {}
+
+    def _set_suspended_until(self, host_id: str, until: float) -> None:
+        view = self.views_by_id.get(host_id)
+        if view is not None:
+            view.suspended_until = until
+
     def suspend(self, host_id: str, now: float) -> None:
         """Exclude a host that does not answer from placement for ``SUSPEND_S``."""
         view = self.views_by_id.get(host_id)
@@ -153,13 +209,18 @@
 
     def mark_unreachable(self, host_id: str, now: float) -> None:
         """Exclude a host from placement because its link was lost."""
-        self._unreachable_since_by_id.setdefault(host_id, now)
-        view = self.views_by_id.get(host_id)
-        if view is not None:
-            view.suspended_until = float("inf")
+        self._connected_ids.discard(host_id)
+        if host_id in self._selected_ids:
+            self._unreachable_since_by_id.setdefault(host_id, now)
+        self._set_suspended_until(host_id, float("inf"))
+        self._linked_views_by_service = {}
 
     def mark_reachable(self, host_id: str) -> None:
-        """Readmit a host to placement because its link was opened."""
+        """Admit a selected host to placement because its link was opened."""
+        self._connected_ids.add(host_id)
+        self._linked_views_by_service = {}
+        if host_id not in self._selected_ids:
+            return
         self._unreachable_since_by_id.pop(host_id, None)
         view = self.views_by_id.get(host_id)
         if view is not None:
@@ -168,7 +229,9 @@
 
     def is_reachable(self, host_id: str) -> bool:
         """Return whether there is a link to a host, or the host is this one."""
-        return host_id not in self._unreachable_since_by_id
+        return host_id == self.own_id or (
+            host_id in self._connected_ids and host_id in self._selected_ids
+        )
 
     def remove_unreachable(self, now: float) -> list[str]:
         """Remove hosts unreachable for ``UNREACHABLE_EXPIRY_S``; return them."""
@@ -179,21 +242,45 @@
         ]
         for host_id in lost:
             del self._unreachable_since_by_id[host_id]
-            self.records_by_id.pop(host_id, None)
+            self._selected_ids.discard(host_id)
+            record = self.records_by_id.pop(host_id, None)
+            if record is not None:
+                self.digest ^= _compute_digest(record)
             self.views_by_id.pop(host_id, None)
         if lost:
-            self._views_by_service = {}
-            self._oldest_by_service = {}
+            self._forget_cached_views()
         return lost
 
     def has_reachable_worker(self, service: str) -> bool:
         """Return whether any ready worker of a service is on a reachable host."""
-        return any(self.is_reachable(v.host_id) for v in self.get_views(service))
+        return bool(self.get_linked_views(service))
 
     def count_ready(self, service: str, versions: Iterable[str]) -> int:
-        """Count the ready workers of some versions of a service that are reachable."""
+        """Count the ready workers of some versions of a service that are reachable.
+
+        Of the hosts of a zone without a link, as many are taken to be reachable as of
+        those with one.
+        """
         wanted = set(versions)
-        return sum(
-            view.version in wanted and self.is_reachable(view.host_id)
-            for view in self.get_views(service)
+        reached_by_zone: dict[str, int] = {}
+        selected_by_zone: dict[str, int] = {}
+        unselected_by_zone: dict[str, int] = {}
+        for view in self.get_views(service):
+            if view.version not in wanted:
+                continue
+            zone = view.zone
+            if view.host_id not in self._selected_ids and view.host_id != self.own_id:
+                unselected_by_zone[zone] = unselected_by_zone.get(zone, 0) + 1
+                continue
+            selected_by_zone[zone] = selected_by_zone.get(zone, 0) + 1
+            if self.is_reachable(view.host_id):
+                reached_by_zone[zone] = reached_by_zone.get(zone, 0) + 1
+        estimated = sum(
+            count * reached_by_zone.get(zone, 0) / selected_by_zone.get(zone, 1)
+            for zone, count in unselected_by_zone.items()
         )
+        return sum(reached_by_zone.values()) + round(estimated)
+
+
+def _compute_digest(record: HostRecord) -> int:
+    return crc32(f"{record.host_id}/{record.incarnation}/{record.sequence}".encode())
--- a/bamboocove/sidecar/hosts.py
+++ b/bamboocove/sidecar/hosts.py
@@ -3,10 +3,16 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 
+from bamboocove.coordination.link_selection import LinkSelector, RecordRepair
 from bamboocove.errors import ErrorResult
-from bamboocove.protocol.mesh_messages import HostRecords
+from bamboocove.protocol.mesh_messages import (
+    HostRecords,
+    HostsOffer,
+    HostsRequest,
+    encode_mesh_message,
+)
 from bamboocove.sidecar.fleet import Fleet
 from bamboocove.sidecar.inbound import InboundProxy
 from bamboocove.sidecar.links import LinkHub
@@ -17,6 +23,9 @@
 
 # States from which a worker becomes ready once its health check succeeds.
 RECOVERABLE_STATES = ("ready", "down")
+# Delay after which changed records change the links, in seconds. The records of many
+# hosts arrive at the same time after a start, each with a message of its own.
+LINKS_UPDATE_DELAY_S = 0.02
 
 
 @define
@@ -37,6 +46,8 @@
         Starts a write of this host's record to the store.
     broadcast : callable
         Sends a message to all nodes.
+    get_moving_versions : callable
+        Returns the services in a move, each with the version it moves to.
     sequence : int
         Number of the current record of this process.
     """
@@ -49,7 +60,14 @@
     incarnation: int
     write_record: Callable[[], None]
     broadcast: Callable[[Any], None]
+    get_moving_versions: Callable[[], set[tuple[str, str]]]
     sequence: int = 0
+    repair: RecordRepair = field(factory=RecordRepair)
+    _selector: LinkSelector = field(init=False)
+    _is_update_due: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        self._selector = LinkSelector(self.settings.host_id, self.settings.zone)
 
     def get_record(self) -> HostRecord:
         """Return the current record of this host."""
@@ -73,7 +91,7 @@
         self.write_record()
 
     def merge_records(self, records: list[HostRecord]) -> list[HostRecord]:
-        """Merge records of hosts and update the links; return the newer records.
+        """Merge records of hosts; return the newer records. The links follow soon.
 
         A record of this host that another process wrote restores the worker.
         """
@@ -83,10 +101,38 @@
                 self._adopt_own_record(record)
             elif self.fleet.merge(record, self.clock.seconds()):
                 changed.append(record)
-        if changed:
-            self.hub.set_peers(self.fleet.get_addresses(), self.fleet.get_zones())
+        if changed and not self._is_update_due:
+            self._is_update_due = True
+            self.clock.callLater(LINKS_UPDATE_DELAY_S, self._update_changed_links)
         return changed
 
+    def _update_changed_links(self) -> None:
+        self._is_update_due = False
+        self.update_links(self.clock.seconds())
+
+    def update_links(self, now: float) -> None:
+        """Choose the hosts to keep links to, and dial or drop links accordingly."""
+        fleet = self.fleet
+        choice = self._selector.select(
+            fleet.get_link_candidates(),
+            fleet.get_lost_ids(now),
+            self.get_moving_versions(),
+            now,
+        )
+        fleet.select(choice, now)
+        records = [fleet.records_by_id[host_id] for host_id in choice.link_ids]
+        self.hub.set_peers(
+            {record.host_id: tuple(record.address) for record in records},
+            {record.host_id: record.zone for record in records},
+        )
+
+    def repair_records(self, link: Any, message: HostsOffer) -> None:
+        """Request the records of a node whose checksum has differed for long."""
+        now = self.clock.seconds()
+        if self.repair.should_request(self.fleet.digest, message.digest, now):
+            log("host.records-requested", records=len(self.fleet.records_by_id))
+            link.send_encoded(encode_mesh_message(HostsRequest()))
+
     def merge_records_message(self, message: HostRecords) -> None:
         """Merge the records that another node sent, except unreadable ones."""
         records = []
--- a/bamboocove/sidecar/links.py
+++ b/bamboocove/sidecar/links.py
@@ -172,6 +172,8 @@
     ) -> None:
         """Set the nodes to keep links to, and drop the links to all others.
 
+        A link on which requests wait for a reply is only dropped by a later call.
+
         Parameters
         ----------
         addresses_by_id : mapping of str to (str, int)
@@ -191,10 +193,11 @@
             self.peers_by_id[host_id] = Peer(host_id, address, zone)
             self._dial(self.peers_by_id[host_id])
         for host_id in list(self.peers_by_id):
-            if host_id not in addresses_by_id:
-                peer = self.peers_by_id.pop(host_id)
+            peer = self.peers_by_id[host_id]
+            if host_id not in addresses_by_id and not (peer.is_open and peer.waiting):
+                del self.peers_by_id[host_id]
                 if peer.link is not None:
-                    peer.link.drop("host is gone")
+                    peer.link.drop("link is not needed")
 
     def redial(self, host_id: str) -> None:
         """Dial a disconnected node at once, for example when it dialled this one."""
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -8,6 +8,8 @@
     ConfigDelta,
     Forward,
     HostRecords,
+    HostsOffer,
+    HostsRequest,
     LoadUpdate,
     OutcomeBatch,
     OutcomeReport,
@@ -47,6 +49,9 @@
     )
     if offer.reading_zone:
         application.dissemination.broadcast_offer(offer)
+        application.dissemination.broadcast_in_zone(
+            HostsOffer(application.fleet.digest)
+        )
         return
     candidate_ids = (
         zone_peer_ids
@@ -97,6 +102,10 @@
             application.dissemination.request_if_behind(
                 link, message.config_version, application.config
             )
+    elif isinstance(message, HostsOffer):
+        application.hosts.repair_records(link, message)
+    elif isinstance(message, HostsRequest):
+        link.send_encoded(encode_mesh_message(_make_records_message(application)))
     elif isinstance(message, SuspectReport):
         application.hub.probe(message.host_id, now)
     elif isinstance(message, StateRequest):
@@ -124,8 +133,7 @@
 
 def _send_state(application: Any, link: Any, message: StateRequest) -> None:
     if message.config_version == 0:
-        records = [to_plain(r) for r in application.fleet.records_by_id.values()]
-        link.send_encoded(encode_mesh_message(HostRecords(records)))
+        link.send_encoded(encode_mesh_message(_make_records_message(application)))
     if application.config.version > message.config_version:
         link.send_encoded(
             application.dissemination.get_full_config_message(application.config)
@@ -133,6 +141,11 @@
     link.send_encoded(encode_mesh_message(application.moves.make_rules_message()))
 
 
+def _make_records_message(application: Any) -> HostRecords:
+    records = application.fleet.records_by_id.values()
+    return HostRecords([to_plain(record) for record in records])
+
+
 def _record_outcomes(application: Any, message: OutcomeBatch) -> None:
     for item in message.items:
         outcomes = OutcomeReport(*item)
--- a/bamboocove/sidecar/rules.py
+++ b/bamboocove/sidecar/rules.py
@@ -34,6 +34,14 @@
         rule = self.rules_by_service.get(service)
         return rule is None or rule.allows(version)
 
+    def get_moving_versions(self) -> set[tuple[str, str]]:
+        """Return the services in a move, each with the version it moves to."""
+        return {
+            (rule.service, rule.to_version)
+            for rule in self.rules_by_service.values()
+            if rule.state == "running"
+        }
+
     def get_digest(self) -> int:
         """Return a checksum of the rules that is equal on nodes with equal rules."""
         states = sorted(
--- a/tests/sidecar/test_links.py
+++ b/tests/sidecar/test_links.py
@@ -116,3 +116,17 @@
     hub.probe("c-1", clock.seconds())
     hub.probe("nobody", clock.seconds())
     assert (count_pings(hub, "near"), count_pings(hub, "c-1")) == (0, 1)
+
+
+def test_link_with_waiting_requests_is_dropped_only_after_the_replies(hub, clock):
+    """Guards against requests that are lost because another host was chosen."""
+    peer = hub.peers_by_id["far-1"]
+    addresses = {"near": ("127.0.0.1", 1)}
+    peer.waiting = 1
+    hub.set_peers(addresses, {"near": "a"})
+    assert set(hub.peers_by_id) == {"near", "far-1"}
+    assert not peer.link.reasons
+    peer.waiting = 0
+    hub.set_peers(addresses, {"near": "a"})
+    assert set(hub.peers_by_id) == {"near"}
+    assert peer.link.reasons == ["link is not needed"]
