--- a/bamboocove/platform/documents.py
+++ b/bamboocove/platform/documents.py
@@ -20,6 +20,9 @@
 DEFAULT_TIMEOUT_S = 30.0
 # Largest integer that a JSON number represents exactly in all implementations.
 MAX_NUMBER = 2**53
+# What the functions below raise for documents that are not as expected. The JSON
+# decoder raises RecursionError for deeply nested ones.
+_INVALID = (ValueError, TypeError, KeyError, AttributeError, RecursionError)
 
 
 def _load_object(data: bytes) -> Any:
@@ -71,14 +74,14 @@
             services_by_name={
                 name: MeshService(
                     name,
-                    service.get("healthPath", "/"),
+                    _read_string(service.get("healthPath", "/")),
                     int(_read_number(service.get("maxConnections", 100))),
                 )
                 for name, service in document["services"].items()
             },
             idle_timeout_s=_read_number(limits.get("idleTimeoutS", 60)),
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except _INVALID as error:
         reason = f"configuration: {type(error).__name__}: {error}"
         return ErrorResult(ErrorKind.INVALID_CONFIG, reason)
 
@@ -132,7 +135,7 @@
             _read_number(document["durationS"]),
             revision,
         )
-    except (ValueError, TypeError, KeyError) as error:
+    except _INVALID as error:
         reason = f"move order: {type(error).__name__}: {error}"
         return ErrorResult(ErrorKind.INVALID_CONFIG, reason)
 
@@ -182,6 +185,6 @@
             born_ms=int(_read_number(document.get("born", 0))),
             sequence=int(_read_number(status["sequence"])),
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
+    except _INVALID as error:
         reason = f"report of a worker: {type(error).__name__}: {error}"
         return ErrorResult(ErrorKind.INVALID_MESSAGE, reason)
--- a/bamboocove/platform/host_settings.py
+++ b/bamboocove/platform/host_settings.py
@@ -78,7 +78,7 @@
     """
     try:
         return _read_settings(_SettingsReader(tomllib.loads(text)))
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return ErrorResult(ErrorKind.INVALID_SETTINGS, str(error))
 
 
--- a/bamboocove/platform/store.py
+++ b/bamboocove/platform/store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from collections.abc import Callable
 from typing import Any
 from urllib.parse import quote, urlencode
 
@@ -117,7 +118,7 @@
 
     async def read_hosts(self) -> list[HostRecord] | ErrorResult:
         """Read the records of all hosts."""
-        return await self._read_records(HOSTS_TABLE, HostRecord)
+        return await self._read_records(HOSTS_TABLE, HostRecord, _get_host_id)
 
     async def write_host(self, record: HostRecord) -> int | ErrorResult:
         """Write the record of this host; return the new revision of the store."""
@@ -143,9 +144,11 @@
             return result if isinstance(result, ErrorResult) else None
         document = _parse_document(response.body)
         rows = [] if isinstance(document, ErrorResult) else _parse_rows(document)
-        records = _decode_records(rows, HostRecord)
+        records = _decode_records(rows, HostRecord, _get_host_id)
         if not records:
-            records = await self._read_records(HOSTS_TABLE, HostRecord, record.host_id)
+            records = await self._read_records(
+                HOSTS_TABLE, HostRecord, _get_host_id, record.host_id
+            )
             if isinstance(records, ErrorResult):
                 return records
         if records:
@@ -160,7 +163,9 @@
 
     async def read_rules(self) -> list[VersionRule] | ErrorResult:
         """Read the rules on which versions of each service may run requests."""
-        return await self._read_records(RULES_TABLE, VersionRule)
+        return await self._read_records(
+            RULES_TABLE, VersionRule, lambda rule: rule.service
+        )
 
     async def write_rule(self, rule: VersionRule) -> VersionRule | ErrorResult:
         """Write a rule and its move status, unless the stored rule is as new.
@@ -192,11 +197,17 @@
         )
         return rule if not isinstance(write_result, ErrorResult) else write_result
 
-    async def _read_records(self, table: str, cls: type, key: str | None = None) -> Any:
+    async def _read_records(
+        self,
+        table: str,
+        cls: type,
+        get_key: Callable[[Any], str],
+        key: str | None = None,
+    ) -> Any:
         result = await self._read_table(table, key)
         if isinstance(result, ErrorResult):
             return result
-        return _decode_records(result[0], cls)
+        return _decode_records(result[0], cls, get_key)
 
     async def _read_table(
         self, table: str, key: str | None = None
@@ -280,17 +291,26 @@
     return json.dumps(body, separators=(",", ":")).encode()
 
 
-def _decode_records(rows: list[_Row], cls: type) -> list[Any]:
+def _decode_records(
+    rows: list[_Row], cls: type, get_key: Callable[[Any], str]
+) -> list[Any]:
     records = []
     for row in rows:
         record = decode(cls, row.value or b"")
         if isinstance(record, ErrorResult):
             log("store.row-unreadable", key=row.key, reason=record.reason)
+        elif get_key(record) != row.key:
+            reason = f"the record is that of {get_key(record)!r}"
+            log("store.row-unreadable", key=row.key, reason=reason)
         else:
             records.append(record)
     return records
 
 
+def _get_host_id(record: HostRecord) -> str:
+    return record.host_id
+
+
 def _parse_response(response: Response) -> dict | ErrorResult:
     if response.status == HTTP_GONE:
         return ErrorResult(
@@ -307,7 +327,7 @@
 def _parse_document(data: bytes) -> dict | ErrorResult:
     try:
         document = json.loads(data)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         return ErrorResult(
             ErrorKind.STORE_UNAVAILABLE,
             f"the response of the store is not JSON: {error}",
@@ -330,9 +350,15 @@
 
 def _parse_rows(document: dict) -> list[_Row]:
     rows = []
-    for row in document.get("rows") or ():
+    listed = document.get("rows") or []
+    if not isinstance(listed, list):
+        log("store.row-unreadable", reason=f"not a list of rows: {type(listed)}")
+        return []
+    for row in listed:
         try:
             value = None
+            if not isinstance(row["key"], str):
+                raise TypeError(f"not a key: {row['key']!r}")
             if not row.get("deleted"):
                 value = base64.b64decode(row["value"])
             rows.append(_Row(row["key"], value, int(row.get("ver", 0))))
--- a/bamboocove/sidecar/logs.py
+++ b/bamboocove/sidecar/logs.py
@@ -14,6 +14,8 @@
 # use up the processor time during a storm of failures.
 MAX_LINES_PER_EVENT_PER_S = 20
 STDOUT = 1
+# Maximum length of a text in a line. Reasons may quote what another process sent.
+MAX_TEXT_LENGTH = 400
 
 
 @define
@@ -70,6 +72,7 @@
         self.counts_by_event = {}
 
     def _write(self, record: dict[str, Any]) -> None:
+        record = {key: _truncate(value) for key, value in record.items()}
         data = json.dumps(record, separators=(",", ":"), default=_to_text)
         try:
             self.write(data.encode() + b"\n")
@@ -77,6 +80,12 @@
             self.dropped_lines += 1
 
 
+def _truncate(value: Any) -> Any:
+    if isinstance(value, str | bytes) and len(value) > MAX_TEXT_LENGTH:
+        return value[:MAX_TEXT_LENGTH]
+    return value
+
+
 def _to_text(value: Any) -> str:
     return value.decode("latin-1") if isinstance(value, bytes) else str(value)
 
--- a/bamboocove/state/codec.py
+++ b/bamboocove/state/codec.py
@@ -14,6 +14,18 @@
 # messages while hosts are replaced.
 _converter = make_converter(detailed_validation=False)
 
+# What structuring raises for data of another shape: OverflowError for an infinite
+# number in place of an integer, RecursionError for deeply nested data.
+_INVALID = (
+    BaseValidationError,
+    TypeError,
+    ValueError,
+    KeyError,
+    AttributeError,
+    OverflowError,
+    RecursionError,
+)
+
 
 def to_plain(value: Any) -> Any:
     """Convert an attrs object to mappings, lists and scalars."""
@@ -30,8 +42,8 @@
     """
     try:
         return _converter.structure(data, cls)
-    except (BaseValidationError, TypeError, ValueError, KeyError, AttributeError) as e:
-        reason = f"not a {cls.__name__}: {type(e).__name__}: {e}"
+    except _INVALID as error:
+        reason = f"not a {cls.__name__}: {type(error).__name__}: {error}"
         return ErrorResult(ErrorKind.INVALID_MESSAGE, reason)
 
 
--- a/bamboocove/state/mesh.py
+++ b/bamboocove/state/mesh.py
@@ -4,8 +4,23 @@
 """
 
 from collections.abc import Mapping
+from ipaddress import IPv4Address
+from typing import Any
 
-from attrs import field, frozen
+from attrs import Attribute, field, frozen
+from attrs.validators import ge, le
+
+# Largest integer that all implementations of JSON and CBOR keep exactly.
+MAX_COUNT = 2**53
+_IS_COUNT = [ge(0), le(MAX_COUNT)]
+
+
+def _check_address(record: Any, attribute: Attribute, address: Any) -> None:
+    """Raise ValueError unless one can connect to the address without a name lookup."""
+    host, port = address
+    IPv4Address(host)
+    if not 0 < port < 65536:
+        raise ValueError(f"not a port: {port}")
 
 
 @frozen
@@ -127,7 +142,7 @@
     worker_id: str
     service: str
     version: str
-    slots: int
+    slots: int = field(validator=[ge(1), le(MAX_COUNT)])
     state: str = "ready"
     cold_s: float = 0.0
     born_ms: int = 0
@@ -162,9 +177,9 @@
     """
 
     host_id: str
-    incarnation: int
-    sequence: int
-    address: tuple[str, int]
+    incarnation: int = field(validator=_IS_COUNT)
+    sequence: int = field(validator=_IS_COUNT)
+    address: tuple[str, int] = field(validator=_check_address)
     zone: str
     is_leaving: bool = False
     worker: MeshWorker | None = None
