--- a/bamboocove/call.py
+++ b/bamboocove/call.py
@@ -19,7 +19,7 @@
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.state.snapshot import Snapshot
 from bamboocove.state.upstreams import Upstream, format_address
-from bamboocove.transport.clients import ClientConnection
+from bamboocove.transport.clients import ClientConnection, ConnectionPool
 from bamboocove.transport.exchanges import Exchange
 from bamboocove.transport.framing import (
     LAST_CHUNK,
@@ -244,14 +244,13 @@
         if self.body:
             parts += map(format_chunk, self.body) if is_chunked else self.body
         self.is_dispatched = True
-        upstream = self.upstream
         pool = self.dispatcher.pool
         connection.send(
             b"".join(parts),
             self.exchange.method == b"HEAD",
             self.is_body_ended,
             self,
-            lambda idle: pool.put(upstream.address, idle),
+            lambda idle: self._free_connection(pool, idle),
         )
         if self.is_body_ended:
             return
@@ -264,6 +263,14 @@
         connection.transport.registerProducer(producer, True)
         self.exchange.resume()
 
+    def _free_connection(self, pool: ConnectionPool, idle: ClientConnection) -> None:
+        if self.is_refusal:
+            # A faulty worker may send the refusal again. The next request on the
+            # connection would then be taken as not run, though it runs.
+            idle.abort()
+        else:
+            pool.put(self.upstream.address, idle)
+
     def _unregister_request_producer(self) -> None:
         if self.has_request_producer:
             self.has_request_producer = False
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -25,7 +25,7 @@
 from bamboocove.sidecar.inbound_request import (
     FIRST_ERROR_STATUS,
     InboundRequest,
-    answers_attempt,
+    attribute_response,
     format_worker_request,
 )
 from bamboocove.sidecar.logs import log
@@ -251,8 +251,8 @@
             True,
             request,
             lambda held: self._pool.put(self._address, held),
-            lambda status, headers: answers_attempt(
-                status, headers, self._dialect, attempt_id
+            lambda status, headers, is_first: attribute_response(
+                status, headers, is_first, self._dialect, attempt_id
             ),
             MAX_FORWARDED_BODY_BYTES,
         )
--- a/bamboocove/sidecar/inbound_request.py
+++ b/bamboocove/sidecar/inbound_request.py
@@ -8,7 +8,7 @@
 from bamboocove.coordination.worker_queue import QueuedRequest
 from bamboocove.protocol.mesh_messages import Forward, Reply
 from bamboocove.sidecar.dialect import Dialect
-from bamboocove.transport.clients import ClientConnection
+from bamboocove.transport.clients import Attribution, ClientConnection
 from bamboocove.transport.framing import Headers, format_fields, get_header
 
 FIRST_ERROR_STATUS = 400
@@ -100,15 +100,39 @@
     )
 
 
-def answers_attempt(
-    status: int, headers: Headers, dialect: Dialect, attempt_id: bytes | None
-) -> bool:
-    """Return whether a response belongs to an attempt.
+def attribute_response(
+    status: int,
+    headers: Headers,
+    is_first: bool,
+    dialect: Dialect,
+    attempt_id: bytes | None,
+) -> Attribution:
+    """Return whether a response of the worker belongs to an attempt.
 
-    Workers echo the attempt identifier in every response to a request that they
-    ran; error responses may lack it.
+    Workers echo the attempt identifier in every response to a request that they ran;
+    error responses may lack it. A faulty worker may send a response again while the
+    next request on the connection waits. Without an identifier, only the first
+    response on a connection is certain not to be such a copy: a refusal that is one
+    would be taken as proof that the present request has not run.
+
+    Parameters
+    ----------
+    status : int
+        Status code of the response.
+    headers : list
+        Header fields of the response.
+    is_first : bool
+        Whether the attempt is the first request on its connection.
+    dialect : Dialect
+        Names of header fields.
+    attempt_id : bytes or None
+        Identifier of the attempt, if its caller sent one.
     """
     echoed = get_header(headers, dialect.attempt_id)
     if echoed is None:
-        return status >= FIRST_ERROR_STATUS
-    return attempt_id is None or echoed == attempt_id
+        if status < FIRST_ERROR_STATUS:
+            return Attribution.OTHER
+        return Attribution.OWN if is_first else Attribution.UNKNOWN
+    if attempt_id is None or echoed == attempt_id:
+        return Attribution.OWN
+    return Attribution.OTHER
--- a/bamboocove/transport/clients.py
+++ b/bamboocove/transport/clients.py
@@ -1,6 +1,7 @@
 """Pooled HTTP/1.1 client for calls; request and response bodies are streamed."""
 
 from collections.abc import Callable
+from enum import Enum, auto
 from typing import Any
 from typing import Protocol as Interface
 
@@ -24,6 +25,17 @@
 Address = tuple[str, int]
 
 
+class Attribution(Enum):
+    """Whether a response belongs to the request that waits on its connection."""
+
+    OWN = auto()
+    # It belongs to an earlier request; the next response is awaited.
+    OTHER = auto()
+    # It may belong to an earlier request. Which request the worker has run and
+    # answered is then unknown, so the response counts as lost.
+    UNKNOWN = auto()
+
+
 class ResponseReceiver(Interface):
     """Callbacks that a client connection makes for the response to a request."""
 
@@ -66,7 +78,8 @@
         self._is_reusable = True
         self._error: str | None = None
         self._data: list[bytes] = []
-        self._accepts: Callable[[int, Headers], bool] | None = None
+        self._attribute: Callable[[int, Headers, bool], Attribution] | None = None
+        self._requests = 0
         self._is_skipping = False
         self.is_connected = False
         self.on_connected: Callable[[ClientConnection], None] | None = None
@@ -86,7 +99,7 @@
         is_request_sent: bool,
         receiver: ResponseReceiver,
         on_free: Callable[["ClientConnection"], None],
-        accepts: Callable[[int, Headers], bool] | None = None,
+        attribute: Callable[[int, Headers, bool], Attribution] | None = None,
         max_bytes: int | None = None,
     ) -> None:
         """Start a request.
@@ -103,17 +116,17 @@
             Receives the response.
         on_free : callable
             Called with this connection if it can be reused.
-        accepts : callable, optional
-            Takes status code and header fields, and returns whether they belong
-            to the response to this request. Other responses are skipped, as
-            they belong to an earlier request.
+        attribute : callable, optional
+            Takes status code, header fields and whether this is the first request
+            on the connection; returns the Attribution of the response.
         max_bytes : int, optional
             Maximum size of the response, including its head, its framing and the
             responses that are skipped before it. Without it only the head is
             limited, for a receiver that streams the body.
         """
         self._receiver = receiver
-        self._accepts = accepts
+        self._attribute = attribute
+        self._requests += 1
         self._is_skipping = False
         self._on_free = on_free
         self._is_head_request = is_head_request
@@ -189,9 +202,14 @@
             # towards the head, so that interim responses cannot go on forever.
             return
         self._head_bytes = 0
-        if self._accepts is not None and not self._accepts(status, self._headers):
+        attribution = Attribution.OWN
+        if self._attribute is not None:
+            attribution = self._attribute(status, self._headers, self._requests == 1)
+        if attribution is not Attribution.OWN:
             self._is_skipping = True
             self._is_reusable = False
+            if attribution is Attribution.UNKNOWN:
+                self._error = "a response without identifier on a used connection"
             return
         length = parse_body_length(self._headers)
         if isinstance(length, ErrorResult):
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -201,3 +201,38 @@
     for _ in range(6):
         assert mesh.call(make_request()).startswith(b"HTTP/1.1 200 ")
     assert not first.exchanges
+
+
+def test_repeated_refusal_is_no_proof_for_the_next_request(mesh):
+    """Guards against a payment that runs at two workers.
+
+    A worker sent its refusal of an earlier request once more on the kept connection,
+    while the next request there was running.
+    """
+    first, second = mesh.add_worker(), mesh.add_worker()
+    refusal = b"HTTP/1.1 503 X\r\nbamboocove-run: not-run\r\ncontent-length: 0\r\n\r\n"
+    refused_on = set()
+    ran = []
+
+    def refuse_once(exchange):
+        connection = exchange.connection
+        if connection not in refused_on:
+            refused_on.add(connection)
+            first.shed(exchange)
+            return
+        connection.write(refusal)
+        ran.append(exchange.target)
+        first.echo(exchange)
+
+    def run_it(exchange):
+        ran.append(exchange.target)
+        second.echo(exchange)
+
+    first.answer, second.answer = refuse_once, run_it
+    mesh.start()
+    for number in range(8):
+        before = len(ran)
+        data = mesh.call(make_confirm_request(f"k{number}"))
+        assert data.startswith(b"HTTP/1.1 200 ")
+        assert len(ran) == before + 1
+    assert refused_on
