--- /dev/null
+++ b/bamboocove/coordination/body_grants.py
@@ -0,0 +1,110 @@
+"""Permission to send large request bodies to a host (receiver-driven flow control).
+
+Load pattern: a service that few hosts run receives uploads of 60 KB on links of 6.5
+Mbit/s, together with small calls of other workers. Nodes that send each body at once
+fill the link of the receiving host: small calls and pings wait half a second behind
+bodies, hosts look dead to each other, and the callers of the small calls keep their
+slots meanwhile. A node therefore offers a large body first. The receiver lets few
+bodies be on their way at a time, in order of arrival, and refuses one at once that
+could not arrive in time, before any of its bytes were sent.
+"""
+
+from typing import Any
+
+from attrs import define, field, frozen
+
+# Bodies of this size in bytes and larger ones are offered first. Smaller ones take no
+# longer than the round trip of an offer.
+MIN_OFFERED_BYTES = 16 * 1024
+# Fraction of the link's rate at which bodies are expected to arrive: small messages
+# share the link.
+BODY_RATE_FRACTION = 0.7
+# Bodies on their way to a host at a time, in seconds of its link's rate; at least one.
+# Small messages wait behind them for as long. A sender may be slower than the link,
+# so one body alone would leave it idle.
+IN_TRANSFER_S = 0.12
+
+
+@frozen
+class _Offer:
+    size: int
+    deadline: float
+
+
+@define
+class BodyGrants:
+    """Bodies that are on their way to this host or wait for permission.
+
+    Parameters
+    ----------
+    bytes_per_s : float
+        Rate of this host's link; 0 if unknown, which grants all offers at once.
+    """
+
+    bytes_per_s: float
+    _granted_by_key: dict[Any, _Offer] = field(factory=dict)
+    _waiting_by_key: dict[Any, _Offer] = field(factory=dict)
+
+    def predict_wait(self) -> float:
+        """Return the time until a new offer would be granted, in seconds."""
+        if not self.bytes_per_s:
+            return 0.0
+        ahead = sum(offer.size for offer in self._waiting_by_key.values())
+        in_transfer = sum(offer.size for offer in self._granted_by_key.values())
+        ahead += in_transfer - IN_TRANSFER_S * self.bytes_per_s
+        return max(0.0, ahead) / (BODY_RATE_FRACTION * self.bytes_per_s)
+
+    def predict_transfer(self, size: int) -> float:
+        """Return the time that a granted body takes to arrive, in seconds."""
+        if not self.bytes_per_s:
+            return 0.0
+        return size / (BODY_RATE_FRACTION * self.bytes_per_s)
+
+    def add(self, key: Any, size: int, deadline: float) -> None:
+        """Add an offer that waits for permission.
+
+        Parameters
+        ----------
+        key : hashable
+            Identifies the offer.
+        size : int
+            Size of the body in bytes.
+        deadline : float
+            Time after which the sender no longer sends it, in seconds of the local
+            clock.
+        """
+        self._waiting_by_key[key] = _Offer(size, deadline)
+
+    def remove(self, key: Any) -> None:
+        """Remove an offer: its body has arrived or will not be sent."""
+        self._waiting_by_key.pop(key, None)
+        self._granted_by_key.pop(key, None)
+
+    def take_granted(self, now: float) -> list[Any]:
+        """Grant the offers for which there is room; return their keys.
+
+        Examples
+        --------
+        >>> grants = BodyGrants(bytes_per_s=1e6)
+        >>> for key in "abc":
+        ...     grants.add(key, 100_000, deadline=9.0)
+        >>> grants.take_granted(0.0)
+        ['a']
+        >>> grants.remove("a")
+        >>> grants.take_granted(0.1)
+        ['b']
+        """
+        for offers in (self._waiting_by_key, self._granted_by_key):
+            for key in [key for key, offer in offers.items() if offer.deadline <= now]:
+                del offers[key]
+        granted = []
+        room = IN_TRANSFER_S * self.bytes_per_s
+        room -= sum(offer.size for offer in self._granted_by_key.values())
+        for key, offer in list(self._waiting_by_key.items()):
+            if self.bytes_per_s and self._granted_by_key and offer.size > room:
+                break
+            del self._waiting_by_key[key]
+            self._granted_by_key[key] = offer
+            room -= offer.size
+            granted.append(key)
+        return granted
--- a/bamboocove/coordination/worker_queue.py
+++ b/bamboocove/coordination/worker_queue.py
@@ -171,6 +171,23 @@
             self._record_admission(other, False)
         return True, evicted
 
+    def can_admit(self, request: QueuedRequest, delay_s: float, now: float) -> bool:
+        """Return whether a request that arrives later would be admitted.
+
+        Parameters
+        ----------
+        request : QueuedRequest
+            The request; only its priority is changed.
+        delay_s : float
+            Time until it arrives, in seconds.
+        now : float
+            Seconds of the local clock.
+        """
+        if request.base_priority != INTERNAL_PRIORITY:
+            request.priority = self._compute_priority(request, now)
+        wait_s = max(delay_s, self.predict_wait(request.priority))
+        return not wait_s or self._can_finish_in_time(request, wait_s, now)
+
     def _compute_priority(self, request: QueuedRequest, now: float) -> float:
         priority = request.base_priority
         if request.target_at - now < self.service_times.get(request.route):
--- a/bamboocove/platform/host_settings.py
+++ b/bamboocove/platform/host_settings.py
@@ -12,6 +12,7 @@
 from bamboocove.sidecar.settings import Bounds, HostSettings
 
 SETTINGS_VARIABLE = "BAMBOOCOVE_BOOT"
+MAX_LINK_MBPS = 1e7
 
 
 @frozen
@@ -102,6 +103,7 @@
         # An extension of this project, for nodes behind a proxy; the platform does
         # not define this setting.
         advertised_address=reader.get_address("network.advertised", ""),
+        link_bytes_per_s=_read_link_rate(reader),
         is_first_start=reader.get("self.bootstrap", bool, default=False),
         bounds=Bounds(
             grace_s=reader.get(
@@ -117,6 +119,13 @@
     )
 
 
+def _read_link_rate(reader: _SettingsReader) -> int:
+    megabits_per_s = reader.get("self.limits.linkMbps", float, default=0.0)
+    if not 0.0 <= megabits_per_s < MAX_LINK_MBPS:
+        raise ValueError(f"setting self.limits.linkMbps is no rate: {megabits_per_s}")
+    return int(megabits_per_s * 1e6 / 8)
+
+
 def read_host_settings() -> HostSettings | ErrorResult:
     """Read the settings file that ``BAMBOOCOVE_BOOT`` names.
 
--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -321,6 +321,40 @@
     """Asks the receiver for all its host records."""
 
 
+@frozen
+class BodyOffer:
+    """Asks for permission to forward a request with a large body.
+
+    The answer is a ``BodyGrant``, after which the sender sends the ``Forward`` with
+    the same stream, or a ``Reply`` that refuses the request.
+
+    Parameters
+    ----------
+    stream : int
+        Identifier of the request on this link.
+    route, service, version, left_ms, target_left_ms, priority
+        As in ``Forward``.
+    size : int
+        Size of the body in bytes.
+    """
+
+    stream: int
+    route: str
+    service: str
+    version: str
+    left_ms: int
+    target_left_ms: int
+    priority: int
+    size: int
+
+
+@frozen
+class BodyGrant:
+    """Permits the sender of a ``BodyOffer`` to send the request with its body."""
+
+    stream: int
+
+
 # The index of a type is its number on the wire; new types are added at the end.
 _MESSAGE_TYPES = (
     Greeting,
@@ -342,6 +376,8 @@
     OutcomeBatch,
     HostsOffer,
     HostsRequest,
+    BodyOffer,
+    BodyGrant,
 )
 _FIELD_NAMES_BY_TYPE = {
     cls: tuple(f.name for f in fields(cls)) for cls in _MESSAGE_TYPES
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -11,6 +11,7 @@
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
 
+from bamboocove.coordination.body_grants import BodyGrants
 from bamboocove.coordination.load_reports import LoadReporter
 from bamboocove.coordination.readers import ReaderRole
 from bamboocove.errors import ErrorKind, ErrorResult
@@ -141,7 +142,9 @@
             lambda message: self.dissemination.broadcast(message),
             self.rule_table.get_moving_versions,
         )
-        self.forwarding = Forwarding(self.inbound, self.clock)
+        self.forwarding = Forwarding(
+            self.inbound, self.clock, BodyGrants(settings.link_bytes_per_s)
+        )
         self.moves = MoveController(
             self.rule_table,
             self.store,
--- a/bamboocove/sidecar/forwarding.py
+++ b/bamboocove/sidecar/forwarding.py
@@ -5,7 +5,10 @@
 
 from attrs import define, field
 
+from bamboocove.coordination.body_grants import BodyGrants
 from bamboocove.protocol.mesh_messages import (
+    BodyGrant,
+    BodyOffer,
     Cancel,
     Forward,
     Reply,
@@ -27,32 +30,44 @@
         Queue of the worker on this host.
     clock : reactor
         Source of time.
+    grants : BodyGrants
+        Large bodies that other nodes offer to this host.
     """
 
     inbound: InboundProxy
     clock: Any
+    grants: BodyGrants
     _requests_by_link: dict[Any, dict[int, InboundRequest]] = field(factory=dict)
+    _offers_by_link: dict[Any, set[int]] = field(factory=dict)
     _pending_by_key: dict[tuple[Any, int], Forward | None] = field(factory=dict)
 
-    def take(self, link: Any, message: Forward | Cancel | None) -> None:
+    def take(self, link: Any, message: Forward | BodyOffer | Cancel | None) -> None:
         """Handle a message of a link.
 
         Parameters
         ----------
         link : object
             Link that the message arrived on; replies go there.
-        message : Forward, Cancel or None
+        message : Forward, BodyOffer, Cancel or None
             None if the link was closed, which cancels its requests.
         """
         if isinstance(message, Forward):
             if not self._pending_by_key:
                 self.clock.callLater(0, self._submit_pending)
             self._pending_by_key[link, message.stream] = message
+            self._end_offer(link, message.stream)
+        elif isinstance(message, BodyOffer):
+            self._take_offer(link, message)
         elif message is None:
+            for stream in self._offers_by_link.pop(link, set()):
+                self.grants.remove((link, stream))
+            self._send_grants()
             for key in [key for key in self._pending_by_key if key[0] is link]:
                 self._pending_by_key[key] = None
             for request in self._requests_by_link.pop(link, {}).values():
                 self.inbound.cancel(request)
+        elif message.stream in self._offers_by_link.get(link, ()):
+            self._end_offer(link, message.stream)
         elif (link, message.stream) in self._pending_by_key:
             self._pending_by_key[link, message.stream] = None
         else:
@@ -60,6 +75,30 @@
             if request is not None:
                 self.inbound.cancel(request)
 
+    def _take_offer(self, link: Any, offer: BodyOffer) -> None:
+        now = self.clock.seconds()
+        delay_s = self.grants.predict_wait()
+        if delay_s:
+            delay_s += self.grants.predict_transfer(offer.size)
+        refusal = self.inbound.refuse_offer(offer, delay_s, now)
+        if refusal is not None:
+            link.send_encoded(encode_mesh_message(refusal))
+            return
+        self._offers_by_link.setdefault(link, set()).add(offer.stream)
+        self.grants.add((link, offer.stream), offer.size, now + offer.left_ms / 1000)
+        self._send_grants()
+
+    def _end_offer(self, link: Any, stream: int) -> None:
+        offered_streams = self._offers_by_link.get(link, set())
+        if stream in offered_streams:
+            offered_streams.discard(stream)
+            self.grants.remove((link, stream))
+            self._send_grants()
+
+    def _send_grants(self) -> None:
+        for link, stream in self.grants.take_granted(self.clock.seconds()):
+            link.send_encoded(encode_mesh_message(BodyGrant(stream)))
+
     def _submit_pending(self) -> None:
         pending, self._pending_by_key = self._pending_by_key, {}
         for (link, stream), forward in pending.items():
--- a/bamboocove/sidecar/hosts.py
+++ b/bamboocove/sidecar/hosts.py
@@ -80,6 +80,7 @@
             settings.zone,
             self.inbound.is_draining,
             self.inbound.worker,
+            settings.link_bytes_per_s,
         )
 
     def publish(self) -> None:
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -18,6 +18,7 @@
     SHED,
     TIMED_OUT,
     WRONG_WORKER,
+    BodyOffer,
     Forward,
     Reply,
 )
@@ -163,15 +164,7 @@
         now = self._clock.seconds()
         request = InboundRequest(self, forward, reply, now + forward.left_ms / 1000)
         self._requests.add(request)
-        worker = self.worker
-        if (
-            worker is None
-            or worker.state != "ready"
-            or worker.service != forward.service
-            or worker.version != forward.version
-            or not self._is_version_allowed(worker.service, worker.version)
-            or self.is_draining
-        ):
+        if not self._may_run(forward):
             self._end(request, WRONG_WORKER, reason="worker is not ready for this")
             return request
         entry = QueuedRequest(
@@ -193,6 +186,39 @@
         self._start_next(now)
         return request
 
+    def _may_run(self, forward: Forward | BodyOffer) -> bool:
+        worker = self.worker
+        return (
+            worker is not None
+            and worker.state == "ready"
+            and worker.service == forward.service
+            and worker.version == forward.version
+            and self._is_version_allowed(worker.service, worker.version)
+            and not self.is_draining
+        )
+
+    def refuse_offer(
+        self, offer: BodyOffer, delay_s: float, now: float
+    ) -> Reply | None:
+        """Return the refusal of a request whose body arrives after ``delay_s`` seconds.
+
+        Returns None if the worker is expected to run it in time.
+        """
+        if not self._may_run(offer):
+            outcome, reason = WRONG_WORKER, b"worker is not ready for this"
+        else:
+            entry = QueuedRequest(
+                offer.route,
+                offer.priority,
+                now + offer.target_left_ms / 1000,
+                now + offer.left_ms / 1000,
+                None,
+            )
+            if self.queue.can_admit(entry, delay_s, now):
+                return None
+            outcome, reason = REFUSED, b"no room for its body in time"
+        return Reply(offer.stream, outcome, 0, [], reason, 0, self.make_load())
+
     def _start_next(self, now: float) -> None:
         while True:
             entry, expired = self.queue.start_next(now)
--- a/bamboocove/sidecar/links.py
+++ b/bamboocove/sidecar/links.py
@@ -67,6 +67,9 @@
         Requests that wait for a reply on the link.
     is_suspect : bool
         Whether a ping was not answered within ``SUSPECT_TIMEOUT_S``.
+    busy_until : float
+        Until then a large body is expected to occupy the link, so that the host
+        cannot answer a ping, in seconds of the local clock.
     """
 
     host_id: str
@@ -80,6 +83,7 @@
     redial_delay_s: float = MIN_REDIAL_DELAY_S
     waiting: int = 0
     is_suspect: bool = False
+    busy_until: float = 0.0
 
 
 @frozen
@@ -213,6 +217,12 @@
             return False
         return peer.link.send_encoded(encode_mesh_message(message))
 
+    def expect_busy(self, host_id: str, until: float) -> None:
+        """Expect no answer to pings before a time, while a large body is sent."""
+        peer = self.peers_by_id.get(host_id)
+        if peer is not None:
+            peer.busy_until = max(peer.busy_until, until)
+
     def tick(self, now: float) -> None:
         """Dial lost links again and check the liveness of open ones."""
         for peer in list(self.peers_by_id.values()):
@@ -223,8 +233,10 @@
                 self._check_liveness(peer, now)
 
     def _check_liveness(self, peer: Peer, now: float) -> None:
+        if now < peer.busy_until:
+            return
         if peer.unanswered_ping_at:
-            silence_s = now - peer.unanswered_ping_at
+            silence_s = now - max(peer.unanswered_ping_at, peer.busy_until)
             if silence_s > DEAD_TIMEOUT_S:
                 peer.link.drop("peer does not answer")
             elif silence_s > SUSPECT_TIMEOUT_S:
@@ -266,6 +278,7 @@
         if self._is_stopped:
             return
         peer.is_open = False
+        peer.busy_until = 0.0
         peer.unanswered_ping_at = 0.0
         peer.is_suspect = False
         handlers = LinkHandlers(
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -3,6 +3,8 @@
 from typing import Any
 
 from bamboocove.protocol.mesh_messages import (
+    BodyGrant,
+    BodyOffer,
     Cancel,
     ConfigCopy,
     ConfigDelta,
@@ -81,8 +83,10 @@
         A message, or None if the link was closed.
     """
     now = application.clock.seconds()
-    if isinstance(message, Forward | Cancel) or message is None:
+    if isinstance(message, Forward | BodyOffer | Cancel) or message is None:
         application.forwarding.take(link, message)
+    elif isinstance(message, BodyGrant):
+        application.outbound.on_grant(message, now)
     elif isinstance(message, Reply):
         application.outbound.on_reply(message)
     elif isinstance(message, OutcomeBatch):
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from bamboocove.coordination.body_grants import MIN_OFFERED_BYTES
 from bamboocove.coordination.fingerprints import digest_body, make_fingerprint
 from bamboocove.coordination.placement import (
     HostView,
@@ -25,6 +26,8 @@
     SHED,
     TIMED_OUT,
     WRONG_WORKER,
+    BodyGrant,
+    BodyOffer,
     Cancel,
     Forward,
     Reply,
@@ -56,6 +59,9 @@
 UNAVAILABLE_RETRY_AFTER_S = 0.3
 # An attempt is not started with less time than this before the deadline, in seconds.
 MIN_ATTEMPT_S = 0.02
+# Time for which a link is expected to be occupied by a body, relative to the time that
+# the slower of the two hosts needs for it. Other bodies share that link.
+BUSY_FACTOR = 3.0
 
 
 class OutboundProxy:
@@ -210,24 +216,9 @@
             self._fleet.suspend(view.host_id, now)
 
     def _send(self, request: OutboundRequest, view: HostView, now: float) -> bool:
-        exchange = request.exchange
         stream = self._next_stream
         self._next_stream += 1
-        forward = Forward(
-            stream,
-            request.route.name,
-            request.service,
-            view.version,
-            max(1, int((request.deadline - now) * 1000)),
-            int((request.target_at - now) * 1000),
-            request.priority,
-            request.route.is_idempotent,
-            self.settings.service,
-            exchange.method,
-            exchange.target,
-            request.headers,
-            request.body,
-        )
+        forward = self._make_forward(request, stream, view.version, now)
         request.stream = stream
         request.host_id = view.host_id
         request.view = view
@@ -241,12 +232,65 @@
             if request.stream == stream:
                 request.inbound_request = inbound_request
             return True
-        if self._hub.send(view.host_id, forward):
+        request.is_offered = self._must_offer(forward, view.host_id)
+        message = _make_offer(forward) if request.is_offered else forward
+        if self._hub.send(view.host_id, message):
             self._hub.peers_by_id[view.host_id].waiting += 1
             return True
         self._forget_stream(request)
         return False
 
+    def _make_forward(
+        self, request: OutboundRequest, stream: int, version: str, now: float
+    ) -> Forward:
+        exchange = request.exchange
+        return Forward(
+            stream,
+            request.route.name,
+            request.service,
+            version,
+            max(1, int((request.deadline - now) * 1000)),
+            int((request.target_at - now) * 1000),
+            request.priority,
+            request.route.is_idempotent,
+            self.settings.service,
+            exchange.method,
+            exchange.target,
+            request.headers,
+            request.body,
+        )
+
+    def _must_offer(self, forward: Forward, host_id: str) -> bool:
+        record = self._fleet.records_by_id.get(host_id)
+        return (
+            len(forward.body) >= MIN_OFFERED_BYTES
+            and record is not None
+            and record.link_bytes_per_s > 0
+        )
+
+    def on_grant(self, grant: BodyGrant, now: float) -> None:
+        """Send the request whose body a host has permitted."""
+        request = self._requests_by_stream.get(grant.stream)
+        if request is None or not request.is_offered:
+            return
+        host_id = request.host_id
+        request.is_offered = False
+        forward = self._make_forward(request, request.stream, request.view.version, now)
+        record = self._fleet.records_by_id.get(host_id)
+        rates = [self.settings.link_bytes_per_s, record and record.link_bytes_per_s]
+        slowest = min((rate for rate in rates if rate), default=0)
+        if slowest:
+            transfer_s = BUSY_FACTOR * len(forward.body) / slowest
+            self._hub.expect_busy(host_id, now + transfer_s)
+        self._hub.send(host_id, forward)
+
+    def _withdraw_offer(self, request: OutboundRequest, now: float) -> None:
+        """Place a request whose body was not sent yet on another host."""
+        self._release(request, is_cancelled=True)
+        request.excluded_host_ids.add(request.host_id)
+        request.last_reason = "host does not answer"
+        self._dispatch(request, now)
+
     def _forget_stream(self, request: OutboundRequest) -> None:
         if self._requests_by_stream.pop(request.stream, None) is None:
             return
@@ -401,7 +445,9 @@
     def on_host_lost(self, host_id: str, now: float) -> None:
         """Retry or fail the requests in flight to a host whose link was lost."""
         for request in list(self._requests_by_stream.values()):
-            if request.host_id == host_id:
+            if request.host_id == host_id and request.is_offered:
+                self._withdraw_offer(request, now)
+            elif request.host_id == host_id:
                 self._forget_stream(request)
                 request.sent += 1
                 self._on_lost(request, "the host was lost", now)
@@ -410,6 +456,9 @@
         """Retry idempotent requests of an unresponsive host on other hosts."""
         self._fleet.suspend(host_id, now)
         for request in list(self._requests_by_stream.values()):
+            if request.host_id == host_id and request.is_offered:
+                self._withdraw_offer(request, now)
+                continue
             if request.host_id != host_id or not request.route.is_idempotent:
                 continue
             request.sent += 1
@@ -433,6 +482,10 @@
         if request.is_ended:
             return
         self._release(request, is_cancelled=True)
+        if request.is_offered and not request.may_have_run:
+            reason = "no room for its body in time"
+            self._refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, reason)
+            return
         reason = "no answer in time"
         self._fail(request, ErrorKind.DEADLINE_AFTER_DISPATCH, reason)
 
@@ -500,3 +553,16 @@
                 digest_body(request.body),
             )
         )
+
+
+def _make_offer(forward: Forward) -> BodyOffer:
+    return BodyOffer(
+        forward.stream,
+        forward.route,
+        forward.service,
+        forward.version,
+        forward.left_ms,
+        forward.target_left_ms,
+        forward.priority,
+        len(forward.body),
+    )
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -76,6 +76,9 @@
         Workers that the request was sent to.
     host_id, view, stream
         Host that has the request now, and its number in messages to that host.
+    is_offered : bool
+        Whether the host was only asked for permission to send the body, so that it
+        cannot have run the request.
     inbound_request : InboundRequest or None
         The request in the queue of this host's worker, if it was sent there.
     may_have_run : bool
@@ -104,6 +107,7 @@
     host_id: str = ""
     view: HostView | None = None
     stream: int = 0
+    is_offered: bool = False
     inbound_request: InboundRequest | None = None
     timer: Any = None
     fingerprint: str = ""
--- a/bamboocove/sidecar/settings.py
+++ b/bamboocove/sidecar/settings.py
@@ -45,6 +45,8 @@
         behind a proxy or network address translation.
     bounds : Bounds
         Limits that the deployment sets.
+    link_bytes_per_s : int
+        Rate of the host's network link; 0 if unknown.
     is_first_start : bool
         Whether the whole system starts for the first time, so that no process ran
         on this host before.
@@ -62,4 +64,5 @@
     store_address: Address
     advertised_address: Address | None = None
     bounds: Bounds = Bounds()
+    link_bytes_per_s: int = 0
     is_first_start: bool = False
--- a/bamboocove/state/mesh.py
+++ b/bamboocove/state/mesh.py
@@ -174,6 +174,9 @@
         Whether the node process is about to stop.
     worker : MeshWorker or None
         Worker on the host; None until it has announced itself.
+    link_bytes_per_s : int
+        Rate of the host's network link. Its node takes offers of large bodies if this
+        is not 0; nodes of earlier releases do not.
     """
 
     host_id: str
@@ -183,6 +186,7 @@
     zone: str
     is_leaving: bool = False
     worker: MeshWorker | None = None
+    link_bytes_per_s: int = field(default=0, validator=_IS_COUNT)
 
     @property
     def age_key(self) -> tuple[int, int]:
--- a/tests/sidecar/hosts.py
+++ b/tests/sidecar/hosts.py
@@ -181,6 +181,7 @@
             ("127.0.0.1", port),
             *addresses,
             ("127.0.0.1", 1),
+            link_bytes_per_s=mesh.link_bytes_per_s,
             is_first_start=mesh.is_first_start,
         )
         self.node = None
@@ -316,6 +317,7 @@
     """Several hosts that share one store."""
 
     is_first_start = False
+    link_bytes_per_s = 0
 
     def __init__(self):
         self.store = MemoryStore()
--- a/tests/sidecar/test_forwarding.py
+++ b/tests/sidecar/test_forwarding.py
@@ -3,6 +3,7 @@
 import pytest
 from twisted.internet.task import Clock
 
+from bamboocove.coordination.body_grants import BodyGrants
 from bamboocove.protocol.mesh_messages import Cancel, Forward
 from bamboocove.sidecar.forwarding import Forwarding
 
@@ -45,7 +46,7 @@
 
 @pytest.fixture
 def forwarding(inbound, clock):
-    return Forwarding(inbound, clock)
+    return Forwarding(inbound, clock, BodyGrants(0))
 
 
 def test_requests_are_submitted_in_the_next_reactor_turn(forwarding, inbound, clock):
