--- a/bamboocove/coordination/body_grants.py
+++ b/bamboocove/coordination/body_grants.py
@@ -22,7 +22,7 @@
 # Bodies on their way to a host at a time, in seconds of its link's rate; at least one.
 # Small messages wait behind them for as long. A sender may be slower than the link,
 # so one body alone would leave it idle.
-IN_TRANSFER_S = 0.12
+IN_TRANSFER_S = 0.2
 
 
 @frozen
@@ -87,7 +87,7 @@
         --------
         >>> grants = BodyGrants(bytes_per_s=1e6)
         >>> for key in "abc":
-        ...     grants.add(key, 100_000, deadline=9.0)
+        ...     grants.add(key, 150_000, deadline=9.0)
         >>> grants.take_granted(0.0)
         ['a']
         >>> grants.remove("a")
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -9,6 +9,7 @@
     HostView,
     QueueReport,
     compute_retry_after,
+    estimate_wait,
     pick_host,
 )
 from bamboocove.coordination.retry_limits import (
@@ -410,7 +411,9 @@
             request.hosts_tried = 1
             self._dispatch(request, now)
         else:
-            self._refuse_unplaced(request, self._candidates.select(request))
+            has_room = estimate_wait(request.view, request.priority, now) == 0.0
+            views = self._candidates.select(request)
+            self._refuse_unplaced(request, views, has_room)
 
     def _may_retry(self, request: OutboundRequest, now: float) -> bool:
         return may_retry(
@@ -489,17 +492,25 @@
         reason = "no answer in time"
         self._fail(request, ErrorKind.DEADLINE_AFTER_DISPATCH, reason)
 
-    def _refuse_unplaced(self, request: OutboundRequest, views: list[HostView]) -> None:
+    def _refuse_unplaced(
+        self, request: OutboundRequest, views: list[HostView], has_room: bool = False
+    ) -> None:
         if request.may_have_run:
             self._fail(request, ErrorKind.UPSTREAM_LOST, "no other worker is left")
             return
         kind = ErrorKind.OVERLOADED if views else ErrorKind.NO_UPSTREAM
         reason = request.last_reason or "no worker may be asked"
-        self._refuse(request, kind, reason)
+        self._refuse(request, kind, reason, has_room)
 
-    def _refuse(self, request: OutboundRequest, kind: ErrorKind, reason: str) -> None:
+    def _refuse(
+        self,
+        request: OutboundRequest,
+        kind: ErrorKind,
+        reason: str,
+        has_room: bool = False,
+    ) -> None:
         left_s = request.caller_deadline - self._clock.seconds()
-        retry_after_s = compute_retry_after(left_s, self._random)
+        retry_after_s = compute_retry_after(left_s, self._random, has_room)
         self._respond_with_error(request, ErrorResult(kind, reason), retry_after_s)
 
     def _fail(self, request: OutboundRequest, kind: ErrorKind, reason: str) -> None:
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -454,3 +454,38 @@
     assert caller.call()[0] == 200
     assert len(new.requests) == count
     assert run(mesh.store.read_rules())[0].banned == ("v2",)
+
+
+def test_caller_turned_away_by_an_idle_worker_may_return_at_once(mesh):
+    """Guards against a caller that waits for a third of its time for nothing.
+
+    A worker that fails may turn requests away although its slots are free.
+    """
+    caller, target = make_pair(mesh)
+    target.request_handler = target.respond_not_executed
+    codes = [caller.call(left_ms=900, attempt=f"a{n}") for n in range(6)]
+    status, fields, _ = codes[-1]
+    assert status == 503
+    assert 0 < float(fields["retry-after"]) < 0.1
+
+
+def test_caller_turned_away_by_a_busy_worker_is_told_to_wait(mesh):
+    """Guards against callers that return at once to a worker without room."""
+    caller, target = make_pair(mesh)
+    target.request_handler = target.worker.wait
+    sockets = [caller.open(format_call("/read/1", attempt=f"b{i}")) for i in range(4)]
+    run_reactor_until(lambda: len(target.requests) == 4)
+    target.node.inbound.queue.slots = 5
+    target.request_handler = target.respond_not_executed
+    queue = target.node.inbound.queue
+
+    def shed_when_full(exchange):
+        queue.slots = 4
+        target.respond_not_executed(exchange)
+
+    target.request_handler = shed_when_full
+    status, fields, _ = caller.call(left_ms=900, attempt="last")
+    assert status == 503
+    assert float(fields["retry-after"]) > 0.1
+    for socket in sockets:
+        socket.close()
