--- a/bamboocove/coordination/link_selection.py
+++ b/bamboocove/coordination/link_selection.py
@@ -25,9 +25,6 @@
 # Time for which a link is kept after its host is no longer chosen, in seconds. A worker
 # that goes down and up by turns would otherwise cost a handshake each time.
 LINGER_S = 10.0
-# Time for which checksums of host records must differ before records are requested, in
-# seconds. Changes reach all nodes in a fraction of it.
-REPAIR_DELAY_S = 3.0
 
 
 @frozen
@@ -191,38 +188,3 @@
         if host_id not in known_ids or now - chosen_at >= LINGER_S:
             del chosen_at_by_id[host_id]
     return set(chosen_at_by_id)
-
-
-@define
-class RecordRepair:
-    """Decides when a node requests the host records of another one (anti-entropy).
-
-    Nodes compare checksums of their records. For a moment these differ after each
-    change, until it has reached all nodes.
-
-    Parameters
-    ----------
-    differs_since : float or None
-        Since when each checksum received was different, in seconds of the local clock.
-    """
-
-    differs_since: float | None = None
-
-    def should_request(self, own_digest: int, offered_digest: int, now: float) -> bool:
-        """Return whether to request the records of the node that sent a checksum.
-
-        Examples
-        --------
-        >>> repair = RecordRepair()
-        >>> [repair.should_request(1, 2, now) for now in (0.0, 2.0, 3.5, 4.0)]
-        [False, False, True, False]
-        """
-        if own_digest == offered_digest:
-            self.differs_since = None
-            return False
-        if self.differs_since is None:
-            self.differs_since = now
-        if now - self.differs_since < REPAIR_DELAY_S:
-            return False
-        self.differs_since = now
-        return True
--- a/bamboocove/platform/node.py
+++ b/bamboocove/platform/node.py
@@ -60,6 +60,7 @@
         # Objects created at startup live as long as the process, so the garbage
         # collector need not scan them.
         gc.freeze()
+        gc.enable()
 
     def stop() -> Deferred | None:
         if start_errors:
--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -318,7 +318,19 @@
 
 @frozen
 class HostsRequest:
-    """Asks the receiver for all its host records."""
+    """Asks the receiver for host records that are newer than those of the sender.
+
+    Parameters
+    ----------
+    versions : dict
+        Incarnation and sequence of the sender's records, by host.
+    only_listed : bool
+        Whether the sender asks for these hosts only. Otherwise the receiver also asks
+        for the records of which the sender has newer ones.
+    """
+
+    versions: dict[str, list[int]]
+    only_listed: bool
 
 
 @frozen
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -14,6 +14,7 @@
 from bamboocove.coordination.body_grants import BodyGrants
 from bamboocove.coordination.load_reports import LoadReporter
 from bamboocove.coordination.readers import ReaderRole
+from bamboocove.coordination.record_repair import RecordRepair
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.events import run_logged
 from bamboocove.lifecycle import LifecycleHooks, make_lifecycle
@@ -141,6 +142,7 @@
             lambda: self.watch.publish(),
             lambda message: self.dissemination.broadcast(message),
             self.rule_table.get_moving_versions,
+            RecordRepair(self.random.random),
         )
         self.forwarding = Forwarding(
             self.inbound, self.clock, BodyGrants(settings.link_bytes_per_s)
--- a/bamboocove/sidecar/hosts.py
+++ b/bamboocove/sidecar/hosts.py
@@ -5,7 +5,13 @@
 
 from attrs import define, evolve, field
 
-from bamboocove.coordination.link_selection import LinkSelector, RecordRepair
+from bamboocove.coordination.link_selection import LinkSelector
+from bamboocove.coordination.record_repair import (
+    RecordRepair,
+    find_newer,
+    find_older,
+    get_versions,
+)
 from bamboocove.errors import ErrorResult
 from bamboocove.protocol.mesh_messages import (
     HostRecords,
@@ -48,6 +54,8 @@
         Sends a message to all nodes.
     get_moving_versions : callable
         Returns the services in a move, each with the version it moves to.
+    repair : RecordRepair
+        Decides when records are compared with those of a reader.
     sequence : int
         Number of the current record of this process.
     """
@@ -61,8 +69,8 @@
     write_record: Callable[[], None]
     broadcast: Callable[[Any], None]
     get_moving_versions: Callable[[], set[tuple[str, str]]]
+    repair: RecordRepair
     sequence: int = 0
-    repair: RecordRepair = field(factory=RecordRepair)
     _selector: LinkSelector = field(init=False)
     _is_update_due: bool = False
 
@@ -128,11 +136,28 @@
         )
 
     def repair_records(self, link: Any, message: HostsOffer) -> None:
-        """Request the records of a node whose checksum has differed for long."""
-        now = self.clock.seconds()
-        if self.repair.should_request(self.fleet.digest, message.digest, now):
-            log("host.records-requested", records=len(self.fleet.records_by_id))
-            link.send_encoded(encode_mesh_message(HostsRequest()))
+        """Compare records with a node whose checksum has differed for long."""
+        fleet = self.fleet
+        if not self.repair.should_ask(
+            fleet.digest, message.digest, self.clock.seconds()
+        ):
+            return
+        versions = get_versions(fleet.records_by_id.values())
+        log("host.records-requested", records=len(versions))
+        link.send_encoded(encode_mesh_message(HostsRequest(versions, False)))
+
+    def answer_repair(self, link: Any, message: HostsRequest) -> None:
+        """Send the newer records to a node, and ask for those that it has newer."""
+        records_by_id = self.fleet.records_by_id
+        newer = find_newer(records_by_id, message.versions, message.only_listed)
+        if newer:
+            plain = [to_plain(record) for record in newer]
+            link.send_encoded(encode_mesh_message(HostRecords(plain)))
+        if message.only_listed:
+            return
+        older = find_older(records_by_id, message.versions)
+        if older:
+            link.send_encoded(encode_mesh_message(HostsRequest(older, True)))
 
     def merge_records_message(self, message: HostRecords) -> None:
         """Merge the records that another node sent, except unreadable ones."""
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -109,7 +109,7 @@
     elif isinstance(message, HostsOffer):
         application.hosts.repair_records(link, message)
     elif isinstance(message, HostsRequest):
-        link.send_encoded(encode_mesh_message(_make_records_message(application)))
+        application.hosts.answer_repair(link, message)
     elif isinstance(message, SuspectReport):
         application.hub.probe(message.host_id, now)
     elif isinstance(message, StateRequest):
@@ -137,7 +137,8 @@
 
 def _send_state(application: Any, link: Any, message: StateRequest) -> None:
     if message.config_version == 0:
-        link.send_encoded(encode_mesh_message(_make_records_message(application)))
+        records = [to_plain(r) for r in application.fleet.records_by_id.values()]
+        link.send_encoded(encode_mesh_message(HostRecords(records)))
     if application.config.version > message.config_version:
         link.send_encoded(
             application.dissemination.get_full_config_message(application.config)
@@ -145,11 +146,6 @@
     link.send_encoded(encode_mesh_message(application.moves.make_rules_message()))
 
 
-def _make_records_message(application: Any) -> HostRecords:
-    records = application.fleet.records_by_id.values()
-    return HostRecords([to_plain(record) for record in records])
-
-
 def _record_outcomes(application: Any, message: OutcomeBatch) -> None:
     for item in message.items:
         outcomes = OutcomeReport(*item)
--- a/bamboocove/sidecar/watch.py
+++ b/bamboocove/sidecar/watch.py
@@ -24,13 +24,15 @@
 # Interval at which a node that does not watch the store checks whether it has to,
 # in seconds.
 ROLE_POLL_INTERVAL_S = 0.1
-# Time after the start in which a node that has read the configuration does not watch
-# for changes, in seconds. Links open and a reader is heard meanwhile; otherwise each
-# node of a zone would make watch calls after a start of all of them.
+# Time after the first read of the host records in which a node that has read the
+# configuration does not watch for changes, in seconds. Links open and a reader is
+# heard meanwhile; otherwise each node of a zone would make watch calls after a start
+# of all of them.
 WATCH_DELAY_S = 1.2
 # Time for which a node waits for the first report of its worker before it writes its
-# record, in seconds, if it has never run before. Workers report every 1.5 s.
-FIRST_REPORT_TIMEOUT_S = 1.0
+# record, in seconds, if the whole system starts for the first time. Workers report
+# every 1.5 s, first up to 2.9 s after the nodes start.
+FIRST_REPORT_TIMEOUT_S = 3.0
 # Delay of the write of a record whose worker is down, in seconds: after a restart a
 # worker is probed and ready within it, so that one write holds both changes. Other
 # nodes are told at once over the links.
@@ -106,7 +108,9 @@
         """Start to read and write."""
         self._is_running = True
         self.unavailable_since = self._clock.seconds()
-        self._watch_from = self._clock.seconds() + WATCH_DELAY_S
+        # If the host records cannot be read, the node watches all the same.
+        longest_s = FIRST_REPORT_TIMEOUT_S + WATCH_DELAY_S
+        self._watch_from = self._clock.seconds() + longest_s
         for task in (self._follow_operator, self._follow_hosts, self._read_rules):
             run_logged(self._supervise(task))
 
@@ -207,6 +211,7 @@
         # reads after it has written.
         await self._create_record()
         await self._read_hosts()
+        self._watch_from = min(self._watch_from, self._clock.seconds() + WATCH_DELAY_S)
         next_read_at = self._clock.seconds() + self._draw_read_interval()
         while self._is_running:
             if self._get_record() != self._written_record:
