--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from bamboocove.coordination.body_grants import MIN_OFFERED_BYTES
 from bamboocove.coordination.fingerprints import digest_body, make_fingerprint
 from bamboocove.coordination.placement import (
     HostView,
@@ -28,11 +27,9 @@
     TIMED_OUT,
     WRONG_WORKER,
     BodyGrant,
-    BodyOffer,
-    Cancel,
-    Forward,
     Reply,
 )
+from bamboocove.sidecar.attempts import Attempt, AttemptTable
 from bamboocove.sidecar.candidates import CandidateSelector
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.error_responses import send_error
@@ -60,9 +57,6 @@
 UNAVAILABLE_RETRY_AFTER_S = 0.3
 # An attempt is not started with less time than this before the deadline, in seconds.
 MIN_ATTEMPT_S = 0.02
-# Time for which a link is expected to be occupied by a body, relative to the time that
-# the slower of the two hosts needs for it. Other bodies share that link.
-BUSY_FACTOR = 3.0
 
 
 class OutboundProxy:
@@ -113,8 +107,9 @@
         self._random = random
         self.router = RequestRouter(dialect, inbound.is_running, random)
         self._candidates = CandidateSelector(fleet, rules, random)
-        self._requests_by_stream: dict[int, OutboundRequest] = {}
-        self._next_stream = 1
+        self._attempts = AttemptTable(
+            lambda: self.settings, fleet, inbound, hub, self.on_reply
+        )
         self._requests: set[OutboundRequest] = set()
         self.crashes = CrashTable()
         self.budgets = RetryBudgets()
@@ -167,7 +162,6 @@
             return
         log("request.caller-left", id=request.attempt_id, host=request.host_id)
         self._metrics.count_failed_request("cancelled")
-        self._release(request, is_cancelled=True)
         self._finish(request)
 
     # Placement of requests on hosts.
@@ -211,128 +205,45 @@
                 self._refuse_unplaced(request, views)
                 return
             request.hosts_tried += 1
-            if self._send(request, view, now):
+            if self._attempts.start(request, view, now):
                 return
             request.excluded_host_ids.add(view.host_id)
             self._fleet.suspend(view.host_id, now)
 
-    def _send(self, request: OutboundRequest, view: HostView, now: float) -> bool:
-        stream = self._next_stream
-        self._next_stream += 1
-        forward = self._make_forward(request, stream, view.version, now)
-        request.stream = stream
-        request.host_id = view.host_id
-        request.view = view
-        view.in_flight += 1
-        view.sent_since_report += 1
-        self._requests_by_stream[stream] = request
-        if view.host_id == self.settings.host_id:
-            inbound_request = self._inbound.submit(forward, self.on_reply)
-            # A refusal calls ``on_reply`` before ``submit`` returns, which may
-            # already have sent the request to another host.
-            if request.stream == stream:
-                request.inbound_request = inbound_request
-            return True
-        request.is_offered = self._must_offer(forward, view.host_id)
-        message = _make_offer(forward) if request.is_offered else forward
-        if self._hub.send(view.host_id, message):
-            self._hub.peers_by_id[view.host_id].waiting += 1
-            return True
-        self._forget_stream(request)
-        return False
-
-    def _make_forward(
-        self, request: OutboundRequest, stream: int, version: str, now: float
-    ) -> Forward:
-        exchange = request.exchange
-        return Forward(
-            stream,
-            request.route.name,
-            request.service,
-            version,
-            max(1, int((request.deadline - now) * 1000)),
-            int((request.target_at - now) * 1000),
-            request.priority,
-            request.route.is_idempotent,
-            self.settings.service,
-            exchange.method,
-            exchange.target,
-            request.headers,
-            request.body,
-        )
-
-    def _must_offer(self, forward: Forward, host_id: str) -> bool:
-        record = self._fleet.records_by_id.get(host_id)
-        return (
-            len(forward.body) >= MIN_OFFERED_BYTES
-            and record is not None
-            and record.link_bytes_per_s > 0
-        )
-
     def on_grant(self, grant: BodyGrant, now: float) -> None:
         """Send the request whose body a host has permitted."""
-        request = self._requests_by_stream.get(grant.stream)
-        if request is None or not request.is_offered:
-            return
-        host_id = request.host_id
-        request.is_offered = False
-        forward = self._make_forward(request, request.stream, request.view.version, now)
-        record = self._fleet.records_by_id.get(host_id)
-        rates = [self.settings.link_bytes_per_s, record and record.link_bytes_per_s]
-        slowest = min((rate for rate in rates if rate), default=0)
-        if slowest:
-            transfer_s = BUSY_FACTOR * len(forward.body) / slowest
-            self._hub.expect_busy(host_id, now + transfer_s)
-        self._hub.send(host_id, forward)
-
-    def _withdraw_offer(self, request: OutboundRequest, now: float) -> None:
+        self._attempts.send_granted(grant, now)
+
+    def _withdraw_offer(self, attempt: Attempt, now: float) -> None:
         """Place a request whose body was not sent yet on another host."""
-        self._release(request, is_cancelled=True)
-        request.excluded_host_ids.add(request.host_id)
+        request = attempt.request
+        self._attempts.cancel(attempt)
+        request.excluded_host_ids.add(attempt.host_id)
         request.last_reason = "host does not answer"
         self._dispatch(request, now)
 
-    def _forget_stream(self, request: OutboundRequest) -> None:
-        if self._requests_by_stream.pop(request.stream, None) is None:
-            return
-        request.view.in_flight = max(0, request.view.in_flight - 1)
-        request.inbound_request = None
-        peer = self._hub.peers_by_id.get(request.host_id)
-        if peer is not None and peer.waiting:
-            peer.waiting -= 1
-
-    def _release(self, request: OutboundRequest, is_cancelled: bool) -> None:
-        """Detach a request from its host, and cancel it there if asked to."""
-        if request.stream not in self._requests_by_stream:
-            return
-        inbound_request = request.inbound_request
-        self._forget_stream(request)
-        if not is_cancelled:
-            return
-        if inbound_request is not None:
-            self._inbound.cancel(inbound_request)
-        else:
-            self._hub.send(request.host_id, Cancel(request.stream))
-
     # Replies and failures of hosts.
 
     def on_reply(self, reply: Reply) -> None:
         """Handle the reply of a host: deliver, retry or fail the request."""
-        request = self._requests_by_stream.get(reply.stream)
-        if request is None:
+        attempt = self._attempts.get(reply.stream)
+        if attempt is None:
             return
         now = self._clock.seconds()
+        request = attempt.request
         running, slots, failures, *waits = reply.load
-        request.view.update_report(
-            QueueReport(running, slots, failures, tuple(waits)), now
-        )
+        report = QueueReport(running, slots, failures, tuple(waits))
+        attempt.view.update_report(report, now)
         if reply.outcome == ANSWERED:
-            request.view.record_service_time(
-                request.route.name, reply.service_ms / 1000
-            )
-        self._forget_stream(request)
+            service_s = reply.service_ms / 1000
+            attempt.view.record_service_time(request.route.name, service_s)
+        is_earlier = attempt is request.earlier_attempt
+        self._attempts.close(attempt)
         if request.is_ended:
             return
+        if is_earlier:
+            self._on_earlier_reply(attempt, reply, now)
+            return
         if reply.outcome == ANSWERED:
             self._on_answered(request, reply, now)
         elif reply.outcome in (REFUSED, WRONG_WORKER):
@@ -347,6 +258,27 @@
         elif reply.outcome == TIMED_OUT:
             self._fail(request, ErrorKind.DEADLINE_AFTER_DISPATCH, "no answer in time")
 
+    def _on_earlier_reply(self, attempt: Attempt, reply: Reply, now: float) -> None:
+        """Handle the reply of a host that was silent for some time."""
+        request = attempt.request
+        if reply.outcome == TIMED_OUT and request.attempt is None:
+            self._fail(request, ErrorKind.DEADLINE_AFTER_DISPATCH, "no answer in time")
+            return
+        if reply.outcome != ANSWERED:
+            self._on_earlier_lost(request)
+            return
+        if reply.status >= 500 and request.attempt is not None:
+            request.fallback_reply = reply
+            return
+        request.host_id = attempt.host_id
+        request.view = attempt.view
+        self._deliver(request, reply, now)
+
+    def _on_earlier_lost(self, request: OutboundRequest) -> None:
+        if request.attempt is None:
+            reason = "the host was silent and did not answer"
+            self._fail(request, ErrorKind.UPSTREAM_LOST, reason)
+
     def _on_answered(self, request: OutboundRequest, reply: Reply, now: float) -> None:
         request.sent += 1
         if (
@@ -447,26 +379,37 @@
 
     def on_host_lost(self, host_id: str, now: float) -> None:
         """Retry or fail the requests in flight to a host whose link was lost."""
-        for request in list(self._requests_by_stream.values()):
-            if request.host_id == host_id and request.is_offered:
-                self._withdraw_offer(request, now)
-            elif request.host_id == host_id:
-                self._forget_stream(request)
+        for attempt in self._attempts.find(host_id):
+            request = attempt.request
+            if attempt.is_offered:
+                self._withdraw_offer(attempt, now)
+                continue
+            is_earlier = attempt is request.earlier_attempt
+            self._attempts.close(attempt)
+            if is_earlier:
+                self._on_earlier_lost(request)
+            else:
                 request.sent += 1
                 self._on_lost(request, "the host was lost", now)
 
     def on_host_suspect(self, host_id: str, now: float) -> None:
-        """Retry idempotent requests of an unresponsive host on other hosts."""
+        """Send idempotent requests of an unresponsive host to other hosts, too.
+
+        The host may only be slow to answer, and its worker is at work on them. The
+        first answer counts; without another host that takes a request, its answer is
+        awaited.
+        """
         self._fleet.suspend(host_id, now)
-        for request in list(self._requests_by_stream.values()):
-            if request.host_id == host_id and request.is_offered:
-                self._withdraw_offer(request, now)
+        for attempt in self._attempts.find(host_id):
+            request = attempt.request
+            if attempt.is_offered:
+                self._withdraw_offer(attempt, now)
                 continue
-            if request.host_id != host_id or not request.route.is_idempotent:
+            if not request.route.is_idempotent or request.earlier_attempt is not None:
                 continue
             request.sent += 1
             if self._may_retry(request, now) and self.budgets.spend(request.service):
-                self._release(request, is_cancelled=True)
+                request.earlier_attempt, request.attempt = attempt, None
                 request.excluded_host_ids.add(host_id)
                 request.hosts_tried = 1
                 request.may_have_run = True
@@ -484,8 +427,9 @@
         request.timer = None
         if request.is_ended:
             return
-        self._release(request, is_cancelled=True)
-        if request.is_offered and not request.may_have_run:
+        is_offered = request.attempt is not None and request.attempt.is_offered
+        self._attempts.cancel_all(request)
+        if is_offered and not request.may_have_run:
             reason = "no room for its body in time"
             self._refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, reason)
             return
@@ -514,6 +458,9 @@
         self._respond_with_error(request, ErrorResult(kind, reason), retry_after_s)
 
     def _fail(self, request: OutboundRequest, kind: ErrorKind, reason: str) -> None:
+        if request.earlier_attempt is not None:
+            # The host that was silent may still answer, at the latest by the deadline.
+            return
         self._respond_with_error(request, ErrorResult(kind, reason))
 
     def _respond_with_error(
@@ -548,6 +495,7 @@
 
     def _finish(self, request: OutboundRequest) -> None:
         request.is_ended = True
+        self._attempts.cancel_all(request)
         self._requests.discard(request)
         timer, request.timer = request.timer, None
         if timer is not None and timer.active():
@@ -564,16 +512,3 @@
                 digest_body(request.body),
             )
         )
-
-
-def _make_offer(forward: Forward) -> BodyOffer:
-    return BodyOffer(
-        forward.stream,
-        forward.route,
-        forward.service,
-        forward.version,
-        forward.left_ms,
-        forward.target_left_ms,
-        forward.priority,
-        len(forward.body),
-    )
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -17,7 +17,6 @@
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.protocol.mesh_messages import Reply
 from bamboocove.sidecar.dialect import Dialect
-from bamboocove.sidecar.inbound import InboundRequest
 from bamboocove.state.mesh import HostRoute, MeshConfig
 from bamboocove.transport.exchanges import Exchange
 from bamboocove.transport.framing import get_header, strip_hop_by_hop_headers
@@ -74,13 +73,13 @@
         Hosts that the current attempt was offered to, see ``MAX_HOSTS_TRIED``.
     sent : int
         Workers that the request was sent to.
-    host_id, view, stream
-        Host that has the request now, and its number in messages to that host.
-    is_offered : bool
-        Whether the host was only asked for permission to send the body, so that it
-        cannot have run the request.
-    inbound_request : InboundRequest or None
-        The request in the queue of this host's worker, if it was sent there.
+    host_id, view
+        Host that the request was last sent to.
+    attempt : Attempt or None
+        The request at that host while it has not answered.
+    earlier_attempt : Attempt or None
+        The request at a host that fell silent. If that host answers first, after
+        all, its answer counts.
     may_have_run : bool
         Whether a worker may have run the request without a response arriving.
     fallback_reply : Reply or None
@@ -106,9 +105,8 @@
     sent: int = 0
     host_id: str = ""
     view: HostView | None = None
-    stream: int = 0
-    is_offered: bool = False
-    inbound_request: InboundRequest | None = None
+    attempt: Any = None
+    earlier_attempt: Any = None
     timer: Any = None
     fingerprint: str = ""
     may_have_run: bool = False
