--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -141,6 +141,7 @@
             self.incarnation,
             lambda: self.watch.publish(),
             lambda message: self.dissemination.broadcast(message),
+            self._forward_in_zone,
             self.rule_table.get_moving_versions,
             RecordRepair(self.random.random),
         )
@@ -390,6 +391,10 @@
             records = HostRecords([to_plain(record) for record in changed])
             self.dissemination.broadcast_in_zone(records)
 
+    def _forward_in_zone(self, message: Any) -> None:
+        if self.dissemination.is_reader():
+            self.dissemination.broadcast_in_zone(message)
+
     def _on_rules(self, rules: list) -> None:
         now = self.clock.seconds()
         for rule in rules:
--- a/bamboocove/sidecar/hosts.py
+++ b/bamboocove/sidecar/hosts.py
@@ -32,6 +32,9 @@
 # Delay after which changed records change the links, in seconds. The records of many
 # hosts arrive at the same time after a start, each with a message of its own.
 LINKS_UPDATE_DELAY_S = 0.02
+# Records of hosts of other zones that a reader passes on within its zone in a second,
+# when such a host greets it. After a start of all hosts most nodes have read them.
+MAX_FORWARDED_RECORDS_PER_S = 5
 
 
 @define
@@ -52,6 +55,8 @@
         Starts a write of this host's record to the store.
     broadcast : callable
         Sends a message to all nodes.
+    forward_in_zone : callable
+        Sends a message to all nodes of this zone, if this node is a reader.
     get_moving_versions : callable
         Returns the services in a move, each with the version it moves to.
     repair : RecordRepair
@@ -68,11 +73,14 @@
     incarnation: int
     write_record: Callable[[], None]
     broadcast: Callable[[Any], None]
+    forward_in_zone: Callable[[Any], None]
     get_moving_versions: Callable[[], set[tuple[str, str]]]
     repair: RecordRepair
     sequence: int = 0
     _selector: LinkSelector = field(init=False)
     _is_update_due: bool = False
+    _forwarding_second: int = 0
+    _forwarded: int = 0
 
     def __attrs_post_init__(self) -> None:
         self._selector = LinkSelector(self.settings.host_id, self.settings.zone)
@@ -159,8 +167,12 @@
         if older:
             link.send_encoded(encode_mesh_message(HostsRequest(older, True)))
 
-    def merge_records_message(self, message: HostRecords) -> None:
-        """Merge the records that another node sent, except unreadable ones."""
+    def merge_records_message(self, message: HostRecords, is_relayed: bool) -> None:
+        """Merge the records that another node sent, except unreadable ones.
+
+        A new host of another zone greets the readers of this one, which pass its
+        record on unless it was sent through them already (``is_relayed``).
+        """
         records = []
         for plain in message.records:
             record = from_plain(HostRecord, plain)
@@ -168,7 +180,17 @@
                 log("host.record-unreadable", reason=record.reason)
             else:
                 records.append(record)
-        self.merge_records(records)
+        changed = self.merge_records(records)
+        if not is_relayed:
+            self._forward_records([r for r in changed if r.zone != self.settings.zone])
+
+    def _forward_records(self, records: list[HostRecord]) -> None:
+        second = int(self.clock.seconds())
+        if second != self._forwarding_second:
+            self._forwarding_second, self._forwarded = second, 0
+        self._forwarded += len(records)
+        if records and self._forwarded <= MAX_FORWARDED_RECORDS_PER_S:
+            self.forward_in_zone(HostRecords([to_plain(record) for record in records]))
 
     def _adopt_own_record(self, record: HostRecord) -> None:
         """Take over the worker from the record of another process on this host.
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -68,7 +68,9 @@
     application.hub.send(application.random.choice(candidate_ids), message)
 
 
-def handle_message(application: Any, link: Any, host_id: str, message: Any) -> None:
+def handle_message(
+    application: Any, link: Any, host_id: str, message: Any, is_relayed: bool = False
+) -> None:
     """Handle a message of another node.
 
     Parameters
@@ -81,6 +83,8 @@
         Host of the sender if this node dialled the link, otherwise empty.
     message : object
         A message, or None if the link was closed.
+    is_relayed : bool
+        Whether this node has already relayed the message in its zone.
     """
     now = application.clock.seconds()
     if isinstance(message, Forward | BodyOffer | Cancel) or message is None:
@@ -94,7 +98,7 @@
     elif isinstance(message, RulesUpdate):
         application.moves.apply_rules_message(message, now)
     elif isinstance(message, HostRecords):
-        application.hosts.merge_records_message(message)
+        application.hosts.merge_records_message(message, is_relayed)
     elif isinstance(message, StateOffer):
         if message.reading_zone == application.settings.zone:
             application.readers.record_reader_signal(now)
@@ -123,7 +127,7 @@
         relayed = decode_mesh_message(message.data)
         if isinstance(relayed, HostRecords | OutcomeBatch | RulesUpdate | LoadUpdate):
             application.dissemination.relay(message)
-            handle_message(application, link, host_id, relayed)
+            handle_message(application, link, host_id, relayed, is_relayed=True)
     elif isinstance(message, ConfigCopy | ConfigDelta):
         dissemination = application.dissemination
         if isinstance(message, ConfigDelta):
--- a/tests/sidecar/test_dissemination.py
+++ b/tests/sidecar/test_dissemination.py
@@ -16,12 +16,16 @@
 from bamboocove.protocol.mesh_messages import (
     ConfigCopy,
     ConfigDelta,
+    HostRecords,
     OutcomeReport,
     RelayedMessage,
     decode_mesh_message,
 )
 from bamboocove.sidecar.dissemination import Dissemination
+from bamboocove.sidecar.messages import handle_message
 from bamboocove.sidecar.watch import WATCH_DELAY_S, WATCH_TIMEOUT_S
+from bamboocove.state.codec import to_plain
+from bamboocove.state.mesh import HostRecord
 from tests.callpath import run, run_reactor_until
 from tests.sidecar.hosts import HostMesh, make_config, stop_at_once
 
@@ -240,6 +244,28 @@
     assert all(record.worker.state == "ready" for record in mesh.store.hosts.values())
 
 
+def test_new_host_that_greets_only_readers_becomes_known_in_their_zone():
+    """Guards against a zone that learns seconds later of a host in another zone.
+
+    A new host may tell its record before its links to the other zones are open.
+    """
+    mesh = HostMesh()
+    try:
+        zone = [mesh.add(zone="y") for _ in range(5)]
+        mesh.settle()
+        readers = choose_readers([host.host_id for host in zone])
+        new = HostRecord("new", 1, 1, ("127.0.0.1", 9), "z")
+        greeting = HostRecords([to_plain(new)])
+        for host in zone:
+            if host.host_id in readers:
+                handle_message(host.node, None, "", greeting)
+        run_reactor_until(
+            lambda: all("new" in host.node.fleet.records_by_id for host in zone), 1
+        )
+    finally:
+        mesh.close()
+
+
 def record_config_messages(mesh):
     """Return the sizes of the configuration messages that each node sends, by host."""
     sizes = {host.host_id: [] for host in mesh.hosts}
