--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -489,3 +489,45 @@
     assert float(fields["retry-after"]) > 0.1
     for socket in sockets:
         socket.close()
+
+
+@pytest.mark.parametrize("is_other_worker", [True, False])
+def test_restarted_node_does_not_use_a_worker_that_left_meanwhile(
+    mesh, is_other_worker
+):
+    """Guards against an old record of a worker that has left since.
+
+    Its write may arrive late, or the worker left while no node ran. The address may
+    have been given to another worker.
+    """
+    caller, target = make_pair(mesh)
+    stop_at_once(target.node)
+    if is_other_worker:
+        target.worker_id = "i-other"
+    else:
+        target.worker.listener.stopListening()
+    target.start(incarnation=2000)
+    run_reactor_until(
+        lambda: caller.node.fleet.records_by_id["h1"].incarnation == 2000, 8
+    )
+    run_reactor_until(lambda: target.node.inbound.worker is not None)
+    probed_until = reactor.seconds() + 1.2
+    while reactor.seconds() < probed_until:
+        assert target.node.inbound.worker.state == "down"
+        assert caller.call()[0] == 503
+    assert not target.requests
+
+
+def test_restarted_node_with_a_clock_set_back_supersedes_its_old_record(mesh):
+    """Guards against other nodes that keep the record of the previous process."""
+    caller, target = make_pair(mesh)
+    target.report("draining")
+    run_reactor_until(lambda: mesh.store.hosts["h1"].worker.state == "draining")
+    stop_at_once(target.node)
+    target.start(incarnation=500)
+    run_reactor_until(
+        lambda: caller.node.fleet.records_by_id["h1"].incarnation > 1000, 8
+    )
+    assert target.node.inbound.worker.state == "draining"
+    assert caller.call()[0] == 503
+    assert not target.requests
