--- a/bamboocove/coordination/body_grants.py
+++ b/bamboocove/coordination/body_grants.py
@@ -5,7 +5,7 @@
 fill the link of the receiving host: small calls and pings wait half a second behind
 bodies, hosts look dead to each other, and the callers of the small calls keep their
 slots meanwhile. A node therefore offers a large body first. The receiver lets few
-bodies be on their way at a time, in order of arrival, and refuses one at once that
+bodies be on their way at a time, the most urgent first, and refuses one at once that
 could not arrive in time, before any of its bytes were sent.
 """
 
@@ -29,6 +29,7 @@
 class _Offer:
     size: int
     deadline: float
+    priority: float = 0.0
 
 
 @define
@@ -45,11 +46,19 @@
     _granted_by_key: dict[Any, _Offer] = field(factory=dict)
     _waiting_by_key: dict[Any, _Offer] = field(factory=dict)
 
-    def predict_wait(self) -> float:
-        """Return the time until a new offer would be granted, in seconds."""
+    def predict_wait(self, priority: float) -> float:
+        """Return the time until a new offer would be granted, in seconds.
+
+        Lower priorities are more urgent; offers of the same one are granted in order
+        of arrival.
+        """
         if not self.bytes_per_s:
             return 0.0
-        ahead = sum(offer.size for offer in self._waiting_by_key.values())
+        ahead = sum(
+            offer.size
+            for offer in self._waiting_by_key.values()
+            if offer.priority <= priority
+        )
         in_transfer = sum(offer.size for offer in self._granted_by_key.values())
         ahead += in_transfer - IN_TRANSFER_S * self.bytes_per_s
         return max(0.0, ahead) / (BODY_RATE_FRACTION * self.bytes_per_s)
@@ -60,7 +69,7 @@
             return 0.0
         return size / (BODY_RATE_FRACTION * self.bytes_per_s)
 
-    def add(self, key: Any, size: int, deadline: float) -> None:
+    def add(self, key: Any, size: int, deadline: float, priority: float = 0.0) -> None:
         """Add an offer that waits for permission.
 
         Parameters
@@ -72,8 +81,10 @@
         deadline : float
             Time after which the sender no longer sends it, in seconds of the local
             clock.
+        priority : float
+            Lower values are granted first.
         """
-        self._waiting_by_key[key] = _Offer(size, deadline)
+        self._waiting_by_key[key] = _Offer(size, deadline, priority)
 
     def remove(self, key: Any) -> None:
         """Remove an offer: its body has arrived or will not be sent."""
@@ -100,7 +111,10 @@
         granted = []
         room = IN_TRANSFER_S * self.bytes_per_s
         room -= sum(offer.size for offer in self._granted_by_key.values())
-        for key, offer in list(self._waiting_by_key.items()):
+        by_urgency = sorted(
+            self._waiting_by_key.items(), key=lambda item: item[1].priority
+        )
+        for key, offer in by_urgency:
             if self.bytes_per_s and self._granted_by_key and offer.size > room:
                 break
             del self._waiting_by_key[key]
--- a/bamboocove/coordination/worker_queue.py
+++ b/bamboocove/coordination/worker_queue.py
@@ -9,6 +9,7 @@
 capacity. Otherwise the retries of an overload would make all responses late.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 from attrs import define, field
@@ -171,20 +172,26 @@
             self._record_admission(other, False)
         return True, evicted
 
-    def can_admit(self, request: QueuedRequest, delay_s: float, now: float) -> bool:
+    def can_admit(
+        self,
+        request: QueuedRequest,
+        predict_delay: Callable[[float], float],
+        now: float,
+    ) -> bool:
         """Return whether a request that arrives later would be admitted.
 
         Parameters
         ----------
         request : QueuedRequest
             The request; only its priority is changed.
-        delay_s : float
-            Time until it arrives, in seconds.
+        predict_delay : callable
+            Takes a priority; returns the time until the request arrives, in seconds.
         now : float
             Seconds of the local clock.
         """
         if request.base_priority != INTERNAL_PRIORITY:
             request.priority = self._compute_priority(request, now)
+        delay_s = predict_delay(request.priority)
         wait_s = max(delay_s, self.predict_wait(request.priority))
         return not wait_s or self._can_finish_in_time(request, wait_s, now)
 
--- a/bamboocove/sidecar/forwarding.py
+++ b/bamboocove/sidecar/forwarding.py
@@ -77,15 +77,18 @@
 
     def _take_offer(self, link: Any, offer: BodyOffer) -> None:
         now = self.clock.seconds()
-        delay_s = self.grants.predict_wait()
-        if delay_s:
-            delay_s += self.grants.predict_transfer(offer.size)
-        refusal = self.inbound.refuse_offer(offer, delay_s, now)
-        if refusal is not None:
-            link.send_encoded(encode_mesh_message(refusal))
+
+        def predict_delay(priority: float) -> float:
+            wait_s = self.grants.predict_wait(priority)
+            return wait_s + self.grants.predict_transfer(offer.size) if wait_s else 0.0
+
+        result = self.inbound.assess_offer(offer, predict_delay, now)
+        if isinstance(result, Reply):
+            link.send_encoded(encode_mesh_message(result))
             return
+        key = (link, offer.stream)
         self._offers_by_link.setdefault(link, set()).add(offer.stream)
-        self.grants.add((link, offer.stream), offer.size, now + offer.left_ms / 1000)
+        self.grants.add(key, offer.size, now + offer.left_ms / 1000, result)
         self._send_grants()
 
     def _end_offer(self, link: Any, stream: int) -> None:
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -197,12 +197,24 @@
             and not self.is_draining
         )
 
-    def refuse_offer(
-        self, offer: BodyOffer, delay_s: float, now: float
-    ) -> Reply | None:
-        """Return the refusal of a request whose body arrives after ``delay_s`` seconds.
-
-        Returns None if the worker is expected to run it in time.
+    def assess_offer(
+        self, offer: BodyOffer, predict_delay: Callable[[float], float], now: float
+    ) -> Reply | float:
+        """Decide whether a request may be sent here whose body is still elsewhere.
+
+        Parameters
+        ----------
+        offer : BodyOffer
+            The request.
+        predict_delay : callable
+            Takes a priority; returns the time until the body arrives, in seconds.
+        now : float
+            Seconds of the local clock.
+
+        Returns
+        -------
+        result : Reply or float
+            The refusal, or the priority with which the body waits for permission.
         """
         if not self._may_run(offer):
             outcome, reason = WRONG_WORKER, b"worker is not ready for this"
@@ -214,8 +226,8 @@
                 now + offer.left_ms / 1000,
                 None,
             )
-            if self.queue.can_admit(entry, delay_s, now):
-                return None
+            if self.queue.can_admit(entry, predict_delay, now):
+                return entry.priority
             outcome, reason = REFUSED, b"no room for its body in time"
         return Reply(offer.stream, outcome, 0, [], reason, 0, self.make_load())
 
--- a/tests/coordination/test_body_grants.py
+++ b/tests/coordination/test_body_grants.py
@@ -123,7 +123,7 @@
     for key in range(100):
         grants.add(key, 60_000, 5.0)
     assert grants.take_granted(0.0) == list(range(100))
-    assert grants.predict_wait() == 0.0
+    assert grants.predict_wait(0.0) == 0.0
 
 
 def test_one_body_larger_than_the_bound_is_granted_alone():
@@ -152,9 +152,21 @@
     for key in range(waiting):
         grants.add(key, 60_000, 9.0)
     grants.take_granted(0.0)
-    wait_s = grants.predict_wait()
+    wait_s = grants.predict_wait(0.0)
     if waiting < 2:
         assert wait_s == 0.0
     else:
         sent_s = (waiting * 60_000) / LINK_BYTES_PER_S - IN_TRANSFER_S
         assert sent_s * 0.9 < wait_s < sent_s * 1.6
+
+
+def test_late_bodies_do_not_delay_those_that_can_be_in_time():
+    """Guards against uploads that all become late behind those that returned late."""
+    grants = BodyGrants(LINK_BYTES_PER_S)
+    for key in range(10):
+        grants.add(key, 120_000, 9.0, priority=101.0)
+    assert grants.take_granted(0.0) == [0]
+    grants.add("in time", 120_000, 9.0, priority=1.0)
+    assert grants.predict_wait(1.0) < 0.3 < grants.predict_wait(101.0)
+    grants.remove(0)
+    assert grants.take_granted(0.1) == ["in time"]
