--- a/bamboocove/sidecar/watch.py
+++ b/bamboocove/sidecar/watch.py
@@ -98,7 +98,7 @@
         self._is_first_start = is_first_start
         self._watch_from = 0.0
         self._is_running = False
-        self._written_record: HostRecord | None = None
+        self._written_age_key: tuple[int, int] | None = None
         self._wakeup: Deferred | None = None
         self.is_reading = False
         self.watch_answered_at = float("-inf")
@@ -214,17 +214,21 @@
         self._watch_from = min(self._watch_from, self._clock.seconds() + WATCH_DELAY_S)
         next_read_at = self._clock.seconds() + self._draw_read_interval()
         while self._is_running:
-            if self._get_record() != self._written_record:
+            if not self._is_record_written():
                 await self._write_record()
             if self._clock.seconds() >= next_read_at:
                 if self._must_read():
                     await self._read_hosts()
                 next_read_at = self._clock.seconds() + self._draw_read_interval()
-            if self._get_record() == self._written_record:
+            if self._is_record_written():
                 await self._wait_for_record_change(
                     max(0.0, next_read_at - self._clock.seconds())
                 )
 
+    def _is_record_written(self) -> bool:
+        # Reports of the worker that change nothing leave the age of the record.
+        return self._get_record().age_key == self._written_age_key
+
     def _draw_read_interval(self) -> float:
         return HOSTS_READ_INTERVAL_S * (0.75 + 0.5 * self._random())
 
@@ -240,7 +244,7 @@
                 failures += 1
                 continue
             if stored is None:
-                self._written_record = record
+                self._written_age_key = record.age_key
             else:
                 self._on_hosts([stored])
             return
@@ -254,7 +258,7 @@
             await self._wait_for_record_change(left_s)
         record = self._get_record()
         await self._call_until_success(partial(self._store.write_host, record))
-        self._written_record = record
+        self._written_age_key = record.age_key
 
     async def _read_hosts(self) -> None:
         records = await self._call_until_success(self._store.read_hosts)
--- a/tests/sidecar/test_dissemination.py
+++ b/tests/sidecar/test_dissemination.py
@@ -225,6 +225,31 @@
         mesh.close()
 
 
+def test_reports_that_change_nothing_are_not_written(mesh):
+    """Guards against a write of each host every ten seconds of a quiet day.
+
+    Each report of a worker has a higher sequence number.
+    """
+    run(pause(0.5))
+    writes = []
+    write_host = mesh.store.write_host
+
+    async def record_write(record):
+        writes.append(record)
+        return await write_host(record)
+
+    mesh.store.write_host = record_write
+    for _ in range(3):
+        for host in mesh.hosts:
+            assert host.report() == 200
+            # As the task does every ten seconds.
+            host.node.watch.publish()
+        run(pause(0.1))
+    assert not writes
+    assert mesh.hosts[0].report("draining") == 200
+    run_reactor_until(lambda: len(writes) == 1, 1)
+
+
 def test_restart_of_many_nodes_takes_few_calls_to_the_store(mesh):
     """Guards against a restart after which each record is written several times."""
     run(pause(0.5))
