--- a/bamboocove/coordination/brake.py
+++ b/bamboocove/coordination/brake.py
@@ -31,10 +31,9 @@
 # Closed windows with bad calls that the brake needs at least. The coordinator
 # needs three.
 BRAKE_WINDOWS = 2
-# A node has few calls, so it pools fewer than the coordinator. At a share of
-# 100% windows are compared with a rate and are not pooled: with pools of 20
-# calls, a version that failed 30% of its calls at 100% during a store outage got
-# 1,066 calls.
+# A node has few calls, so it pools fewer than the coordinator. At a share of 100%
+# windows are compared with a rate and are not pooled, so that a version which fails
+# only then is braked within a few windows.
 BRAKE_POOL_CALLS = 10
 BRAKE_POOL_MAX_S = 5.0
 
