--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -328,6 +328,7 @@
 
     def _on_refused(self, request: OutboundRequest, reply: Reply, now: float) -> None:
         request.last_reason = reply.body.decode("latin-1")
+        request.may_return_soon = False
         request.excluded_host_ids.add(request.host_id)
         if reply.outcome == REFUSED:
             request.view.record_refusal(request.priority, now + REFUSAL_BACKOFF_S, now)
@@ -339,13 +340,13 @@
         """Retry on another host after a worker did not execute the request."""
         request.excluded_host_ids.add(request.host_id)
         request.last_reason = "the worker did not take the request"
+        wait_s = estimate_wait(request.view, request.priority, now)
+        request.may_return_soon = wait_s == 0.0
         if self._may_retry(request, now) and self.budgets.spend(request.service):
             request.hosts_tried = 1
             self._dispatch(request, now)
         else:
-            has_room = estimate_wait(request.view, request.priority, now) == 0.0
-            views = self._candidates.select(request)
-            self._refuse_unplaced(request, views, has_room)
+            self._refuse_unplaced(request, self._candidates.select(request))
 
     def _may_retry(self, request: OutboundRequest, now: float) -> bool:
         return may_retry(
@@ -436,25 +437,19 @@
         reason = "no answer in time"
         self._fail(request, ErrorKind.DEADLINE_AFTER_DISPATCH, reason)
 
-    def _refuse_unplaced(
-        self, request: OutboundRequest, views: list[HostView], has_room: bool = False
-    ) -> None:
+    def _refuse_unplaced(self, request: OutboundRequest, views: list[HostView]) -> None:
         if request.may_have_run:
             self._fail(request, ErrorKind.UPSTREAM_LOST, "no other worker is left")
             return
         kind = ErrorKind.OVERLOADED if views else ErrorKind.NO_UPSTREAM
         reason = request.last_reason or "no worker may be asked"
-        self._refuse(request, kind, reason, has_room)
+        self._refuse(request, kind, reason)
 
-    def _refuse(
-        self,
-        request: OutboundRequest,
-        kind: ErrorKind,
-        reason: str,
-        has_room: bool = False,
-    ) -> None:
+    def _refuse(self, request: OutboundRequest, kind: ErrorKind, reason: str) -> None:
         left_s = request.caller_deadline - self._clock.seconds()
-        retry_after_s = compute_retry_after(left_s, self._random, has_room)
+        retry_after_s = compute_retry_after(
+            left_s, self._random, request.may_return_soon
+        )
         self._respond_with_error(request, ErrorResult(kind, reason), retry_after_s)
 
     def _fail(self, request: OutboundRequest, kind: ErrorKind, reason: str) -> None:
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -86,6 +86,8 @@
         Error response of a worker, delivered if no retry succeeds.
     last_reason : str
         Reason of the latest refusal.
+    may_return_soon : bool
+        Whether the latest refusal came from a worker with free slots.
     """
 
     exchange: Exchange
@@ -113,6 +115,7 @@
     is_ended: bool = False
     fallback_reply: Reply | None = None
     last_reason: str = ""
+    may_return_soon: bool = False
     body_parts: list[bytes] = field(factory=list)
 
 
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -463,10 +463,11 @@
     """
     caller, target = make_pair(mesh)
     target.request_handler = target.respond_not_executed
-    codes = [caller.call(left_ms=900, attempt=f"a{n}") for n in range(6)]
-    status, fields, _ = codes[-1]
-    assert status == 503
-    assert 0 < float(fields["retry-after"]) < 0.1
+    # The first ones are offered to other workers, until the retries are used up.
+    for number in range(6):
+        status, fields, _ = caller.call(left_ms=900, attempt=f"a{number}")
+        assert status == 503
+        assert 0 < float(fields["retry-after"]) < 0.1
 
 
 def test_caller_turned_away_by_a_busy_worker_is_told_to_wait(mesh):
