--- a/bamboocove/sidecar/links.py
+++ b/bamboocove/sidecar/links.py
@@ -31,6 +31,9 @@
 IDLE_PING_S = 4.0
 CROSS_ZONE_IDLE_PING_S = 10.0
 BUSY_PING_S = 0.15
+# Ticks between two checks of links on which nothing is awaited. There are many, and
+# they are pinged rarely.
+IDLE_CHECK_TICKS = 5
 # When another node reports an unresponsive host, or a host of another zone stops
 # answering (the whole zone may be partitioned), the host or all hosts of that zone
 # are pinged at once unless they were heard within this time, in seconds.
@@ -142,6 +145,7 @@
         self._network = PeerNetwork(clock)
         self._accepted: set[PeerLink] = set()
         self._is_stopped = False
+        self._ticks = 0
         self.peers_by_id: dict[str, Peer] = {}
 
     async def start(self, address: Address) -> int | ErrorResult:
@@ -225,11 +229,15 @@
 
     def tick(self, now: float) -> None:
         """Dial lost links again and check the liveness of open ones."""
+        self._ticks += 1
+        checks_idle = self._ticks % IDLE_CHECK_TICKS == 0
         for peer in list(self.peers_by_id.values()):
             if peer.link is None:
                 if now >= peer.redial_at:
                     self._dial(peer)
-            elif peer.is_open:
+            elif peer.is_open and (
+                checks_idle or peer.waiting or peer.unanswered_ping_at
+            ):
                 self._check_liveness(peer, now)
 
     def _check_liveness(self, peer: Peer, now: float) -> None:
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -39,33 +39,28 @@
     state of a random peer. Any other node offers its state to a random peer with
     ``REPAIR_PROBABILITY``.
     """
-    peers = [peer for peer in application.hub.peers_by_id.values() if peer.is_open]
-    if not peers:
-        return
-    zone_peer_ids = application.dissemination.get_zone_peer_ids()
-    is_store_unavailable = application.watch.unavailable_since is not None
+    dissemination = application.dissemination
+    config_version = application.config.version
     offer = StateOffer(
-        application.config.version,
+        config_version,
         application.rule_table.get_digest(),
-        application.settings.zone if application.dissemination.is_reading() else "",
+        application.settings.zone if dissemination.is_reading() else "",
     )
     if offer.reading_zone:
-        application.dissemination.broadcast_offer(offer)
-        application.dissemination.broadcast_in_zone(
-            HostsOffer(application.fleet.digest)
-        )
+        dissemination.broadcast_offer(offer)
+        dissemination.broadcast_in_zone(HostsOffer(application.fleet.digest))
         return
-    candidate_ids = (
-        zone_peer_ids
-        if zone_peer_ids and application.config.version
-        else [p.host_id for p in peers]
-    )
     message: Any = offer
-    if is_store_unavailable or not application.config.version:
-        message = StateRequest(application.config.version)
+    if application.watch.unavailable_since is not None or not config_version:
+        message = StateRequest(config_version)
     elif application.random.random() > REPAIR_PROBABILITY:
         return
-    application.hub.send(application.random.choice(candidate_ids), message)
+    candidate_ids = dissemination.get_zone_peer_ids() if config_version else []
+    if not candidate_ids:
+        peers = application.hub.peers_by_id.values()
+        candidate_ids = [peer.host_id for peer in peers if peer.is_open]
+    if candidate_ids:
+        application.hub.send(application.random.choice(candidate_ids), message)
 
 
 def handle_message(
--- a/bamboocove/sidecar/watch.py
+++ b/bamboocove/sidecar/watch.py
@@ -23,7 +23,7 @@
 HOSTS_READ_INTERVAL_S = 10.0
 # Interval at which a node that does not watch the store checks whether it has to,
 # in seconds.
-ROLE_POLL_INTERVAL_S = 0.1
+ROLE_POLL_INTERVAL_S = 0.3
 # Time after the first read of the host records in which a node that has read the
 # configuration does not watch for changes, in seconds. Links open and a reader is
 # heard meanwhile; otherwise each node of a zone would make watch calls after a start
