--- a/bamboocove/coordination/outcome_batches.py
+++ b/bamboocove/coordination/outcome_batches.py
@@ -16,7 +16,7 @@
 # Minimum time between two batches, in seconds. A bad version must get no more
 # requests within 5 s of its 50th bad response, and collecting and relaying outcomes
 # take two intervals. The batch is polled every 0.1 s, plus or minus a few ms.
-BATCH_INTERVAL_S = 0.18
+BATCH_INTERVAL_S = 0.28
 
 
 def get_tallies(outcomes: OutcomeReport) -> dict[str, Tally]:
--- a/bamboocove/sidecar/hosts.py
+++ b/bamboocove/sidecar/hosts.py
@@ -31,7 +31,7 @@
 RECOVERABLE_STATES = ("ready", "down")
 # Delay after which changed records change the links, in seconds. The records of many
 # hosts arrive at the same time after a start, each with a message of its own.
-LINKS_UPDATE_DELAY_S = 0.1
+LINKS_UPDATE_DELAY_S = 0.25
 # Records of hosts of other zones that a reader passes on within its zone in a second,
 # when such a host greets it. After a start of all hosts most nodes have read them.
 MAX_FORWARDED_RECORDS_PER_S = 5
--- a/bamboocove/sidecar/links.py
+++ b/bamboocove/sidecar/links.py
@@ -31,6 +31,9 @@
 IDLE_PING_S = 4.0
 CROSS_ZONE_IDLE_PING_S = 10.0
 BUSY_PING_S = 0.15
+# The same after an answered ping, while the requests are still waiting: with service
+# times of half a second, most messages of a busy fleet were pings.
+NEXT_BUSY_PING_S = 0.3
 # Ticks between two checks of links on which nothing is awaited. There are many, and
 # they are pinged rarely.
 IDLE_CHECK_TICKS = 5
@@ -70,6 +73,8 @@
         Requests that wait for a reply on the link.
     is_suspect : bool
         Whether a ping was not answered within ``SUSPECT_TIMEOUT_S``.
+    is_ping_answered : bool
+        Whether the last message was the answer to a ping.
     busy_until : float
         Until then a large body is expected to occupy the link, so that the host
         cannot answer a ping, in seconds of the local clock.
@@ -86,6 +91,7 @@
     redial_delay_s: float = MIN_REDIAL_DELAY_S
     waiting: int = 0
     is_suspect: bool = False
+    is_ping_answered: bool = False
     busy_until: float = 0.0
 
 
@@ -259,7 +265,7 @@
             IDLE_PING_S if peer.zone == self._zone else CROSS_ZONE_IDLE_PING_S
         )
         if peer.waiting:
-            ping_after_s = BUSY_PING_S
+            ping_after_s = NEXT_BUSY_PING_S if peer.is_ping_answered else BUSY_PING_S
         if now - peer.last_received_at > ping_after_s:
             self._ping(peer, now)
 
@@ -313,6 +319,7 @@
         peer.last_received_at = self._clock.seconds()
         peer.unanswered_ping_at = 0.0
         peer.is_suspect = False
+        peer.is_ping_answered = isinstance(message, Pong)
         self._deliver(link, peer.host_id, message)
 
     def _on_dialled_closed(self, peer: Peer, link: PeerLink, reason: str) -> None:
--- a/tests/sidecar/test_links.py
+++ b/tests/sidecar/test_links.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet.task import Clock
 
-from bamboocove.protocol.mesh_messages import Ping, decode_mesh_message
+from bamboocove.protocol.mesh_messages import Ping, Pong, decode_mesh_message
 from bamboocove.sidecar import links
 from bamboocove.sidecar.links import HubHandlers, LinkHub, Peer
 
@@ -131,3 +131,30 @@
     hub.set_peers(addresses, {"near": "a"})
     assert set(hub.peers_by_id) == {"near"}
     assert peer.link.reasons == ["link is not needed"]
+
+
+def test_host_that_answers_pings_is_pinged_less_often(hub, clock, monkeypatch):
+    """Guards against a busy fleet whose messages are mostly pings.
+
+    Requests that run for half a second were pinged for three times each.
+    """
+    monkeypatch.setattr(hub, "_deliver", lambda *args: None)
+    peer = hub.peers_by_id["near"]
+    peer.waiting = 1
+    for _ in range(20):
+        run_ticks(hub, clock, 0.1)
+        if peer.unanswered_ping_at:
+            hub._on_dialled_message(peer, peer.link, Pong(0))
+    assert count_pings(hub, "near") <= 6
+
+
+def test_host_that_stops_to_answer_is_suspected_while_requests_wait(
+    hub, clock, suspects
+):
+    """Guards against requests that wait long on a host that has answered pings."""
+    peer = hub.peers_by_id["near"]
+    peer.waiting = 1
+    run_ticks(hub, clock, 0.3)
+    hub._on_dialled_message(peer, peer.link, Pong(0))
+    run_ticks(hub, clock, 0.8)
+    assert "near" in suspects
