--- a/bamboocove/platform/standin_worker.py
+++ b/bamboocove/platform/standin_worker.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from hashlib import sha1
 from typing import Any
+from weakref import WeakSet
 from zlib import crc32
 
 from attrs import define, field, frozen
@@ -22,6 +23,9 @@
 REPORT_INTERVAL_S = 1.0
 REPORT_TIMEOUT_S = 1.0
 OVERLOAD_FIELDS = [(DIALECT.not_run, b"1")]
+REPEATED_REFUSAL = b"HTTP/1.1 503 X\r\n%b: 1\r\ncontent-length: 0\r\n\r\n" % (
+    DIALECT.not_run
+)
 
 
 @frozen
@@ -65,12 +69,16 @@
     error_rate, abort_rate, truncation_rate : float
         Shares of the requests that end with status 500, without any response, or
         with half of a response.
+    repeat_rate : float
+        Share of the requests on used connections before whose response the worker
+        sends a refusal again, without an attempt identifier.
     """
 
     slow_factor: float = 1.0
     error_rate: float = 0.0
     abort_rate: float = 0.0
     truncation_rate: float = 0.0
+    repeat_rate: float = 0.0
 
 
 def digest_body(body: bytes) -> str:
@@ -132,6 +140,7 @@
     acknowledged_at: float = 0.0
     failed_at: list[float] = field(factory=list)
     troubles: WorkerFaults = field(factory=WorkerFaults)
+    _used_connections: WeakSet = field(factory=WeakSet)
 
     def __attrs_post_init__(self) -> None:
         self.server = CallServer(self._receive, MAX_BODY_BYTES, self.clock)
@@ -215,6 +224,7 @@
             self._record_arrival(exchange, body, False)
             exchange.respond(503, OVERLOAD_FIELDS)
             return
+        self._repeat_refusal(exchange.connection)
         arrival = self._record_arrival(exchange, body, True)
         self.running += 1
         load_factor = max(1.0, self.running / self.slots)
@@ -222,6 +232,13 @@
         work_s *= 0.5 + self.random.random()
         self.clock.callLater(work_s, self._respond, exchange, arrival)
 
+    def _repeat_refusal(self, connection: Any) -> None:
+        rate = self.troubles.repeat_rate
+        is_used = connection in self._used_connections
+        if rate and is_used and self.random.random() < rate:
+            connection.write(REPEATED_REFUSAL)
+        self._used_connections.add(connection)
+
     def _record_arrival(
         self, exchange: Exchange, body: bytes, has_run: bool
     ) -> Arrival:
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -12,6 +12,7 @@
 
 from bamboocove.platform.standin_store import StoreStandin
 from bamboocove.platform.standin_worker import Arrival, WorkerStandin
+from bamboocove.state.codec import encode
 from bamboocove.transport.clients import Address
 from soak.nodes import SETTINGS_TEMPLATE, NodeProcess
 from soak.proxies import FaultProxy
@@ -25,6 +26,19 @@
 # Time for which a worker goes on serving after its drain is acknowledged.
 DRAIN_S = 3.0
 WORKER_RESTART_DELAY_S = 1.0
+# Rows that another writer left among those of the hosts and the operator.
+ODD_ROWS_BY_KEY = {
+    "nested": b'{"a":' * 10_000,
+    "nested-cbor": b"\x81" * 10_000,
+    "port": encode(
+        {"host_id": "port", "incarnation": 1, "sequence": 1, "zone": "a"}
+        | {"address": ["127.0.0.1", 70000]}
+    ),
+    "number": encode(
+        {"host_id": "number", "incarnation": float("inf"), "sequence": 1, "zone": "a"}
+        | {"address": ["127.0.0.1", 80]}
+    ),
+}
 
 
 @define(eq=False)
@@ -99,6 +113,9 @@
         """Start the store and write the first configuration."""
         self.store = StoreStandin(self.clock)
         self.store.listen(f"127.{self.network}.0.1", 8309)
+        for key, value in ODD_ROWS_BY_KEY.items():
+            self.store.put("bamboocove-hosts", key, value)
+            self.store.put("op", f"rollout/{key}", value)
         self.change_config()
 
     def start_host(self, service: str, version: str = "v1") -> Host:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -216,7 +216,7 @@
     )
     worker.troubles = (
         WorkerFaults(slow_factor=6.0),
-        WorkerFaults(abort_rate=0.1, truncation_rate=0.1),
+        WorkerFaults(abort_rate=0.1, truncation_rate=0.1, repeat_rate=0.1),
         WorkerFaults(error_rate=0.3),
     )[int(event.draw * 97) % 3]
     _restore_at_end(
