--- a/bamboocove/sidecar/hosts.py
+++ b/bamboocove/sidecar/hosts.py
@@ -29,8 +29,9 @@
 
 # States from which a worker becomes ready once its health check succeeds.
 RECOVERABLE_STATES = ("ready", "down")
-# Delay after which changed records change the links, in seconds. The records of many
-# hosts arrive at the same time after a start, each with a message of its own.
+# Delay after which changed records change the links, in seconds, once there are any.
+# The records of many hosts arrive at the same time after a start, each with a message
+# of its own.
 LINKS_UPDATE_DELAY_S = 0.25
 # Records of hosts of other zones that a reader passes on within its zone in a second,
 # when such a host greets it. After a start of all hosts most nodes have read them.
@@ -120,7 +121,8 @@
                 changed.append(record)
         if changed and not self._is_update_due:
             self._is_update_due = True
-            self.clock.callLater(LINKS_UPDATE_DELAY_S, self._update_changed_links)
+            delay_s = LINKS_UPDATE_DELAY_S if self.hub.peers_by_id else 0.0
+            self.clock.callLater(delay_s, self._update_changed_links)
         return changed
 
     def _update_changed_links(self) -> None:
