--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -348,6 +348,8 @@
         As in ``Forward``.
     size : int
         Size of the body in bytes.
+    attempt_id : bytes
+        Identifier of the attempt, for logs.
     """
 
     stream: int
@@ -358,6 +360,7 @@
     target_left_ms: int
     priority: int
     size: int
+    attempt_id: bytes
 
 
 @frozen
--- a/bamboocove/sidecar/attempts.py
+++ b/bamboocove/sidecar/attempts.py
@@ -103,7 +103,9 @@
             attempt.inbound_request = self.inbound.submit(forward, self.on_reply)
             return True
         attempt.is_offered = self._must_offer(forward, view.host_id)
-        message = _make_offer(forward) if attempt.is_offered else forward
+        message = forward
+        if attempt.is_offered:
+            message = _make_offer(forward, request.attempt_id)
         if self.hub.send(view.host_id, message):
             self.hub.peers_by_id[view.host_id].waiting += 1
             return True
@@ -187,7 +189,7 @@
                 self.cancel(attempt)
 
 
-def _make_offer(forward: Forward) -> BodyOffer:
+def _make_offer(forward: Forward, attempt_id: bytes) -> BodyOffer:
     return BodyOffer(
         forward.stream,
         forward.route,
@@ -197,4 +199,5 @@
         forward.target_left_ms,
         forward.priority,
         len(forward.body),
+        attempt_id,
     )
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -217,7 +217,7 @@
             The refusal, or the priority with which the body waits for permission.
         """
         if not self._may_run(offer):
-            outcome, reason = WRONG_WORKER, b"worker is not ready for this"
+            outcome, reason = WRONG_WORKER, "worker is not ready for this"
         else:
             entry = QueuedRequest(
                 offer.route,
@@ -228,8 +228,11 @@
             )
             if self.queue.can_admit(entry, predict_delay, now):
                 return entry.priority
-            outcome, reason = REFUSED, b"no room for its body in time"
-        return Reply(offer.stream, outcome, 0, [], reason, 0, self.make_load())
+            outcome, reason = REFUSED, "no room for its body in time"
+        left_s = offer.left_ms / 1000
+        self._log_refusal(offer.attempt_id, offer, left_s, reason)
+        load = self.make_load()
+        return Reply(offer.stream, outcome, 0, [], reason.encode(), 0, load)
 
     def _start_next(self, now: float) -> None:
         while True:
@@ -402,7 +405,12 @@
         if request.is_sent and reason != "cancelled":
             self._record_outcome(request, outcome, is_failure, service_s)
         if outcome in (REFUSED, WRONG_WORKER, SHED, TIMED_OUT):
-            self._log_refusal(request, reason or "the worker did not run it", now)
+            self._log_refusal(
+                get_header(request.forward.headers, self._dialect.attempt_id),
+                request.forward,
+                request.deadline - now,
+                reason or "the worker did not run it",
+            )
         headers: Headers = []
         body = reason.encode()
         if outcome == ANSWERED:
@@ -422,15 +430,20 @@
         if entry is not None:
             self._start_next(now)
 
-    def _log_refusal(self, request: InboundRequest, reason: str, now: float) -> None:
+    def _log_refusal(
+        self,
+        attempt_id: bytes | None,
+        forward: Forward | BodyOffer,
+        left_s: float,
+        reason: str,
+    ) -> None:
         worker = self.worker
-        forward = request.forward
         log(
             "request.turned-away",
-            id=get_header(forward.headers, self._dialect.attempt_id),
+            id=attempt_id,
             reason=reason,
             rank=forward.priority,
-            left_s=round(request.deadline - now, 3),
+            left_s=round(left_s, 3),
             wait_s=round(self.queue.predict_wait(forward.priority), 3),
             service_s=round(self.queue.service_times.get(forward.route), 3),
             running=len(self.queue.running),
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -8,7 +8,7 @@
 
 from bamboocove.cli import main
 from bamboocove.sidecar.catalogue import EVENTS_BY_NAME, format_events_table
-from bamboocove.sidecar.logs import MAX_LINES_PER_EVENT_PER_S, LogWriter
+from bamboocove.sidecar.logs import MAX_LINES_PER_EVENT_PER_S, WRITER, LogWriter
 from bamboocove.tracing import explain_request, parse_log, trace_request
 from tests.callpath import run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, make_config
@@ -132,6 +132,8 @@
     cause_failure, tmp_path, capfd
 ):
     """Guards against a failure whose cause cannot be found in the logs."""
+    # Tests that ran in the same second may have used up the lines of an event.
+    WRITER.counts_by_event.clear()
     mesh = HostMesh()
     mesh.store.put_config(make_config(read={"orders": 1}, pay={"orders": 1}))
     caller, target = mesh.add("front"), mesh.add("orders")
