--- a/bamboocove/sidecar/links.py
+++ b/bamboocove/sidecar/links.py
@@ -30,6 +30,8 @@
 # are enough.
 IDLE_PING_S = 4.0
 CROSS_ZONE_IDLE_PING_S = 10.0
+# Pings on idle links in a second: with more links, each is pinged less often.
+MAX_IDLE_PINGS_PER_S = 10
 BUSY_PING_S = 0.15
 # The same after an answered ping, while the requests are still waiting: with service
 # times of half a second, most messages of a busy fleet were pings.
@@ -264,6 +266,7 @@
         ping_after_s = (
             IDLE_PING_S if peer.zone == self._zone else CROSS_ZONE_IDLE_PING_S
         )
+        ping_after_s = max(ping_after_s, len(self.peers_by_id) / MAX_IDLE_PINGS_PER_S)
         if peer.waiting:
             ping_after_s = NEXT_BUSY_PING_S if peer.is_ping_answered else BUSY_PING_S
         if now - peer.last_received_at > ping_after_s:
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -29,6 +29,8 @@
 # Probability that a node that does not read the store offers its state to one peer
 # in an exchange (anti-entropy): repairs nodes that the readers' messages missed.
 REPAIR_PROBABILITY = 0.25
+# Probability that a reader also tells its zone the checksum of its host records.
+HOSTS_OFFER_PROBABILITY = 0.25
 
 
 def exchange_state(application: Any) -> None:
@@ -48,7 +50,8 @@
     )
     if offer.reading_zone:
         dissemination.broadcast_offer(offer)
-        dissemination.broadcast_in_zone(HostsOffer(application.fleet.digest))
+        if application.random.random() < HOSTS_OFFER_PROBABILITY:
+            dissemination.broadcast_in_zone(HostsOffer(application.fleet.digest))
         return
     message: Any = offer
     if application.watch.unavailable_since is not None or not config_version:
--- a/tests/sidecar/test_links.py
+++ b/tests/sidecar/test_links.py
@@ -158,3 +158,19 @@
     hub._on_dialled_message(peer, peer.link, Pong(0))
     run_ticks(hub, clock, 0.8)
     assert "near" in suspects
+
+
+def test_pings_on_idle_links_do_not_grow_with_the_fleet(hub, clock, monkeypatch):
+    """Guards against a node that spends its time on pings to hundreds of hosts."""
+    monkeypatch.setattr(hub, "_deliver", lambda *args: None)
+    for number in range(160):
+        peer = Peer(f"n{number}", ("127.0.0.1", 1), "a", link=Link())
+        peer.is_open = True
+        hub.peers_by_id[peer.host_id] = peer
+    for _ in range(400):
+        run_ticks(hub, clock, 0.1)
+        for peer in hub.peers_by_id.values():
+            if peer.unanswered_ping_at:
+                hub._on_dialled_message(peer, peer.link, Pong(0))
+    pings = sum(count_pings(hub, host_id) for host_id in hub.peers_by_id)
+    assert pings <= links.MAX_IDLE_PINGS_PER_S * 40
