--- a/tests/fake_node.py
+++ b/tests/fake_node.py
@@ -32,7 +32,7 @@
 UNKNOWN_OUTCOME_AUTHOR = "lost"
 NOW = 1796385600.0
 TEXT = b"tenant: t\nservices: {a: {version: v1}}\n"
-MOVE_TEXT = TEXT + b"moves: [{service: a, to: v2, by: 2026-12-05T05:00:00Z}]\n"
+MOVE_TEXT = TEXT + b"moves: [{service: a, to: v2, by: 2099-12-05T05:00:00Z}]\n"
 
 
 class FakeNode:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -121,7 +121,7 @@
     status, out, err = run(capsys, "check", move_text)
     assert (status, err) == (0, "")
     assert "service a v1 depends on nothing" in out
-    assert "move a-v2-20261205T0500" in out
+    assert "move a-v2-20991205T0500" in out
 
 
 def test_check_prints_the_dependencies_of_a_route(capsys):
@@ -160,7 +160,7 @@
     capsys, tmp_path
 ):
     path = tmp_path / "text.yaml"
-    path.write_bytes(MOVE_TEXT.replace(b"2026-", b"2020-"))
+    path.write_bytes(MOVE_TEXT.replace(b"2099-", b"2020-"))
     status, out, _ = run(capsys, "check", path)
     assert status == 0
     assert "warning: deadline 2020-12-05T05:00:00Z of a is in the past" in out
@@ -249,7 +249,7 @@
     node = fresh_node
     status, out, _ = run_tool("check", move_text, "--node", node)
     assert status == 0
-    assert "move a-v2-20261205T0500 added" in out
+    assert "move a-v2-20991205T0500 added" in out
 
     status, out, _ = run_tool("apply", move_text, "--base", "1", "--node", node)
     assert status == 0
--- a/tests/transport/test_admin.py
+++ b/tests/transport/test_admin.py
@@ -134,7 +134,7 @@
     assert response.status == 200
     assert response.body["revision"] == 2
     assert response.body["difference"] == [
-        "move a-v2-20261205T0500 added: a v1 -> v2 by 2026-12-05T05:00:00Z"
+        "move a-v2-20991205T0500 added: a v1 -> v2 by 2099-12-05T05:00:00Z"
     ]
     assert "no worker announces a v2 yet" in " ".join(response.body["warnings"])
 
@@ -149,7 +149,7 @@
     assert response.body["revision"] == 2
     assert response.body["author"] == "ana"
     assert response.body["difference"] == [
-        "move a-v2-20261205T0500: waiting -> reverted (withdrawn)"
+        "move a-v2-20991205T0500: waiting -> reverted (withdrawn)"
     ]
     assert client.node.config is accepted
 
