--- a/review/standins.py
+++ b/review/standins.py
@@ -577,14 +577,18 @@
     async def start(
         self, services: list[str], config: dict, work_s: float = 0.03
     ) -> None:
-        """Start the store and a machine for each entry of ``services``."""
+        """Start the store and a machine for each entry of ``services``.
+
+        An entry is the name of a service, with ``@`` and a zone if that matters.
+        """
         if not (ROOT / "target/deps/installed").exists():
             raise CaseError("the deploy file's build has not run")
         await self.store.start(f"{self._network}.255", 8309)
         self.store.put("op", "config", config)
-        for number, service in enumerate(services, 1):
+        for number, entry in enumerate(services, 1):
+            service, _, zone = entry.partition("@")
             ip = f"{self._network}.{number}"
-            zone = f"lj-{'abc'[number % 3]}"
+            zone = zone or f"lj-{'abc'[number % 3]}"
             settings = SETTINGS.replace("{bootstrap}", "@bootstrap@").format(
                 name=f"{service}-{number}",
                 ip=ip,
