--- a/review/standins.py
+++ b/review/standins.py
@@ -754,6 +754,7 @@
     "Cluster",
     "Node",
     "Record",
+    "Request",
     "Worker",
     "make_config",
     "run_case",
