Read the memory of the host, and count bytes against a budget

Nodes that hold large requests or responses exceed the memory of their host and are ended with all of their requests. Each message is limited by itself; nothing bounds the sum, and no code knew how much memory there is.

Change: self.limits.memoryMb is read and checked, and ByteBudget derives from it how many bytes of bodies a node may hold.

--- /dev/null
+++ b/bamboocove/coordination/byte_budget.py
@@ -0,0 +1,77 @@
+"""Budget of the bytes of requests and responses that a node holds in memory.
+
+Load pattern: a worker answers many requests at once with megabytes each, or callers
+upload as much, to a host with 150 MB of memory. Each message is within its own limit,
+but their sum is not: the process is ended, and all requests of the host with it.
+"""
+
+from attrs import define
+
+# Memory of a node without any bodies, in bytes: interpreter, libraries, links and
+# records of a large fleet.
+BASE_MEMORY_BYTES = 70_000_000
+# Copies of a held body that may exist at a time, while it is encoded for a link and
+# in the buffers of connections.
+COPIES = 3
+# Budget if the memory of the host is not known, and the least one, in bytes. It has
+# room for at least two bodies of the maximum size.
+MIN_BUDGET_BYTES = 10_000_000
+
+
+def compute_budget(memory_bytes: int) -> int:
+    """Return how many bytes of bodies a node may hold.
+
+    Parameters
+    ----------
+    memory_bytes : int
+        Memory that the process may use, in bytes; 0 if unknown.
+
+    Examples
+    --------
+    >>> compute_budget(150_000_000), compute_budget(0)
+    (26666666, 10000000)
+    """
+    return max(MIN_BUDGET_BYTES, (memory_bytes - BASE_MEMORY_BYTES) // COPIES)
+
+
+@define
+class ByteBudget:
+    """Counts the bytes that are held against a limit.
+
+    Parameters
+    ----------
+    limit : int
+        Bytes that may be held.
+    held : int
+        Bytes that are held.
+    """
+
+    limit: int
+    held: int = 0
+
+    @property
+    def free(self) -> int:
+        """Bytes that may still be reserved; 0 if more than the limit is held."""
+        return max(0, self.limit - self.held)
+
+    def reserve(self, size: int) -> bool:
+        """Reserve bytes if there is room; return whether there was.
+
+        Examples
+        --------
+        >>> budget = ByteBudget(limit=10)
+        >>> budget.reserve(7), budget.reserve(7), budget.free
+        (True, False, 3)
+        """
+        if size > self.free:
+            return False
+        self.held += size
+        return True
+
+    def add(self, size: int) -> None:
+        """Count bytes that are held already, even beyond the limit."""
+        self.held += size
+
+    def release(self, size: int) -> None:
+        """Give reserved bytes back."""
+        self.held -= size
--- a/bamboocove/platform/host_settings.py
+++ b/bamboocove/platform/host_settings.py
@@ -13,6 +13,7 @@
 
 SETTINGS_VARIABLE = "BAMBOOCOVE_BOOT"
 MAX_LINK_MBPS = 1e7
+MAX_MEMORY_MB = 1e7
 
 
 @frozen
@@ -104,6 +105,7 @@
         # not define this setting.
         advertised_address=reader.get_address("network.advertised", ""),
         link_bytes_per_s=_read_link_rate(reader),
+        memory_bytes=_read_memory(reader),
         is_first_start=reader.get("self.bootstrap", bool, default=False),
         bounds=Bounds(
             grace_s=reader.get(
@@ -126,6 +128,13 @@
     return int(megabits_per_s * 1e6 / 8)
 
 
+def _read_memory(reader: _SettingsReader) -> int:
+    megabytes = reader.get("self.limits.memoryMb", float, default=0.0)
+    if not 0.0 <= megabytes < MAX_MEMORY_MB:
+        raise ValueError(f"setting self.limits.memoryMb is no size: {megabytes}")
+    return int(megabytes * 1e6)
+
+
 def read_host_settings() -> HostSettings | ErrorResult:
     """Read the settings file that ``BAMBOOCOVE_BOOT`` names.
 
--- a/bamboocove/sidecar/settings.py
+++ b/bamboocove/sidecar/settings.py
@@ -47,6 +47,8 @@
         Limits that the deployment sets.
     link_bytes_per_s : int
         Rate of the host's network link; 0 if unknown.
+    memory_bytes : int
+        Memory that the process may use; 0 if unknown.
     is_first_start : bool
         Whether the whole system starts for the first time, so that no process ran
         on this host before.
@@ -65,4 +67,5 @@
     advertised_address: Address | None = None
     bounds: Bounds = Bounds()
     link_bytes_per_s: int = 0
+    memory_bytes: int = 0
     is_first_start: bool = False
--- a/tests/platform/test_host_settings.py
+++ b/tests/platform/test_host_settings.py
@@ -125,3 +125,15 @@
     error = parse_host_settings(network.replace(":8300", "") + TEXT)
     assert error.kind is ErrorKind.INVALID_SETTINGS
     assert "network.advertised" in error.reason
+
+
+@pytest.mark.parametrize("name", ["memoryMb", "linkMbps"])
+def test_limits_that_are_no_sizes_are_refused(name):
+    """Guards against a node that starts with a limit that it cannot keep."""
+    with_limit = TEXT.replace("[network.listen]", "[self.limits]\n%s\n[network.listen]")
+    settings = parse_host_settings(with_limit % f"{name} = 150")
+    assert settings.memory_bytes or settings.link_bytes_per_s
+    for value in ("-1", "nan", '"150"', "true", "1e400"):
+        error = parse_host_settings(with_limit % f"{name} = {value}")
+        assert error.kind is ErrorKind.INVALID_SETTINGS, value
+        assert name in error.reason
