Keep the record of a host whose worker has deregistered

Cause: a node that stopped beside a worker that was gone removed the record of its host from the store. Nothing then told the next process that this start of the worker was over. Where the record existed (node killed), a report that came before it was read had the same effect: the record of the previous process was ignored once a worker was known.

Change: the record stays. A process that reads it after a report of the same start applies what it says. Readers remove records of hosts that have left after a minute, on the condition that the row is still the same.

--- a/bamboocove/platform/store.py
+++ b/bamboocove/platform/store.py
@@ -172,9 +172,27 @@
         result = await self.write_host(record)
         return result if isinstance(result, ErrorResult) else None
 
-    async def remove_host(self, host_id: str) -> int | ErrorResult:
-        """Remove the record of a host that has left; return the new revision."""
-        return await self._write([], [], [(HOSTS_TABLE, host_id)])
+    async def remove_host(self, record: HostRecord) -> bool | ErrorResult:
+        """Remove the record of a host that has left.
+
+        Returns
+        -------
+        is_removed : bool or ErrorResult
+            False if the store holds another record of the host, which stays;
+            ``CONFLICT`` if it was written between the read and the removal.
+        """
+        result = await self._read_table(HOSTS_TABLE, record.host_id)
+        if isinstance(result, ErrorResult):
+            return result
+        for row in result[0]:
+            stored = decode(HostRecord, row.value or b"")
+            if isinstance(stored, ErrorResult) or stored.age_key != record.age_key:
+                return False
+            preconditions = [(HOSTS_TABLE, record.host_id, row.revision)]
+            removals = [(HOSTS_TABLE, record.host_id)]
+            removed = await self._write(preconditions, [], removals)
+            return removed if isinstance(removed, ErrorResult) else True
+        return False
 
     async def read_rules(self) -> list[VersionRule] | ErrorResult:
         """Read the rules on which versions of each service may run requests."""
--- a/bamboocove/sidecar/hosts.py
+++ b/bamboocove/sidecar/hosts.py
@@ -211,3 +211,6 @@
             # In state "down" the worker is probed before it gets requests.
             state = "down" if worker.state in RECOVERABLE_STATES else worker.state
             self.inbound.update_worker(evolve(worker, state=state, sequence=0))
+        elif worker is not None and worker.state not in RECOVERABLE_STATES:
+            # A report that was sent before the worker left may have come first.
+            self.inbound.watch.end_incarnation(worker)
--- a/bamboocove/sidecar/shutdown.py
+++ b/bamboocove/sidecar/shutdown.py
@@ -69,8 +69,6 @@
     outbound.end_requests()
     inbound.refuse_waiting("node is stopping")
     application.close_ports()
-    if inbound.worker is not None and inbound.worker.state == "gone":
-        await application.store.remove_host(application.settings.host_id)
     application.watch.stop()
     await deferLater(clock, POLL_INTERVAL_S)
     while application.has_callers() and clock.seconds() < flushed_by:
--- a/bamboocove/sidecar/store.py
+++ b/bamboocove/sidecar/store.py
@@ -58,8 +58,8 @@
     async def create_host(self, record: HostRecord) -> HostRecord | None | ErrorResult:
         """Write the record of this host unless there is one; return the stored one."""
 
-    async def remove_host(self, host_id: str) -> int | ErrorResult:
-        """Remove the record of a host that is gone."""
+    async def remove_host(self, record: HostRecord) -> bool | ErrorResult:
+        """Remove a record; return False if the store holds another one by now."""
 
     async def read_rules(self) -> list[VersionRule] | ErrorResult:
         """Read the version rules of all services."""
--- a/bamboocove/sidecar/watch.py
+++ b/bamboocove/sidecar/watch.py
@@ -7,6 +7,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import deferLater
 
+from bamboocove.coordination.departures import DepartedHosts
 from bamboocove.coordination.readers import Duty
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.events import run_logged
@@ -110,6 +111,7 @@
         self._is_running = False
         self._written_age_key: tuple[int, int] | None = None
         self._wakeup: Deferred | None = None
+        self._departed_hosts = DepartedHosts()
         self.is_reading = False
         self.watch_answered_at = float("-inf")
         self.unavailable_since: float | None = None
@@ -261,7 +263,7 @@
                 await self._write_record()
             if self._clock.seconds() >= next_read_at:
                 if self._get_duty() in (Duty.READER, Duty.SUBSTITUTE):
-                    await self._read_hosts()
+                    await self._remove_departed(await self._read_hosts())
                 next_read_at = self._clock.seconds() + self._draw_read_interval()
             if self._is_record_written():
                 await self._wait_for_record_change(
@@ -303,10 +305,18 @@
         await self._call_until_success(partial(self._store.write_host, record))
         self._written_age_key = record.age_key
 
-    async def _read_hosts(self) -> None:
+    async def _read_hosts(self) -> list[HostRecord]:
         records = await self._call_until_success(self._store.read_hosts)
         if records is not None:
             self._on_hosts(records)
+        return records or []
+
+    async def _remove_departed(self, records: list[HostRecord]) -> None:
+        now = self._clock.seconds()
+        for record in self._departed_hosts.find_expired(records, now):
+            # Another reader may remove it at the same time; the next read shows what
+            # is left.
+            await self._store.remove_host(record)
 
     async def _call_until_success(self, call: Callable[[], Any]) -> Any:
         """Retry a call until it succeeds; return None if the task stops before."""
--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -98,6 +98,16 @@
         if self.worker is not None and self.worker.worker_id == worker_id:
             self.set_state("gone")
 
+    def end_incarnation(self, worker: MeshWorker) -> None:
+        """Apply that a start of the worker is draining or gone, if it is the known one.
+
+        A report may have arrived after the one that said so; it does not revive it.
+        """
+        held = self.worker
+        if held is not None and held.incarnation == worker.incarnation:
+            if held.state != "gone":
+                self.set_state(worker.state)
+
     def set_state(self, state: str) -> None:
         """Set the state of the worker; call ``on_state`` if it has changed."""
         if self.worker.state == state:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,6 +4,7 @@
 import re
 
 import pytest
+from attrs import evolve
 from twisted.internet import reactor
 from twisted.internet.task import Clock
 
@@ -75,8 +76,18 @@
         assert run(store.write_host(record)) > 0
     standin.put("bamboocove-hosts", "h9", b"\xff")
     assert run(store.read_hosts()) == records
-    run(store.remove_host("h1"))
+    assert run(store.remove_host(records[1])) is True
     assert [r.host_id for r in run(store.read_hosts())] == ["h0", "h2", "h3", "h4"]
+    assert run(store.remove_host(records[1])) is False
+
+
+def test_record_that_was_written_again_is_not_removed(standin, store):
+    """Guards against the removal of a host that has come back meanwhile."""
+    record = make_record("h")
+    newer = evolve(record, sequence=record.sequence + 1)
+    run(store.write_host(newer))
+    assert run(store.remove_host(record)) is False
+    assert run(store.read_hosts()) == [newer]
 
 
 def test_record_of_the_previous_process_is_returned_and_kept(standin, store):
--- a/tests/sidecar/hosts.py
+++ b/tests/sidecar/hosts.py
@@ -86,9 +86,11 @@
         result = await self.write_host(record)
         return result if isinstance(result, ErrorResult) else None
 
-    async def remove_host(self, host_id):
-        self.hosts.pop(host_id, None)
-        return 1
+    async def remove_host(self, record):
+        if self.hosts.get(record.host_id) != record:
+            return False
+        del self.hosts[record.host_id]
+        return True
 
     async def read_rules(self):
         self.calls += 1
--- /dev/null
+++ b/tests/sidecar/test_worker_departure.py
@@ -0,0 +1,98 @@
+"""Workers that have deregistered, and nodes that restart afterwards."""
+
+import pytest
+from attrs import evolve
+from twisted.internet import reactor
+
+from bamboocove.coordination.departures import KEEP_S, DepartedHosts
+from bamboocove.sidecar import shutdown
+from bamboocove.state.mesh import HostRecord, MeshWorker
+from tests.callpath import run_reactor_until
+from tests.sidecar.hosts import HostMesh, make_config, stop_at_once
+
+WORKER = MeshWorker("i-1", "orders", "v1", 12, "gone", 0.0, 5, 6)
+RECORD = HostRecord("h1", 7, 3, ("127.0.0.1", 8300), "z", True, WORKER)
+
+
+@pytest.fixture
+def mesh(monkeypatch):
+    monkeypatch.setattr(shutdown, "CALLER_DRAIN_S", 0.3)
+    monkeypatch.setattr(shutdown, "WORKER_DRAIN_DELAY_S", 0.2)
+    mesh = HostMesh()
+    mesh.store.put_config(make_config(2, pay={"orders": 1}))
+    yield mesh
+    mesh.close()
+
+
+def get_state(host):
+    worker = host.node.inbound.worker
+    return worker and worker.state
+
+
+@pytest.mark.parametrize("is_killed", [False, True])
+@pytest.mark.parametrize("is_report_first", [False, True])
+def test_restarted_node_does_not_revive_a_worker_that_deregistered(
+    mesh, is_killed, is_report_first
+):
+    """Guards against requests to a worker whose leaving was acknowledged."""
+    caller, leaving, _ = mesh.add("front"), mesh.add("orders"), mesh.add("orders")
+    mesh.settle()
+    assert leaving.send_report(b"DELETE") == 200
+    run_reactor_until(lambda: mesh.store.hosts["h1"].worker.state == "gone")
+    if is_killed:
+        stop_at_once(leaving.node)
+    else:
+        leaving.node.drain()
+        run_reactor_until(lambda: leaving.node.finished.called)
+    mesh.store.is_down = is_report_first
+    leaving.start(incarnation=2000)
+    assert leaving.report() == 200
+    if is_report_first:
+        assert get_state(leaving) == "ready"
+        mesh.store.is_down = False
+    run_reactor_until(lambda: get_state(leaving) == "gone")
+    assert leaving.report() == 200
+    assert get_state(leaving) == "gone"
+    run_reactor_until(lambda: caller.node.fleet.records_by_id["h1"].incarnation == 2000)
+    served_before = len(leaving.requests)
+    assert all(caller.call("/pay/1", "POST")[0] == 200 for _ in range(10))
+    assert len(leaving.requests) == served_before
+
+
+def test_new_start_of_a_worker_that_deregistered_is_used(mesh):
+    (host,) = (mesh.add("orders"),)
+    mesh.settle()
+    assert host.send_report(b"DELETE") == 200
+    host.node.drain()
+    run_reactor_until(lambda: host.node.finished.called)
+    host.start(incarnation=2000)
+    host.born_ms += 1000
+    host.sequence = 0
+    assert host.report() == 200
+    run_reactor_until(lambda: get_state(host) == "ready")
+
+
+def test_record_of_a_departed_host_is_removed_after_late_reports_have_come():
+    """Guards against a table that grows with each host that has ever run."""
+    departed = DepartedHosts()
+    others = [
+        evolve(RECORD, host_id="h2", is_leaving=False),
+        evolve(RECORD, host_id="h3", worker=evolve(WORKER, state="draining")),
+        evolve(RECORD, host_id="h4", worker=None),
+    ]
+    assert departed.find_expired([RECORD, *others], 0.0) == []
+    assert departed.find_expired([RECORD, *others], KEEP_S - 1.0) == []
+    restarted = evolve(RECORD, incarnation=8)
+    assert departed.find_expired([restarted, *others], KEEP_S) == []
+    assert departed.find_expired([restarted, *others], 2 * KEEP_S) == [restarted]
+
+
+def test_reader_removes_the_record_of_a_departed_host(mesh, monkeypatch):
+    monkeypatch.setattr("bamboocove.sidecar.watch.HOSTS_READ_INTERVAL_S", 0.2)
+    monkeypatch.setattr("bamboocove.coordination.departures.KEEP_S", 0.5)
+    mesh.add("orders")
+    mesh.settle()
+    mesh.store.hosts["h9"] = evolve(RECORD, host_id="h9")
+    started_at = reactor.seconds()
+    run_reactor_until(lambda: "h9" not in mesh.store.hosts, 8)
+    assert reactor.seconds() - started_at >= 0.5
