Count the crash of a worker once for all equal requests in flight

Cause: each request in flight at a worker that crashes counted as a crash of its own, so two equal ones were taken for a request that had crashed two workers.

Change: crashes at one host within a second are one. Crashes expire after a minute without being asked for, so that requests are not hashed for good after one crash; a worker's 5xx no longer clears a suspect.

--- a/bamboocove/coordination/retry_limits.py
+++ b/bamboocove/coordination/retry_limits.py
@@ -15,6 +15,9 @@
 # Time after its last crash for which a request stays suspect, in seconds.
 SUSPECT_TTL_S = 60.0
 MAX_SUSPECTS = 2000
+# Crashes at one host within this time, in seconds, are one: a worker takes longer to
+# start again.
+SAME_CRASH_WINDOW_S = 1.0
 # Callers of one route use different timeouts: new requests of the users' sites
 # had 0.85 to 1 times the longest one.
 TIMEOUT_SPREAD = 0.15
@@ -116,34 +119,73 @@
         return max(0.0, (1.0 - TIMEOUT_SPREAD) * longest_s - left_s)
 
 
+@define
+class _Suspect:
+    crashes: int = 0
+    last_at: float = 0.0
+    last_at_by_host: dict[str, float] = field(factory=dict)
+
+
 @define
 class CrashTable:
-    """Fingerprints of requests during which workers were lost."""
+    """Fingerprints of requests during which workers crashed."""
 
-    _crashes_by_fingerprint: dict[str, tuple[int, float]] = field(factory=dict)
+    _suspects_by_fingerprint: dict[str, _Suspect] = field(factory=dict)
 
-    @property
-    def has_suspects(self) -> bool:
-        """Whether any request is suspected of crashing workers."""
-        return bool(self._crashes_by_fingerprint)
+    def has_suspects(self, now: float) -> bool:
+        """Return whether any request is suspected of crashing workers."""
+        suspects = self._suspects_by_fingerprint
+        # The suspects are in the order of their last crash.
+        while suspects:
+            oldest = next(iter(suspects))
+            if now - suspects[oldest].last_at <= SUSPECT_TTL_S:
+                return True
+            del suspects[oldest]
+        return False
 
-    def record(self, fingerprint: str, now: float, crashes: int = 1) -> int:
-        """Count a lost worker; return the number of crashes of the request."""
-        previous, _ = self._crashes_by_fingerprint.pop(fingerprint, (0, 0.0))
-        if len(self._crashes_by_fingerprint) >= MAX_SUSPECTS:
-            oldest = next(iter(self._crashes_by_fingerprint))
-            del self._crashes_by_fingerprint[oldest]
-        self._crashes_by_fingerprint[fingerprint] = (previous + crashes, now)
-        return previous + crashes
+    def record(self, fingerprint: str, host_id: str, now: float) -> int:
+        """Count the crash of a worker; return the number of crashes of the request.
+
+        Several copies of a request may run at a worker when it crashes, and each
+        caller's node and the worker's own report the crash.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Identifies the request.
+        host_id : str
+            Host of the worker.
+        now : float
+            Seconds of the local clock.
+
+        Examples
+        --------
+        >>> table = CrashTable()
+        >>> table.record("x", "h1", 0.0), table.record("x", "h1", 0.5)
+        (1, 1)
+        >>> table.record("x", "h1", 3.0), table.record("x", "h2", 3.1)
+        (2, 3)
+        """
+        suspects = self._suspects_by_fingerprint
+        suspect = suspects.pop(fingerprint, None)
+        if suspect is None or now - suspect.last_at > SUSPECT_TTL_S:
+            suspect = _Suspect()
+        if len(suspects) >= MAX_SUSPECTS:
+            del suspects[next(iter(suspects))]
+        last_at = suspect.last_at_by_host.get(host_id, float("-inf"))
+        if now - last_at > SAME_CRASH_WINDOW_S:
+            suspect.crashes += 1
+        suspect.last_at = suspect.last_at_by_host[host_id] = now
+        suspects[fingerprint] = suspect
+        return suspect.crashes
 
     def is_blocked(self, fingerprint: str, now: float) -> bool:
         """Return whether a request must not be sent to any worker."""
-        crashes, last_at = self._crashes_by_fingerprint.get(fingerprint, (0, 0.0))
-        if crashes and now - last_at > SUSPECT_TTL_S:
-            del self._crashes_by_fingerprint[fingerprint]
+        suspect = self._suspects_by_fingerprint.get(fingerprint)
+        if suspect is None or now - suspect.last_at > SUSPECT_TTL_S:
             return False
-        return crashes >= CRASHES_TO_BLOCK
+        return suspect.crashes >= CRASHES_TO_BLOCK
 
     def clear(self, fingerprint: str) -> None:
         """Remove a request because a worker has completed it."""
-        self._crashes_by_fingerprint.pop(fingerprint, None)
+        self._suspects_by_fingerprint.pop(fingerprint, None)
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -56,6 +56,7 @@
 REFUSAL_BACKOFF_S = 0.05
 # Mean Retry-After of a node that is not ready or is draining, in seconds.
 UNAVAILABLE_RETRY_AFTER_S = 0.3
+FIRST_SERVER_ERROR = 500
 # An attempt is not started with less time than this before the deadline, in seconds.
 MIN_ATTEMPT_S = 0.02
 
@@ -197,7 +198,7 @@
         if request.deadline - now < MIN_ATTEMPT_S:
             self._refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, "no time is left")
             return
-        if self.crashes.has_suspects:
+        if self.crashes.has_suspects(now):
             request.fingerprint = self._make_fingerprint(request)
             if self.crashes.is_blocked(request.fingerprint, now):
                 reason = "workers were lost while they ran this request"
@@ -328,7 +329,7 @@
     def _deliver(self, request: OutboundRequest, reply: Reply, now: float) -> None:
         seconds = now - request.started_at
         self._metrics.record_response(request.route.name, reply.status, seconds)
-        if self.crashes.has_suspects and request.fingerprint:
+        if request.fingerprint and reply.status < FIRST_SERVER_ERROR:
             self.crashes.clear(request.fingerprint)
         log(
             "request.answered",
@@ -386,7 +387,7 @@
         request.excluded_host_ids.add(request.host_id)
         if is_crash:
             request.fingerprint = self._make_fingerprint(request)
-            self.crashes.record(request.fingerprint, now)
+            self.crashes.record(request.fingerprint, request.host_id, now)
         if (
             request.route.is_idempotent
             and not self.crashes.is_blocked(request.fingerprint, now)
--- a/tests/coordination/test_retry_limits.py
+++ b/tests/coordination/test_retry_limits.py
@@ -26,18 +26,28 @@
 def test_request_is_blocked_after_two_lost_workers():
     """Guards against a request that crashes one worker after another."""
     crashes = CrashTable()
-    crashes.record("x", 0.0)
+    crashes.record("x", "h1", 0.0)
     assert not crashes.is_blocked("x", 0.1)
-    crashes.record("x", 0.2)
+    crashes.record("x", "h2", 0.2)
     assert crashes.is_blocked("x", 0.3)
     assert not crashes.is_blocked("x", 100.0)
 
 
 def test_completed_request_is_no_longer_suspect():
     crashes = CrashTable()
-    crashes.record("x", 0.0)
+    crashes.record("x", "h1", 0.0)
+    assert crashes.has_suspects(0.1)
     crashes.clear("x")
-    assert not crashes.has_suspects
+    assert not crashes.has_suspects(0.1)
+
+
+def test_suspects_expire():
+    """Guards against requests that are hashed forever after one crash."""
+    crashes = CrashTable()
+    crashes.record("x", "h1", 0.0)
+    crashes.record("y", "h1", 30.0)
+    assert crashes.has_suspects(61.0)
+    assert not crashes.has_suspects(91.0)
 
 
 def test_retry_needs_an_attempt_and_time_left():
