Tell all hosts which requests ran when a worker crashed

Cause: each node counted only the crashes of requests that it had sent.

Change: the node beside the worker knows all requests that it ran, and tells them to all nodes in one message for each crash, relayed once to other zones.

--- a/bamboocove/coordination/retry_limits.py
+++ b/bamboocove/coordination/retry_limits.py
@@ -18,6 +18,7 @@
 # Crashes at one host within this time, in seconds, are one: a worker takes longer to
 # start again.
 SAME_CRASH_WINDOW_S = 1.0
+MAX_COMPLETED = 1000
 # Callers of one route use different timeouts: new requests of the users' sites
 # had 0.85 to 1 times the longest one.
 TIMEOUT_SPREAD = 0.15
@@ -189,3 +190,27 @@
     def clear(self, fingerprint: str) -> None:
         """Remove a request because a worker has completed it."""
         self._suspects_by_fingerprint.pop(fingerprint, None)
+
+
+@define
+class CompletedRequests:
+    """Requests that the worker on this host has completed recently.
+
+    If it crashes while it runs an equal one, that request is hardly the cause: the
+    worker may have crashed for any reason, and common requests are always in flight.
+    """
+
+    _completed_at_by_key: dict[int, float] = field(factory=dict)
+
+    def add(self, key: int, now: float) -> None:
+        """Record that the worker has completed a request with this hash."""
+        completed = self._completed_at_by_key
+        completed.pop(key, None)
+        completed[key] = now
+        if len(completed) > MAX_COMPLETED:
+            del completed[next(iter(completed))]
+
+    def is_recent(self, key: int, now: float) -> bool:
+        """Return whether an equal request was completed in ``SUSPECT_TTL_S``."""
+        completed_at = self._completed_at_by_key.get(key)
+        return completed_at is not None and now - completed_at <= SUSPECT_TTL_S
--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -370,6 +370,22 @@
     stream: int
 
 
+@frozen
+class CrashNotice:
+    """Requests that a worker ran when it crashed.
+
+    Parameters
+    ----------
+    host_id : str
+        Host of the worker.
+    fingerprints_by_caller : dict of str to list of bytes
+        Fingerprints of the requests, by the service of their callers.
+    """
+
+    host_id: str
+    fingerprints_by_caller: dict[str, list[bytes]]
+
+
 # The index of a type is its number on the wire; new types are added at the end.
 _MESSAGE_TYPES = (
     Greeting,
@@ -393,6 +409,7 @@
     HostsRequest,
     BodyOffer,
     BodyGrant,
+    CrashNotice,
 )
 _FIELD_NAMES_BY_TYPE = {
     cls: tuple(f.name for f in fields(cls)) for cls in _MESSAGE_TYPES
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -20,11 +20,13 @@
 from bamboocove.events import run_logged
 from bamboocove.lifecycle import LifecycleHooks, make_lifecycle
 from bamboocove.protocol.mesh_messages import (
+    CrashNotice,
     Greeting,
     HostRecords,
     StateRequest,
     SuspectReport,
 )
+from bamboocove.sidecar.crash_reports import CrashReports
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.dissemination import Dissemination
 from bamboocove.sidecar.endpoints import (
@@ -137,6 +139,7 @@
             self.clock,
             self.rule_table.is_allowed,
             lambda worker: self.hosts.publish(),
+            CrashReports(settings.host_id, self.clock, self._send_crash_notice),
         )
         self.hosts = HostDirectory(
             settings,
@@ -454,6 +457,10 @@
     def _on_ping_timeout(self, host_id: str) -> None:
         self.dissemination.broadcast_in_zone(SuspectReport(host_id))
 
+    def _send_crash_notice(self, notice: CrashNotice) -> None:
+        self.outbound.record_crashes(notice, self.clock.seconds())
+        self.dissemination.broadcast(notice)
+
     def _on_suspect(self, host_id: str) -> None:
         self.outbound.on_host_suspect(host_id, self.clock.seconds())
 
--- /dev/null
+++ b/bamboocove/sidecar/crash_reports.py
@@ -0,0 +1,84 @@
+"""Reports of requests that were running when the worker on this host crashed.
+
+Each caller's node knows only the crashes of its own requests, so a request that comes
+again at many hosts would crash a worker for each of them. The node beside the worker
+knows all requests that it ran, and tells the others in one message for each crash.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from attrs import define, field
+
+from bamboocove.coordination.fingerprints import digest_body, make_fingerprint
+from bamboocove.coordination.retry_limits import CompletedRequests
+from bamboocove.protocol.mesh_messages import CrashNotice, Forward
+
+# Time for which the requests of one crash are collected, in seconds: their connections
+# end at the same moment.
+COLLECT_S = 0.05
+# Start of a body that is compared, in bytes.
+COMPARED_BODY_BYTES = 4096
+
+
+@define
+class CrashReports:
+    """Decides which requests are suspected of a crash, and collects them.
+
+    Parameters
+    ----------
+    host_id : str
+        This host.
+    clock : reactor
+        Source of time.
+    send : callable
+        Called with the CrashNotice of each crash.
+    """
+
+    host_id: str
+    clock: Any
+    send: Callable[[CrashNotice], None]
+    _completed: CompletedRequests = field(factory=CompletedRequests)
+    _fingerprints_by_caller: dict[str, set[bytes]] = field(factory=dict)
+
+    def record_completed(self, forward: Forward) -> None:
+        """Record that the worker has completed a request."""
+        self._completed.add(_make_key(forward), self.clock.seconds())
+
+    def record_crash(self, forward: Forward) -> bool:
+        """Report a request that ran when the worker crashed, if it is suspect.
+
+        Returns
+        -------
+        is_suspect : bool
+            Whether the worker has not completed an equal request recently.
+        """
+        if self._completed.is_recent(_make_key(forward), self.clock.seconds()):
+            return False
+        if not self._fingerprints_by_caller:
+            self.clock.callLater(COLLECT_S, self._send_notice)
+        fingerprint = make_fingerprint(
+            (
+                forward.caller,
+                forward.method,
+                forward.target,
+                digest_body(forward.body),
+            )
+        )
+        fingerprints = self._fingerprints_by_caller.setdefault(forward.caller, set())
+        fingerprints.add(bytes.fromhex(fingerprint))
+        return True
+
+    def _send_notice(self) -> None:
+        collected, self._fingerprints_by_caller = self._fingerprints_by_caller, {}
+        by_caller = {caller: sorted(prints) for caller, prints in collected.items()}
+        self.send(CrashNotice(self.host_id, by_caller))
+
+    def reset(self) -> None:
+        """Forget what an earlier worker has completed."""
+        self._completed = CompletedRequests()
+
+
+def _make_key(forward: Forward) -> int:
+    body = forward.body[:COMPARED_BODY_BYTES]
+    return hash((forward.caller, forward.method, forward.target, body))
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -22,6 +22,7 @@
     Forward,
     Reply,
 )
+from bamboocove.sidecar.crash_reports import CrashReports
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.inbound_request import (
     FIRST_ERROR_STATUS,
@@ -60,6 +61,7 @@
 # Number of priorities whose expected waits are reported, starting at -1.
 REPORTED_PRIORITIES = 4
 MISDIRECTED_REQUEST_STATUS = 421
+FIRST_SERVER_ERROR = 500
 
 
 class InboundProxy:
@@ -78,6 +80,8 @@
         requests.
     on_worker : callable
         Called with the worker when its state has changed.
+    crash_reports : CrashReports
+        Reports of requests that ran when the worker crashed.
     """
 
     def __init__(
@@ -87,12 +91,14 @@
         clock: Any,
         is_version_allowed: Callable[[str, str], bool],
         on_worker: Callable[[MeshWorker], None],
+        crash_reports: CrashReports,
     ):
         self._address = address
         self._dialect = dialect
         self._clock = clock
         self._is_version_allowed = is_version_allowed
         self._on_worker = on_worker
+        self.crash_reports = crash_reports
         self._pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
         self._consecutive_timeouts = 0
         self._last_response_at = 0.0
@@ -142,6 +148,7 @@
         self._failure_average = 0.0
         self.tallies_by_route = {}
         self.queue = WorkerQueue(1)
+        self.crash_reports.reset()
 
     def _on_limit(self, limit_per_s: float) -> None:
         self.queue.limiter.set_limit(limit_per_s, self._clock.seconds())
@@ -357,7 +364,9 @@
             if status == MISDIRECTED_REQUEST_STATUS:
                 self.watch.mark_down("another worker answered at its address")
             return
-        self._end(request, ANSWERED, is_failure=status >= 500)
+        if status < FIRST_SERVER_ERROR:
+            self.crash_reports.record_completed(request.forward)
+        self._end(request, ANSWERED, is_failure=status >= FIRST_SERVER_ERROR)
 
     def on_response_lost(self, request: InboundRequest, reason: str) -> None:
         """Handle a request whose response was lost.
@@ -385,7 +394,11 @@
         self._end(request, LOST, is_failure=True, reason=reason)
 
     def _on_worker_crashed(self, request: InboundRequest, reason: str) -> None:
-        self._end(request, CRASHED, is_failure=True, reason=reason)
+        if request.is_ended:
+            return
+        is_suspect = self.crash_reports.record_crash(request.forward)
+        outcome = CRASHED if is_suspect else LOST
+        self._end(request, outcome, is_failure=True, reason=reason)
         self.watch.mark_down(reason)
 
     def _on_deadline(self, request: InboundRequest) -> None:
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -8,6 +8,7 @@
     Cancel,
     ConfigCopy,
     ConfigDelta,
+    CrashNotice,
     Forward,
     HostRecords,
     HostsOffer,
@@ -114,6 +115,8 @@
         application.hosts.answer_repair(link, message)
     elif isinstance(message, SuspectReport):
         application.hub.probe(message.host_id, now)
+    elif isinstance(message, CrashNotice):
+        application.outbound.record_crashes(message, now)
     elif isinstance(message, StateRequest):
         _send_state(application, link, message)
     elif isinstance(message, LoadUpdate):
@@ -146,7 +149,7 @@
         dissemination.load_relay.add_remote(relayed.loads_by_id)
     elif isinstance(relayed, OutcomeBatch):
         dissemination.outcome_batches.add_remote(relayed.items)
-    elif isinstance(relayed, HostRecords | RulesUpdate):
+    elif isinstance(relayed, CrashNotice | HostRecords | RulesUpdate):
         dissemination.relay(message)
     else:
         return
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -27,6 +27,7 @@
     TIMED_OUT,
     WRONG_WORKER,
     BodyGrant,
+    CrashNotice,
     Reply,
 )
 from bamboocove.sidecar.attempts import Attempt, AttemptTable
@@ -405,6 +406,11 @@
             return
         self._fail(request, ErrorKind.UPSTREAM_LOST, reason)
 
+    def record_crashes(self, notice: CrashNotice, now: float) -> None:
+        """Record the suspects of a crash that callers of this service may send."""
+        for fingerprint in notice.fingerprints_by_caller.get(self.settings.service, ()):
+            self.crashes.record(fingerprint.hex(), notice.host_id, now)
+
     def on_host_lost(self, host_id: str, now: float) -> None:
         """Retry or fail the requests in flight to a host whose link was lost."""
         for attempt in self._attempts.find(host_id):
