Await answers of workers until the grace period ends

Callers of a node in a planned stop got 502 "the node stops before the answer has arrived" 5.40 s after SIGTERM, though the worker was done before the process had to be gone at 6 s.

Cause: the drain ended all requests at nine tenths of the grace period. The four cases of the new test got 502.

Change: at nine tenths only what no worker can have got is refused, and nothing is started any more. What a worker has is awaited until 0.24 s before the end of the grace period. Requests accepted late must still end by nine tenths, so the rest of the time is theirs alone. A node whose timers are late ends them earlier by as much, since its last steps take longer too, and one that was held up counts the grace period from when it last ran.

The four cases pass with an answer 0.43 s before the end of a grace period of 4.8 s. Quiet stops end as before.

--- /dev/null
+++ b/bamboocove/coordination/drain_window.py
@@ -0,0 +1,107 @@
+"""Planned stops: which requests a node still takes, and when it ends the others."""
+
+from attrs import frozen
+
+# Fraction of the grace period that is kept free of answers to requests taken late in a
+# stop, for those that take longer than expected.
+RESERVED_FRACTION = 0.1
+# Time before the end of the grace period at which a node that runs on time ends what is
+# open, in seconds: error responses are written, links closed, callers read.
+FINISH_S = 0.24
+# Time before the end of the grace period after which a node no longer waits for callers
+# and peers, in seconds; the interpreter takes about half of it to exit.
+EXIT_S = 0.1
+
+
+@frozen
+class DrainWindow:
+    """Times that bound which requests a stopping node takes.
+
+    Parameters
+    ----------
+    refuse_at : float
+        Time from which requests are refused that may have no response at ``end_at``.
+    end_at : float
+        Time by which the responses must be there; both in seconds of the local clock.
+    """
+
+    refuse_at: float
+    end_at: float
+
+    def is_open(self, now: float, ends_by: float) -> bool:
+        """Return whether to take a request.
+
+        Callers may keep sending for seconds after the readiness check has failed.
+
+        Parameters
+        ----------
+        now, ends_by : float
+            Time, and time at which the request ends at the latest, in seconds of the
+            local clock.
+        """
+        return now < self.refuse_at or ends_by <= self.end_at
+
+
+NOT_DRAINING = DrainWindow(float("inf"), float("inf"))
+
+
+@frozen
+class StopSchedule:
+    """Times of a planned stop.
+
+    Parameters
+    ----------
+    started_at : float
+        When the node was told to stop, in seconds of the local clock.
+    grace_s : float
+        Time after which the process is killed, in seconds.
+    """
+
+    started_at: float
+    grace_s: float
+
+    @property
+    def last_answer_at(self) -> float:
+        """When what no worker has got is refused, and nothing is started any more."""
+        return self.started_at + (1 - RESERVED_FRACTION) * self.grace_s
+
+    @property
+    def flushed_by(self) -> float:
+        """When the node no longer waits for callers to read their answers."""
+        return self.started_at + self.grace_s - EXIT_S
+
+    def get_end(self, lag_s: float) -> float:
+        """Return when the requests at whose worker is still at work are ended.
+
+        Parameters
+        ----------
+        lag_s : float
+            Time by which the node's timers are late, in seconds: its last steps will
+            take longer by as much.
+        """
+        end_at = self.started_at + self.grace_s - FINISH_S - lag_s
+        return max(self.last_answer_at, end_at)
+
+
+def estimate_lag(now: float, ticks: tuple[float, float], interval_s: float) -> float:
+    """Return for how long a signal may have waited for the process, in seconds.
+
+    Parameters
+    ----------
+    now : float
+        Time at which the signal is handled, in seconds of the local clock.
+    ticks : tuple of float
+        Last two times at which a periodic timer has run. The last one may have run
+        after the signal had been sent.
+    interval_s : float
+        Interval of that timer, in seconds.
+
+    Examples
+    --------
+    >>> estimate_lag(8.25, (7.5, 8.0), 0.5)
+    0.0
+    >>> estimate_lag(8.0, (6.5, 8.0), 0.5)
+    1.0
+    """
+    earlier, last = ticks
+    return max(0.0, max(now - last, last - earlier) - interval_s)
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from bamboocove.coordination.body_grants import BodyGrants
+from bamboocove.coordination.drain_window import NOT_DRAINING, estimate_lag
 from bamboocove.coordination.load_reports import LoadReporter
 from bamboocove.coordination.readers import ReaderRole
 from bamboocove.coordination.record_repair import RecordRepair
@@ -47,7 +48,6 @@
 from bamboocove.sidecar.metrics import MeshMetrics
 from bamboocove.sidecar.moves import MoveController
 from bamboocove.sidecar.outbound import OutboundProxy
-from bamboocove.sidecar.outbound_request import NOT_DRAINING
 from bamboocove.sidecar.rules import RuleTable
 from bamboocove.sidecar.settings import HostSettings
 from bamboocove.sidecar.shutdown import drain
@@ -213,6 +213,7 @@
         self._ports: list[Any] = []
         self._ticker = LoopingCall(self._tick)
         self._ticker.clock = self.clock
+        self._last_ticks = (0.0, 0.0)
         self._next_sweep_at = 0.0
         self._next_exchange_at = 0.0
         self._was_reading = False
@@ -276,6 +277,8 @@
     def _start_ticker(self) -> None:
         # An exception ends the loop, and without it the node neither dials lost links
         # nor probes its worker.
+        now = self.clock.seconds()
+        self._last_ticks = (now, now)
         self._ticker.start(TICK_S, now=False).addErrback(self._on_tick_failed)
 
     def _on_tick_failed(self, failure: Failure) -> None:
@@ -287,6 +290,10 @@
         """Whether the node is shutting down."""
         return self.outbound.router.drain_window is not NOT_DRAINING
 
+    def get_lag(self) -> float:
+        """Return for how long a signal may have waited for this process, in seconds."""
+        return estimate_lag(self.clock.seconds(), self._last_ticks, TICK_S)
+
     def drain(self) -> None:
         """Begin a graceful shutdown; ``finished`` fires when it is complete."""
         self.lifecycle.drain()
@@ -326,6 +333,7 @@
 
     def _tick(self) -> None:
         now = self.clock.seconds()
+        self._last_ticks = (self._last_ticks[1], now)
         self.hub.tick(now)
         self.inbound.tick(now)
         self.moves.tick(now)
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -148,24 +148,38 @@
 
     def end_requests(self) -> None:
         """Respond to all open requests with an error, because the node stops."""
+        self._end_requests(list(self._requests))
+
+    def refuse_unsent(self) -> None:
+        """Refuse the open requests that no worker can have got; the node will stop."""
+        self._end_requests([r for r in self._requests if not self._may_be_sent(r)])
+
+    def _may_be_sent(self, request: OutboundRequest) -> bool:
+        return request.may_have_run or self._attempts.has_sent(request)
+
+    def _end_requests(self, requests: list[OutboundRequest]) -> None:
         now = self._clock.seconds()
-        for request in list(self._requests):
-            request.exchange.is_keep_alive = False
-            is_sent = request.may_have_run or self._attempts.has_sent(request)
+        for request in requests:
+            if request.is_ended:
+                continue
             log(
                 "request.open-at-stop",
                 id=request.attempt_id,
                 host=request.host_id,
-                is_sent=is_sent,
+                is_sent=self._may_be_sent(request),
                 held_s=round(now - request.started_at, 3),
                 left_s=round(request.deadline - now, 3),
             )
-            if is_sent:
-                reason = "the node stops before the answer has arrived"
-                error = ErrorResult(ErrorKind.UPSTREAM_LOST, reason)
-            else:
-                error = ErrorResult(ErrorKind.DRAINING, "the node is stopping")
-            self._respond_with_error(request, error, self._get_retry_after(error))
+            self._respond_stopping(request)
+
+    def _respond_stopping(self, request: OutboundRequest) -> None:
+        request.exchange.is_keep_alive = False
+        if self._may_be_sent(request):
+            reason = "the node stops before the answer has arrived"
+            error = ErrorResult(ErrorKind.UPSTREAM_LOST, reason)
+        else:
+            error = ErrorResult(ErrorKind.DRAINING, "the node is stopping")
+        self._respond_with_error(request, error, self._get_retry_after(error))
 
     def _get_retry_after(self, error: ErrorResult) -> float:
         if error.kind in (ErrorKind.NOT_READY, ErrorKind.DRAINING):
@@ -210,8 +224,11 @@
     def _dispatch(self, request: OutboundRequest, now: float) -> None:
         """Send a request to the best host that has not refused or failed it.
 
-        Answers with an error if no host is left.
+        Answers with an error if no host is left, or if the node stops too soon.
         """
+        if now >= self.router.drain_window.end_at:
+            self._respond_stopping(request)
+            return
         while True:
             views = self._candidates.select(request)
             view = None
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -3,8 +3,9 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, field, frozen
+from attrs import define, field
 
+from bamboocove.coordination.drain_window import NOT_DRAINING
 from bamboocove.coordination.placement import HostView
 from bamboocove.coordination.retry_limits import CallerWaitEstimator
 from bamboocove.coordination.route_table import (
@@ -26,42 +27,6 @@
 DEADLINE_GRACE_S = 0.12
 
 
-@frozen
-class DrainWindow:
-    """Times that bound which requests a draining node accepts.
-
-    Parameters
-    ----------
-    refuse_at : float
-        Time from which requests are refused that may have no response at ``end_at``.
-    end_at : float
-        Time at which the drain ends; both in seconds of the local clock.
-    """
-
-    refuse_at: float
-    end_at: float
-
-    def is_open(self, now: float, deadline: float, is_internal: bool) -> bool:
-        """Return whether to accept a request.
-
-        Callers may keep sending for seconds after the readiness check has failed.
-        Calls that a worker makes for a request that it runs are part of that one.
-
-        Parameters
-        ----------
-        now, deadline : float
-            Time, and deadline of the request, in seconds of the local clock.
-        is_internal : bool
-            Whether the worker on this host sends it for a request that it runs.
-        """
-        if now < self.refuse_at or now < self.end_at and is_internal:
-            return True
-        return deadline + DEADLINE_GRACE_S <= self.end_at
-
-
-NOT_DRAINING = DrainWindow(float("inf"), float("inf"))
-
-
 @define(eq=False)
 class OutboundRequest:
     """A request of a caller and the state of its attempts.
@@ -231,7 +196,9 @@
         left_s = min(route.timeout_s, caller_timeout_s)
         attempt_id = get_header(headers, self._dialect.attempt_id) or b""
         is_internal = self._is_running(self._dialect.get_parent(attempt_id))
-        if not drain_window.is_open(now, now + left_s, is_internal):
+        ends_by = now + left_s + DEADLINE_GRACE_S
+        is_call = is_internal and now < drain_window.end_at
+        if not is_call and not drain_window.is_open(now, ends_by):
             return ErrorResult(ErrorKind.DRAINING, "the node is stopping")
         return OutboundRequest(
             exchange,
--- a/bamboocove/sidecar/shutdown.py
+++ b/bamboocove/sidecar/shutdown.py
@@ -4,8 +4,8 @@
 
 from twisted.internet.task import deferLater
 
+from bamboocove.coordination.drain_window import DrainWindow, StopSchedule
 from bamboocove.sidecar.logs import log
-from bamboocove.sidecar.outbound_request import DrainWindow
 
 # Interval at which the drain checks for requests in flight, in seconds.
 POLL_INTERVAL_S = 0.05
@@ -16,10 +16,6 @@
 # requests for its worker, in seconds. Requests that are then running complete
 # while callers are still being drained.
 WORKER_DRAIN_DELAY_S = 1.9
-# Fraction of the grace period for which a shutdown waits for requests in flight, and
-# fraction after which it no longer waits until callers have read their answers.
-GRACE_FRACTION = 0.9
-FLUSH_FRACTION = 0.97
 
 
 async def drain(application: Any) -> None:
@@ -38,26 +34,41 @@
         application.outbound,
         application.inbound,
     )
-    started_at = clock.seconds()
-    log("node.draining", in_flight=outbound.in_flight + inbound.in_flight)
-    grace_s = application.settings.bounds.grace_s
-    ends_at = started_at + GRACE_FRACTION * grace_s
-    flushed_by = started_at + FLUSH_FRACTION * grace_s
-    outbound.router.drain_window = DrainWindow(started_at + CALLER_DRAIN_S, ends_at)
-    # The worker keeps serving other hosts while callers on this host are drained.
-    await deferLater(clock, WORKER_DRAIN_DELAY_S)
-    inbound.is_draining = True
-    application.hosts.publish()
-    while clock.seconds() < ends_at:
-        await deferLater(clock, POLL_INTERVAL_S)
+    lag_s = application.get_lag()
+    # The signal may have waited for a process that did not run.
+    schedule = StopSchedule(
+        clock.seconds() - lag_s, application.settings.bounds.grace_s
+    )
+    started_at, last_answer_at = schedule.started_at, schedule.last_answer_at
+    log(
+        "node.draining",
+        in_flight=outbound.in_flight + inbound.in_flight,
+        lag_s=round(lag_s, 3),
+    )
+    callers_drained_at = started_at + CALLER_DRAIN_S
+    worker_drain_at = started_at + WORKER_DRAIN_DELAY_S
+    outbound.router.drain_window = DrainWindow(callers_drained_at, last_answer_at)
+    has_refused_waiting = False
+    while (now := clock.seconds()) < schedule.get_end(lag_s):
         is_idle = not outbound.in_flight and not inbound.in_flight
-        if is_idle and clock.seconds() - started_at >= CALLER_DRAIN_S:
+        if is_idle and now >= callers_drained_at:
             break
+        # The worker keeps serving other hosts while callers on this host are drained.
+        if now >= worker_drain_at and not inbound.is_draining:
+            inbound.is_draining = True
+            application.hosts.publish()
+        if now >= last_answer_at and not has_refused_waiting:
+            has_refused_waiting = True
+            outbound.refuse_unsent()
+            inbound.refuse_waiting("node is stopping")
+        await deferLater(clock, POLL_INTERVAL_S)
+        lag_s = max(lag_s, clock.seconds() - now - POLL_INTERVAL_S)
     now = clock.seconds()
     outbound.router.drain_window = DrainWindow(now, now)
     log(
         "node.drained",
         seconds=round(now - started_at, 3),
+        lag_s=round(lag_s, 3),
         outbound=outbound.in_flight,
         inbound=inbound.in_flight,
         connections=len(application.connections),
@@ -71,7 +82,7 @@
     application.close_ports()
     application.watch.stop()
     await deferLater(clock, POLL_INTERVAL_S)
-    while application.has_callers() and clock.seconds() < flushed_by:
+    while application.has_callers() and clock.seconds() < schedule.flushed_by:
         await deferLater(clock, POLL_INTERVAL_S)
     await application.hub.stop()
     application.finish()
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -6,7 +6,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 
-from bamboocove.sidecar.outbound_request import DrainWindow
+from bamboocove.coordination.drain_window import DrainWindow
 from tests.callpath import run, run_reactor_until
 from tests.sidecar.hosts import (
     HostMesh,
--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -25,13 +25,13 @@
     mesh.close()
 
 
-def make_hosts(mesh, *services):
+def make_hosts(mesh, *services, grace_s=GRACE_S):
     """Return hosts with a short grace period, one for each service."""
     hosts = [mesh.add(service) for service in services]
     mesh.settle()
     run_reactor_until(lambda: mesh.get_versions() == [2] * len(hosts))
     for host in hosts:
-        bounds = evolve(host.node.settings.bounds, grace_s=GRACE_S)
+        bounds = evolve(host.node.settings.bounds, grace_s=grace_s)
         host.node.settings = evolve(host.node.settings, bounds=bounds)
     return hosts
 
@@ -39,7 +39,7 @@
 def start_stop(host):
     """Start the planned stop of a host's node; return the time of its end."""
     host.node.drain()
-    return reactor.seconds() + shutdown.GRACE_FRACTION * GRACE_S
+    return host.node.outbound.router.drain_window.end_at
 
 
 def caller_drained_at(host):
@@ -161,3 +161,35 @@
     opened = [fields for event, fields in lines if event == "request.open-at-stop"]
     assert [fields["id"] for fields in opened] == [b"a1", b"a1"]
     assert (opened[0]["is_running"], opened[1]["is_sent"]) == (True, True)
+
+
+def wait_until(now):
+    run_reactor_until(lambda: reactor.seconds() >= now)
+
+
+@pytest.mark.parametrize("path", ["/read/1", "/pay/1"])
+@pytest.mark.parametrize("services", [("orders",), ("ledger", "orders")])
+def test_answer_that_comes_before_the_grace_period_is_over_is_delivered(
+    mesh, services, path
+):
+    """Guards against an error in place of an answer whose worker is at work."""
+    grace_s = 4.8
+    hosts = make_hosts(mesh, *services, grace_s=grace_s)
+    hosts[-1].request_handler = lambda exchange: None
+    caller = open_call(hosts[0], path)
+    run_reactor_until(lambda: hosts[-1].requests)
+    end_at = reactor.seconds() + grace_s
+    hosts[0].node.drain()
+    wait_until(end_at - 0.43)
+    hosts[-1].respond(hosts[-1].requests[0])
+    assert read_response(caller)[0] == 200
+    run_reactor_until(lambda: hosts[0].node.finished.called)
+    assert reactor.seconds() < end_at
+
+
+def test_quiet_planned_stop_ends_as_soon_as_callers_are_drained(mesh):
+    """Guards against a stop that takes longer than it has to."""
+    hosts = make_hosts(mesh, "ledger", "orders", grace_s=6.0)
+    for host in hosts:
+        start_stop(host)
+        run_reactor_until(lambda host=host: host.node.finished.called, 1.0)
