Refuse calls that cannot end before a planned stop does

A worker's call that its stopping node took up to 5.4 s after SIGTERM was passed on and cut there a few hundredths of a second later.

Cause: `DrainWindow.is_open` took any call of a running request until the end, whether its answer could arrive by then or not.

Change: such a call is taken if its deadline lies before that time, or if the slowest answer of its route over the last 30 to 60 s would be there by then; for a route without answers, the latency objective counts. Otherwise it gets 503 at once and does not run. Quick calls are still served until shortly before the end, because the request that makes them fails without them. Their mean time would let one call in two through too late.

--- a/bamboocove/coordination/drain_window.py
+++ b/bamboocove/coordination/drain_window.py
@@ -1,6 +1,6 @@
 """Planned stops: which requests a node still takes, and when it ends the others."""
 
-from attrs import frozen
+from attrs import define, field, frozen
 
 # Fraction of the grace period that is kept free of answers to requests taken late in a
 # stop, for those that take longer than expected.
@@ -9,8 +9,10 @@
 # open, in seconds: error responses are written, links closed, callers read.
 FINISH_S = 0.24
 # Time before the end of the grace period after which a node no longer waits for callers
-# and peers, in seconds; the interpreter takes about half of it to exit.
+# and peers, in seconds, so that the interpreter can exit by itself.
 EXIT_S = 0.1
+# Time for which the slowest response of a route is remembered at least, in seconds.
+MEMORY_S = 30.0
 
 
 @frozen
@@ -28,7 +30,9 @@
     refuse_at: float
     end_at: float
 
-    def is_open(self, now: float, ends_by: float) -> bool:
+    def is_open(
+        self, now: float, ends_by: float, slowest_s: float | None = None
+    ) -> bool:
         """Return whether to take a request.
 
         Callers may keep sending for seconds after the readiness check has failed.
@@ -38,8 +42,13 @@
         now, ends_by : float
             Time, and time at which the request ends at the latest, in seconds of the
             local clock.
+        slowest_s : float, optional
+            Time that such requests take at most, in seconds, if a request is to be
+            taken because of it although its deadline is later.
         """
-        return now < self.refuse_at or ends_by <= self.end_at
+        if now < self.refuse_at or ends_by <= self.end_at:
+            return True
+        return slowest_s is not None and now + slowest_s <= self.end_at
 
 
 NOT_DRAINING = DrainWindow(float("inf"), float("inf"))
@@ -105,3 +114,30 @@
     """
     earlier, last = ticks
     return max(0.0, max(now - last, last - earlier) - interval_s)
+
+
+@define
+class SlowestResponses:
+    """Longest response time of each route over the last 30 to 60 seconds."""
+
+    _seconds_by_route: dict[str, float] = field(factory=dict)
+    _earlier_by_route: dict[str, float] = field(factory=dict)
+    _since: float = 0.0
+
+    def record(self, route: str, seconds: float, now: float) -> None:
+        """Add the time that one response took."""
+        if now - self._since > MEMORY_S:
+            is_recent = now - self._since <= 2 * MEMORY_S
+            self._earlier_by_route = self._seconds_by_route if is_recent else {}
+            self._seconds_by_route = {}
+            self._since = now
+        if seconds > self._seconds_by_route.get(route, 0.0):
+            self._seconds_by_route[route] = seconds
+
+    def get(self, route: str, default_s: float) -> float:
+        """Return the longest time; ``default_s`` for a route without responses."""
+        slowest_s = max(
+            self._seconds_by_route.get(route, 0.0),
+            self._earlier_by_route.get(route, 0.0),
+        )
+        return slowest_s or default_s
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -542,6 +542,10 @@
 
     def _finish(self, request: OutboundRequest) -> None:
         request.is_ended = True
+        if request.passed_at is not None:
+            now = self._clock.seconds()
+            seconds = now - request.received_at
+            self.router.slowest.record(request.route.name, seconds, now)
         self._attempts.cancel_all(request)
         self._requests.discard(request)
         timer, request.timer = request.timer, None
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -5,7 +5,7 @@
 
 from attrs import define, field
 
-from bamboocove.coordination.drain_window import NOT_DRAINING
+from bamboocove.coordination.drain_window import NOT_DRAINING, SlowestResponses
 from bamboocove.coordination.placement import HostView
 from bamboocove.coordination.retry_limits import CallerWaitEstimator
 from bamboocove.coordination.route_table import (
@@ -133,6 +133,8 @@
         Configuration in force.
     drain_window : DrainWindow
         Bounds on new requests while the node drains; else ``NOT_DRAINING``.
+    slowest : SlowestResponses
+        Time until the responses of each route, from when the request was received.
     """
 
     def __init__(
@@ -148,6 +150,7 @@
         self._caller_waits = CallerWaitEstimator()
         self.config = MeshConfig()
         self.drain_window = NOT_DRAINING
+        self.slowest = SlowestResponses()
 
     def use_config(self, config: MeshConfig) -> ErrorResult | None:
         """Apply a configuration.
@@ -196,9 +199,7 @@
         left_s = min(route.timeout_s, caller_timeout_s)
         attempt_id = get_header(headers, self._dialect.attempt_id) or b""
         is_internal = self._is_running(self._dialect.get_parent(attempt_id))
-        ends_by = now + left_s + DEADLINE_GRACE_S
-        is_call = is_internal and now < drain_window.end_at
-        if not is_call and not drain_window.is_open(now, ends_by):
+        if not self.may_take(route, now, now + left_s, is_internal):
             return ErrorResult(ErrorKind.DRAINING, "the node is stopping")
         return OutboundRequest(
             exchange,
@@ -213,6 +214,22 @@
             now + caller_timeout_s,
         )
 
+    def may_take(
+        self, route: HostRoute, now: float, deadline: float, is_internal: bool
+    ) -> bool:
+        """Return whether a request may be taken although the node stops.
+
+        A call that a worker makes for a request that it runs is part of that one, which
+        fails without it. It is also taken if it can be expected to end in time.
+        """
+        window = self.drain_window
+        if window is NOT_DRAINING:
+            return True
+        slowest_s = None
+        if is_internal:
+            slowest_s = self.slowest.get(route.name, route.target_s)
+        return window.is_open(now, deadline + DEADLINE_GRACE_S, slowest_s)
+
     def _strip(self, headers: list) -> list[list[bytes]]:
         dialect = self._dialect
         hop_fields = (dialect.time_left_ms, dialect.worker_id, dialect.caller_service)
--- a/tests/coordination/test_drain_window.py
+++ b/tests/coordination/test_drain_window.py
@@ -5,7 +5,9 @@
 from hypothesis import strategies as st
 
 from bamboocove.coordination.drain_window import (
+    MEMORY_S,
     DrainWindow,
+    SlowestResponses,
     StopSchedule,
     estimate_lag,
 )
@@ -53,3 +55,21 @@
     assert window.is_open(1.9, 9.0)
     assert window.is_open(4.0, 5.0)
     assert not window.is_open(4.0, 5.1)
+    assert window.is_open(4.0, 9.0, 0.9)
+    assert not window.is_open(4.0, 9.0, 1.1)
+
+
+def test_slowest_response_of_a_route_is_remembered_for_a_while():
+    slowest = SlowestResponses()
+    assert slowest.get("read", 0.3) == 0.3
+    slowest.record("read", 0.2, 1000.0)
+    slowest.record("read", 0.1, 1001.0)
+    slowest.record("pay", 0.9, 1002.0)
+    assert slowest.get("read", 0.3) == 0.2
+    slowest.record("read", 0.1, 1001.0 + MEMORY_S)
+    assert slowest.get("read", 0.3) == 0.2
+    slowest.record("read", 0.1, 1002.0 + 2 * MEMORY_S)
+    assert slowest.get("read", 0.3) == 0.1
+    # Nothing was recorded for long.
+    slowest.record("pay", 0.1, 2000.0)
+    assert slowest.get("read", 0.3) == 0.3
--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -193,3 +193,30 @@
     for host in hosts:
         start_stop(host)
         run_reactor_until(lambda host=host: host.node.finished.called, 1.0)
+
+
+def answer_after(host, delay_s):
+    """Let a host's worker respond to each request after a time in seconds."""
+    host.request_handler = lambda exchange: reactor.callLater(
+        delay_s, host.respond, exchange
+    )
+
+
+@pytest.mark.parametrize("work_s, status", [(0.02, 200), (0.6, 503)])
+def test_call_late_in_a_planned_stop_is_served_if_it_can_end(mesh, work_s, status):
+    """Guards against a call that is passed on late and cut at the end."""
+    host, target = make_hosts(mesh, "ledger", "orders")
+    answer_after(target, work_s)
+    assert host.call(left_ms=LEFT_MS, attempt="a0")[0] == 200
+    host.node.inbound._running_ids.add(b"a1")
+    # Without an open request the node would stop as soon as callers are drained.
+    target.request_handler = lambda exchange: None
+    held = open_call(host, "/pay/1", attempt="a2")
+    run_reactor_until(lambda: len(target.requests) == 2)
+    answer_after(target, work_s)
+    target.requests.clear()
+    end_at = start_stop(host)
+    wait_until(end_at - 0.45)
+    assert host.call(left_ms=LEFT_MS, attempt="a1.1")[0] == status
+    assert len(target.requests) == (status == 200)
+    held.close()
