Take no request beside the worker that a planned stop would cut

Callers of other hosts got 502 "the host was lost" for requests that a stopping host had taken for its worker, up to 1.9 s after SIGTERM or from its queue later.

Cause: the side beside the worker did not ask whether a request could end before the node does; only the side of the callers did, from 2.3 s on. Evidence: with responses of 1.2 s and a grace period of 1.5 s, requests sent 0.25 s after the signal reached the worker and got 502, or ran twice; one that waited in the queue was started 0.8 s after it and got 502.

Change: from the signal on, the inbound proxy refuses a request, or the offer of a body, if neither its deadline nor the slowest response of its route of late lies before nine tenths of the grace period. It asks again while the request waits. A refusal means "not run", so the caller's node asks another host, or answers 503 if there is none. Quick requests are still taken until 1.9 s, because the worker may be the only one of its service.

--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from bamboocove.coordination.drain_window import NOT_DRAINING, SlowestResponses
 from bamboocove.coordination.version_comparison import Tally
 from bamboocove.coordination.worker_queue import QueuedRequest, WorkerQueue
 from bamboocove.protocol.mesh_messages import (
@@ -62,6 +63,7 @@
 REPORTED_PRIORITIES = 4
 MISDIRECTED_REQUEST_STATUS = 421
 FIRST_SERVER_ERROR = 500
+STOPPING_REASON = "the node beside the worker stops too soon"
 
 
 class InboundProxy:
@@ -118,6 +120,8 @@
         )
         self.tallies_by_route: dict[str, Tally] = {}
         self.is_draining = False
+        self.drain_window = NOT_DRAINING
+        self._slowest = SlowestResponses()
 
     # State of the worker.
 
@@ -159,6 +163,19 @@
         for entry in waiting:
             self._end(entry.payload, REFUSED, reason=reason)
 
+    def _refuse_late(self, now: float) -> None:
+        """Refuse the waiting requests that would not end before a planned stop."""
+        if self.drain_window is NOT_DRAINING or not self.queue.waiting:
+            return
+        in_time: list[QueuedRequest] = []
+        late: list[QueuedRequest] = []
+        for entry in self.queue.waiting:
+            can_end = self._can_end(entry.route, entry.deadline, now)
+            (in_time if can_end else late).append(entry)
+        self.queue.waiting = in_time
+        for entry in late:
+            self._end(entry.payload, REFUSED, reason=STOPPING_REASON)
+
     def tick(self, now: float) -> None:
         """Refuse requests that expired in the queue; probe a worker that is down."""
         self._pool.sweep(now)
@@ -166,6 +183,7 @@
             if entry.deadline <= now:
                 self.queue.discard(entry)
                 self._end(entry.payload, REFUSED, reason="waited too long")
+        self._refuse_late(now)
         self.watch.tick(now)
 
     def submit(
@@ -183,6 +201,9 @@
         if not self._may_run(forward):
             self._end(request, WRONG_WORKER, reason="worker is not ready for this")
             return request
+        if not self._can_end(forward.route, request.deadline, now):
+            self._end(request, REFUSED, reason=STOPPING_REASON)
+            return request
         entry = QueuedRequest(
             forward.route,
             forward.priority,
@@ -213,6 +234,14 @@
             and not self.is_draining
         )
 
+    def _can_end(self, route: str, deadline: float, now: float) -> bool:
+        """Return whether a request can be expected to end before a planned stop."""
+        window = self.drain_window
+        if window is NOT_DRAINING:
+            return True
+        slowest_s = self._slowest.get(route, self.queue.service_times.get(route))
+        return window.is_open(now, deadline, slowest_s)
+
     def assess_offer(
         self, offer: BodyOffer, predict_delay: Callable[[float], float], now: float
     ) -> Reply | float:
@@ -234,6 +263,8 @@
         """
         if not self._may_run(offer):
             outcome, reason = WRONG_WORKER, "worker is not ready for this"
+        elif not self._can_end(offer.route, now + offer.left_ms / 1000, now):
+            outcome, reason = REFUSED, STOPPING_REASON
         else:
             entry = QueuedRequest(
                 offer.route,
@@ -251,6 +282,7 @@
         return Reply(offer.stream, outcome, 0, [], reason.encode(), 0, load)
 
     def _start_next(self, now: float) -> None:
+        self._refuse_late(now)
         while True:
             entry, expired = self.queue.start_next(now)
             for expired_entry in expired:
@@ -448,6 +480,7 @@
                 is_timed = outcome == ANSWERED and not is_failure
                 self.queue.finish(entry, now, is_timed)
         if request.is_sent and reason != "cancelled":
+            self._slowest.record(request.forward.route, service_s, now)
             self._record_outcome(request, outcome, is_failure, service_s)
         if outcome in (REFUSED, WRONG_WORKER, SHED, TIMED_OUT):
             self._log_refusal(
--- a/bamboocove/sidecar/shutdown.py
+++ b/bamboocove/sidecar/shutdown.py
@@ -48,6 +48,7 @@
     callers_drained_at = started_at + CALLER_DRAIN_S
     worker_drain_at = started_at + WORKER_DRAIN_DELAY_S
     outbound.router.drain_window = DrainWindow(callers_drained_at, last_answer_at)
+    inbound.drain_window = DrainWindow(started_at, last_answer_at)
     has_refused_waiting = False
     while (now := clock.seconds()) < schedule.get_end(lag_s):
         is_idle = not outbound.in_flight and not inbound.in_flight
--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -220,3 +220,49 @@
     assert host.call(left_ms=LEFT_MS, attempt="a1.1")[0] == status
     assert len(target.requests) == (status == 200)
     held.close()
+
+
+@pytest.mark.parametrize("path", ["/read/1", "/pay/1"])
+@pytest.mark.parametrize("others", [0, 1])
+def test_host_that_stops_takes_no_request_that_cannot_end(mesh, path, others):
+    """Guards against a request of another host that is cut when this one has stopped.
+
+    A request that ends in time is still taken, the worker may be the only one.
+    """
+    caller, target = make_hosts(mesh, "ledger", "orders")
+    answer_after(target, 1.2)
+    assert open_call(caller, path, attempt="a0").read_until(len)
+    for _ in range(others):
+        mesh.add("orders")
+        mesh.settle()
+    target.requests.clear()
+    start_stop(target)
+    wait_until(reactor.seconds() + 0.25)
+    statuses = [
+        open_call(caller, path, attempt=f"a{n}").read_until(len)[9:12] for n in range(4)
+    ]
+    assert statuses == ([b"200"] if others else [b"503"]) * 4
+    assert not target.requests
+
+
+def test_quick_request_is_taken_by_a_host_that_stops(mesh):
+    """Guards against refusals of a service whose only worker is on that host."""
+    caller, target = make_hosts(mesh, "ledger", "orders")
+    assert caller.call(left_ms=LEFT_MS)[0] == 200
+    start_stop(target)
+    wait_until(reactor.seconds() + 0.2)
+    assert caller.call(left_ms=LEFT_MS)[0] == 200
+
+
+def test_request_that_waits_too_long_beside_a_host_that_stops_is_not_started(mesh):
+    """Guards against a request that starts late in the stop and is cut."""
+    caller, target = make_hosts(mesh, "ledger", "orders")
+    answer_after(target, 0.8)
+    # Lets the queue of the worker take requests that wait.
+    target.node.inbound.queue.service_times.record("pay", 0.05)
+    target.node.inbound.queue.slots = 1
+    sockets = [open_call(caller, "/pay/1", attempt=f"a{n}") for n in range(2)]
+    run_reactor_until(lambda: target.node.inbound.queue.waiting)
+    start_stop(target)
+    assert [read_response(socket)[0] for socket in sockets] == [200, 503]
+    assert len(target.requests) == 1
