Close links in order at the end of a planned stop

When a host had stopped, callers of other hosts got 502 "the host was lost" for requests that its worker was still at work on, and also for requests that the host had never read.

Cause: the links were aborted. Replies just written could be lost, requests at work got none, and the caller's node must take each request without a reply for one that may have run. Evidence: with a request that is sent in the same moment as the links end, the caller got 502 on though the worker had not seen it.

Change: a stopping node first replies to all requests that it has read, REFUSED or LOST, then closes its links with the WebSocket code for a peer that goes away. Whoever reads that code knows that a request without a reply was not read, and places it on another host. A link that has lost a message, or that both sides close, does not count.

--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -460,7 +460,7 @@
     def _on_down(self, host_id: str) -> None:
         now = self.clock.seconds()
         self.fleet.mark_unreachable(host_id, now)
-        self.outbound.on_host_lost(host_id, now)
+        self.outbound.on_host_lost(host_id, now, self.hub.has_stopped(host_id))
 
     def _on_ping_timeout(self, host_id: str) -> None:
         self.dissemination.broadcast_in_zone(SuspectReport(host_id))
--- a/bamboocove/sidecar/forwarding.py
+++ b/bamboocove/sidecar/forwarding.py
@@ -53,7 +53,7 @@
         """
         if isinstance(message, Forward):
             if not self._pending_by_key:
-                self.clock.callLater(0, self._submit_pending)
+                self.clock.callLater(0, self.submit_pending)
             self._pending_by_key[link, message.stream] = message
             self._end_offer(link, message.stream)
         elif isinstance(message, BodyOffer):
@@ -102,7 +102,8 @@
         for link, stream in self.grants.take_granted(self.clock.seconds()):
             link.send_encoded(encode_mesh_message(BodyGrant(stream)))
 
-    def _submit_pending(self) -> None:
+    def submit_pending(self) -> None:
+        """Submit the requests that were read."""
         pending, self._pending_by_key = self._pending_by_key, {}
         for (link, stream), forward in pending.items():
             if forward is None:
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -568,6 +568,12 @@
         """Number of requests that wait or run."""
         return len(self._requests)
 
+    def end_requests(self, reason: str) -> None:
+        """Refuse the requests that wait, and report those that run as lost."""
+        self.refuse_waiting(reason)
+        for request in list(self._requests):
+            self._end(request, LOST if request.is_sent else REFUSED, reason=reason)
+
     def log_open_at_stop(self) -> None:
         """Log the requests that wait or run, because the node stops."""
         now = self._clock.seconds()
--- a/bamboocove/sidecar/links.py
+++ b/bamboocove/sidecar/links.py
@@ -77,6 +77,9 @@
         Whether a ping was not answered within ``SUSPECT_TIMEOUT_S``.
     is_ping_answered : bool
         Whether the last message was the answer to a ping.
+    has_stopped : bool
+        Whether the node closed the link because it stops, after it had replied to all
+        requests that it had read.
     busy_until : float
         Until then a large body is expected to occupy the link, so that the host
         cannot answer a ping, in seconds of the local clock.
@@ -94,6 +97,7 @@
     waiting: int = 0
     is_suspect: bool = False
     is_ping_answered: bool = False
+    has_stopped: bool = False
     busy_until: float = 0.0
 
 
@@ -172,16 +176,40 @@
             decode_mesh_message,
         )
 
+    async def close_links(self) -> None:
+        """Accept no more links, and close all after what was sent has been flushed.
+
+        Tells the other nodes that this one has replied to all requests that it has
+        read, which must be so.
+        """
+        self._is_stopped = True
+        await self._network.stop()
+        for link in self._get_links():
+            link.close_after_all("node stops")
+
+    def has_links(self) -> bool:
+        """Return whether a link is open or being closed."""
+        return bool(self._get_links())
+
+    def _get_links(self) -> list[PeerLink]:
+        dialled = [p.link for p in self.peers_by_id.values() if p.link is not None]
+        return [*dialled, *self._accepted]
+
     async def stop(self) -> None:
-        """Close all links."""
+        """Close all links at once; messages already sent may be lost."""
         self._is_stopped = True
         await self._network.stop()
-        for peer in self.peers_by_id.values():
-            if peer.link is not None:
-                peer.link.drop("node stops")
-        for link in list(self._accepted):
+        for link in self._get_links():
             link.drop("node stops")
 
+    def has_stopped(self, host_id: str) -> bool:
+        """Return whether a node has closed its link because it stops.
+
+        It has replied to all requests that it has read from that link.
+        """
+        peer = self.peers_by_id.get(host_id)
+        return peer is not None and peer.has_stopped
+
     def set_peers(
         self,
         addresses_by_id: Mapping[str, Address],
@@ -330,6 +358,7 @@
         if peer.link is not link:
             return
         was_open, peer.is_open = peer.is_open, False
+        peer.has_stopped = link.is_ended_by_peer
         peer.link = None
         peer.redial_at = self._clock.seconds() + peer.redial_delay_s * (
             0.5 + 0.5 * self._random()
@@ -340,6 +369,9 @@
             self._handlers.on_down(peer.host_id)
 
     def _on_accepted(self, link: PeerLink) -> None:
+        if self._is_stopped:
+            link.close_after_all("node stops")
+            return
         self._accepted[link] = ""
         enable_keepalive(link.transport)
         for message in self._handlers.make_greeting(False):
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -257,8 +257,8 @@
         """Send the request whose body a host has permitted."""
         self._attempts.send_granted(grant, now)
 
-    def _withdraw_offer(self, attempt: Attempt, now: float) -> None:
-        """Place a request whose body was not sent yet on another host."""
+    def _withdraw(self, attempt: Attempt, now: float) -> None:
+        """Place a request that its host has not got on another one."""
         request = attempt.request
         self._attempts.cancel(attempt)
         request.excluded_host_ids.add(attempt.host_id)
@@ -428,12 +428,23 @@
         for fingerprint in notice.fingerprints_by_caller.get(self.settings.service, ()):
             self.crashes.record(fingerprint.hex(), notice.host_id, now)
 
-    def on_host_lost(self, host_id: str, now: float) -> None:
-        """Retry or fail the requests in flight to a host whose link was lost."""
+    def on_host_lost(self, host_id: str, now: float, has_replied: bool = False) -> None:
+        """Retry or fail the requests in flight to a host whose link was lost.
+
+        Parameters
+        ----------
+        host_id : str
+            The host.
+        now : float
+            Seconds of the local clock.
+        has_replied : bool
+            Whether the host has replied to all requests that it had read. It has not
+            read the others, which are placed on other hosts.
+        """
         for attempt in self._attempts.find(host_id):
             request = attempt.request
-            if attempt.is_offered:
-                self._withdraw_offer(attempt, now)
+            if attempt.is_offered or has_replied and attempt is request.attempt:
+                self._withdraw(attempt, now)
                 continue
             is_earlier = attempt is request.earlier_attempt
             self._attempts.close(attempt)
@@ -454,7 +465,7 @@
         for attempt in self._attempts.find(host_id):
             request = attempt.request
             if attempt.is_offered:
-                self._withdraw_offer(attempt, now)
+                self._withdraw(attempt, now)
                 continue
             if not request.route.is_idempotent or request.earlier_attempt is not None:
                 continue
--- a/bamboocove/sidecar/shutdown.py
+++ b/bamboocove/sidecar/shutdown.py
@@ -16,6 +16,9 @@
 # requests for its worker, in seconds. Requests that are then running complete
 # while callers are still being drained.
 WORKER_DRAIN_DELAY_S = 1.9
+# Time for which a stopping node waits until peers have closed its links, too, in
+# seconds. A peer may be out of reach.
+LINKS_CLOSE_S = 0.3
 
 
 async def drain(application: Any) -> None:
@@ -79,11 +82,20 @@
     # Outbound first: it knows which of its requests the worker on this host has not
     # got, and would offer them to other hosts if the queue refused them.
     outbound.end_requests()
-    inbound.refuse_waiting("node is stopping")
+    # The links tell the other nodes that what has no reply by now was not read.
+    inbound.is_draining = True
+    application.forwarding.submit_pending()
+    inbound.end_requests("the host stops before the answer has arrived")
     application.close_ports()
     application.watch.stop()
-    await deferLater(clock, POLL_INTERVAL_S)
-    while application.has_callers() and clock.seconds() < schedule.flushed_by:
+    await application.hub.close_links()
+    links_closed_by = min(clock.seconds() + LINKS_CLOSE_S, schedule.flushed_by)
+    while (
+        application.has_callers()
+        and clock.seconds() < schedule.flushed_by
+        or application.hub.has_links()
+        and clock.seconds() < links_closed_by
+    ):
         await deferLater(clock, POLL_INTERVAL_S)
     await application.hub.stop()
     application.finish()
--- a/bamboocove/transport/peers.py
+++ b/bamboocove/transport/peers.py
@@ -154,6 +154,8 @@
         self._timer = None
         self._reason = ""
         self._invalid_messages = 0
+        self._is_incomplete = False
+        self._close_code = CloseCode.NORMAL_CLOSURE
         self._paused = False
         self._notifications: deque[tuple[Callable[..., None], Any]] = deque()
         self._buffer: list[bytes] = []
@@ -173,6 +175,27 @@
         """Close the link after the data already sent has been flushed."""
         self._input(self._machine.close, reason)
 
+    def close_after_all(self, reason: str) -> None:
+        """Close the link of a node that stops and has replied to all that it has read.
+
+        The peer learns that what it has sent since was not read. If a message was not
+        sent, the link is closed without saying so.
+        """
+        if not self._is_incomplete:
+            self._close_code = CloseCode.GOING_AWAY
+        self.close(reason)
+
+    @property
+    def is_ended_by_peer(self) -> bool:
+        """Whether the peer has closed the link with ``close_after_all``."""
+        received = self._websocket.close_rcvd
+        return (
+            received is not None
+            and received.code == CloseCode.GOING_AWAY
+            and self._websocket.close_rcvd_then_sent is True
+            and not self._is_incomplete
+        )
+
     def drop(self, reason: str) -> None:
         """Abort the link at once; data already sent may be lost."""
         self._drop(reason)
@@ -251,9 +274,13 @@
     def _send_frame(self, data: bytes) -> bool:
         # The codec has already processed a whole read. If the read ends with the
         # peer's close frame, the codec is closing while the link is still open.
-        if self._websocket.state is not State.OPEN or len(data) > MAX_MESSAGE_BYTES:
+        if self._websocket.state is not State.OPEN:
+            return False
+        if len(data) > MAX_MESSAGE_BYTES:
+            self._is_incomplete = True
             return False
         if self._buffered_bytes + len(data) > MAX_BUFFERED_BYTES:
+            self._is_incomplete = True
             self._clock.callLater(0, self._drop, "peer reads too slowly")
             return False
         self._websocket.send_binary(data)
@@ -270,7 +297,7 @@
 
     def _start_close(self) -> None:
         try:
-            self._websocket.send_close(CloseCode.NORMAL_CLOSURE)
+            self._websocket.send_close(self._close_code)
         except InvalidState:
             pass
         self._flush()
@@ -316,6 +343,7 @@
                 self._queue_notification(self._handlers.on_message, self, message)
                 self._notify()
             return
+        self._is_incomplete = True
         self._invalid_messages += 1
         if self._invalid_messages >= MAX_INVALID_MESSAGES:
             self._input(self._machine.close, message.reason)
--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -266,3 +266,49 @@
     start_stop(target)
     assert [read_response(socket)[0] for socket in sockets] == [200, 503]
     assert len(target.requests) == 1
+
+
+def test_host_that_stops_says_which_requests_it_loses(mesh):
+    """Guards against callers that take a planned stop for a failure of the host."""
+    caller, target, other = make_hosts(mesh, "ledger", "orders", "orders")
+    answer_after(other, 0.02)
+    target.request_handler = lambda exchange: None
+    sockets = {}
+    while not target.requests or len(sockets) < 8:
+        attempt = f"a{len(sockets)}"
+        sockets[attempt] = open_call(caller, "/pay/1", attempt=attempt)
+        seen = len(target.requests) + len(other.requests)
+        run_reactor_until(lambda: len(target.requests) + len(other.requests) > seen)
+    start_stop(target)
+    for exchange in target.requests:
+        attempt = dict(exchange.headers)[b"x-attempt-id"].decode()
+        status, _, body = read_response(sockets[attempt])
+        assert (status, b"stop" in body) == (502, True)
+    run_reactor_until(lambda: target.node.finished.called)
+
+
+def test_request_that_crosses_the_end_of_a_host_is_sent_elsewhere(mesh):
+    """Guards against 502 for a request that a stopped host never read."""
+    caller, target, other = make_hosts(mesh, "ledger", "orders", "orders")
+    other.report("draining")
+    run_reactor_until(lambda: not caller.node.fleet.views_by_id.get(other.host_id))
+    # The record that tells the others of the stop is still on its way.
+    target.node.hosts.broadcast = lambda message: None
+    target.node.hosts.write_record = lambda: None
+    data = format_call("/pay/1", "POST", b"12345", LEFT_MS)
+    socket = caller.open(data[:-2])
+    run_reactor_until(lambda: caller.node.outbound.in_flight)
+    network = target.node.hub._network
+    stop_network = network.stop
+
+    def send_and_stop():
+        network.stop = stop_network
+        (request,) = caller.node.outbound._requests
+        caller.node.outbound._place(request)
+        assert request.attempt is not None
+        return stop_network()
+
+    network.stop = send_and_stop
+    start_stop(target)
+    status, _, _ = read_response(socket)
+    assert (status, len(target.requests)) == (503, 0)
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -242,6 +242,37 @@
     ]
 
 
+@pytest.mark.parametrize(
+    "event, expected",
+    [
+        ("none", True),
+        ("plain close", False),
+        ("reply not sent", False),
+        ("reply not read", False),
+        ("peer closes, too", False),
+    ],
+)
+def test_peer_learns_that_all_it_was_sent_is_all_there_is(opened, event, expected):
+    """Guards against a request that ran and is taken for one that was not read."""
+    clock, ends = opened
+    (client, _, recorder), (server, _, _) = ends
+    server.send(Goodbye(1.0))
+    if event == "reply not sent":
+        assert not server.send_encoded(bytes(peers.MAX_MESSAGE_BYTES + 1))
+    elif event == "reply not read":
+        server.send_encoded(b"unknown")
+    elif event == "peer closes, too":
+        client.close("done")
+    if event == "plain close":
+        server.close("done")
+    else:
+        server.close_after_all("done")
+    transfer(ends)
+    assert [link.state for link, _, _ in ends] == ["closing", "closing"]
+    assert client.is_ended_by_peer is expected
+    assert not server.is_ended_by_peer
+
+
 def test_links_over_loopback_sockets():
     """Guards against links that work only with in-memory transports."""
     server, client = Recorder(), Recorder()
