Ask again whether a request can end once its body has arrived

A request whose head came before a planned stop, and its body late in it, was passed on with a deadline after the end, and got 502 there.

Cause: only the arrival of the head was compared with the end of the stop. Evidence: the new test, 502 before. Change: `OutboundProxy._place` asks again when the request is complete. It has not run and gets 503.

--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -16,6 +16,7 @@
     RetryBudgets,
     may_retry,
 )
+from bamboocove.coordination.worker_queue import INTERNAL_PRIORITY
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.protocol.mesh_messages import (
     ANSWERED,
@@ -209,6 +210,10 @@
             return
         now = self._clock.seconds()
         request.received_at = now
+        is_internal = request.priority == INTERNAL_PRIORITY
+        if not self.router.may_take(request.route, now, request.deadline, is_internal):
+            self._respond_stopping(request)
+            return
         self.budgets.earn(request.service)
         if request.deadline - now < MIN_ATTEMPT_S:
             self._refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, "no time is left")
--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -312,3 +312,20 @@
     start_stop(target)
     status, _, _ = read_response(socket)
     assert (status, len(target.requests)) == (503, 0)
+
+
+def test_request_whose_body_arrives_late_in_a_planned_stop_is_refused(mesh):
+    """Guards against a body that is received for long and a request that is cut."""
+    caller, target = make_hosts(mesh, "ledger", "orders")
+    held = open_call(caller, "/pay/0", attempt="a0")
+    target.request_handler = lambda exchange: None
+    run_reactor_until(lambda: target.requests)
+    data = format_call("/pay/1", "POST", b"12345", LEFT_MS)
+    late = caller.open(data[:-2])
+    run_reactor_until(lambda: caller.node.outbound.in_flight == 2)
+    start_stop(caller)
+    wait_until(caller_drained_at(caller) + 0.2)
+    late.send(data[-2:])
+    assert read_response(late)[0] == 503
+    assert len(target.requests) == 1
+    held.close()
