Read what callers have sent before a planned stop ends

Cause: a process that stood still runs its timers before it reads. The drain saw nothing in flight, from what had been read before, and closed ports and connections with the requests unread.

Change: before it ends anything, the node reads for three iterations of the reactor: one accepts connections, the next reads from them. New requests get 503 by then.

Test: sent_while_a_stopping_node_stands_still_is_answered failed before, with no answer (on a new connection; on a kept one it passed and guards that case).

--- a/bamboocove/sidecar/shutdown.py
+++ b/bamboocove/sidecar/shutdown.py
@@ -19,6 +19,10 @@
 # Time for which a stopping node waits until peers have closed its links, too, in
 # seconds. A peer may be out of reach.
 LINKS_CLOSE_S = 0.3
+# Iterations of the reactor in which a node that will end reads what callers have sent:
+# one accepts connections, the next reads from them. A process that stood still runs its
+# timers before it reads anything, and would end with all of that unread.
+READ_PASSES = 3
 
 
 async def drain(application: Any) -> None:
@@ -69,6 +73,8 @@
         lag_s = max(lag_s, clock.seconds() - now - POLL_INTERVAL_S)
     now = clock.seconds()
     outbound.router.drain_window = DrainWindow(now, now)
+    for _ in range(READ_PASSES):
+        await deferLater(clock, 0)
     log(
         "node.drained",
         seconds=round(now - started_at, 3),
--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -1,5 +1,7 @@
 """Requests that are open, arrive or are answered during a planned stop of a node."""
 
+import time
+
 import pytest
 from attrs import evolve
 from twisted.internet import reactor
@@ -329,3 +331,27 @@
     assert read_response(late)[0] == 503
     assert len(target.requests) == 1
     held.close()
+
+
+@pytest.mark.parametrize("is_kept", [True, False])
+def test_request_sent_while_a_stopping_node_stands_still_is_answered(mesh, is_kept):
+    """Guards against a node that ends with requests unread after it stood still."""
+    caller, target = make_hosts(mesh, "ledger", "orders")
+    held = open_call(caller, "/read/1", attempt="a0")
+    assert read_response(held)[0] == 200
+    held.data = b""
+    sockets = []
+
+    def stand_still():
+        data = format_call("/pay/1", "POST", b"", LEFT_MS, "a1")
+        socket = held if is_kept else caller.open(b"")
+        socket.send(data)
+        sockets.append(socket)
+        time.sleep(0.4)
+
+    start_stop(caller)
+    reactor.callLater(shutdown.CALLER_DRAIN_S - 0.1, stand_still)
+    run_reactor_until(lambda: sockets)
+    status, fields, _ = read_response(sockets[0])
+    assert status == 503 and float(fields["retry-after"]) > 0
+    assert len(target.requests) == 1
