Answer all requests that were read before a close

Callers saw a connection that ended after an answer with `Connection: close`, although the node had read further requests on it: pipelined ones got no answer, and neither the caller nor the log of requests told whether they were run.

Cause: a stop sets `is_keep_alive = False` on a request as it is accepted, or on all requests of a connection, and the connection is closed after the first response with that mark; `_close` drops the queue.

Change: the connection, not the request, keeps that the server wants to close it. The response is the last one if no other request was read in full when its head is made. A request that was read in part is left out; a close that the caller asked for stays final. A streamed response whose head was sent before is followed by a close too.

--- a/bamboocove/proxy.py
+++ b/bamboocove/proxy.py
@@ -208,7 +208,7 @@
     def _make_call(self, exchange: Exchange) -> Call | ErrorResult:
         snapshot = self._active.current
         if self._is_draining:
-            exchange.is_keep_alive = False
+            exchange.close_connection()
             return ErrorResult(ErrorKind.DRAINING, "the node is stopping")
         if not snapshot.revision:
             return ErrorResult(ErrorKind.NOT_READY, "no configuration yet")
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -174,7 +174,7 @@
             self._respond_stopping(request)
 
     def _respond_stopping(self, request: OutboundRequest) -> None:
-        request.exchange.is_keep_alive = False
+        request.exchange.close_connection()
         if self._may_be_sent(request):
             reason = "the node stops before the answer has arrived"
             error = ErrorResult(ErrorKind.UPSTREAM_LOST, reason)
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -180,7 +180,7 @@
             return ErrorResult(ErrorKind.NOT_READY, "no configuration yet")
         drain_window = self.drain_window
         if drain_window is not NOT_DRAINING:
-            exchange.is_keep_alive = False
+            exchange.close_connection()
         headers = exchange.headers
         host = get_header(headers, b"host") or b""
         path = exchange.target.partition(b"?")[0].decode("latin-1")
--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -92,6 +92,7 @@
         self._is_processing = False
         self._is_paused = False
         self._is_closing = False
+        self._closes_when_idle = False
         self._close_reason = CALLER_CLOSED
         self._dropped: list[Exchange] = []
         self.waiting_since = 0.0
@@ -237,6 +238,9 @@
                 if not exchange.is_keep_alive:
                     self._close("connection: close")
                     break
+                if self._closes_when_idle and not self._queue:
+                    self._close("server stops")
+                    break
             if self._error is not None and not self._is_closing:
                 self._reject_unparsed()
         finally:
@@ -319,15 +323,23 @@
             self.abort("head timeout" if self._head_bytes else "idle timeout")
 
     def close_if_idle(self) -> None:
-        """Close the connection now, or after the response to a request in progress."""
-        if self._queue:
-            for exchange in self._queue:
-                exchange.is_keep_alive = False
-        elif not self._is_closing:
+        """Close the connection now, or after the responses to requests read by then."""
+        self._closes_when_idle = True
+        if not self._queue and not self._is_closing:
             self._is_closing = True
             self._close_reason = "server stops"
             self.transport.loseConnection()
 
+    def closes_after(self, exchange: Exchange) -> bool:
+        """Return whether the response to a request is the last one.
+
+        A request that was read in full is answered before a close. Of one that was
+        read in part, the caller knows that it has not run.
+        """
+        return self._closes_when_idle and not any(
+            other.is_complete for other in self._queue if other is not exchange
+        )
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of responses that were not passed to the kernel yet."""
--- a/bamboocove/transport/exchanges.py
+++ b/bamboocove/transport/exchanges.py
@@ -31,7 +31,8 @@
         Declared body length; -1 for chunked, None for no body.
     is_keep_alive, is_http10 : bool
         Persistence and protocol version, which determine how the response is
-        framed.
+        framed. A caller that asks for a close gets no response to later requests;
+        see ``close_connection`` for a close that this server wants.
 
     Attributes
     ----------
@@ -159,7 +160,7 @@
                 self.is_keep_alive = False
             else:
                 self.is_chunked = True
-        if not self.is_complete:
+        if not self.is_complete or self.connection.closes_after(self):
             self.is_keep_alive = False
         if self.is_http10 and self.is_keep_alive:
             connection = b"connection: keep-alive\r\n"
@@ -227,6 +228,14 @@
             headers.append((b"retry-after", b"%d" % response.retry_after_s))
         self.respond(response.status, headers, f"{error}\n".encode())
 
+    def close_connection(self) -> None:
+        """Close the connection after this response and those that are due by then.
+
+        The next requests that the caller has pipelined were read, so that a caller
+        could not tell whether they were run if they got no response.
+        """
+        self.connection.close_if_idle()
+
     def abort(self) -> None:
         """Reset the connection, so that the caller detects the incomplete response."""
         self.is_finished = True
--- /dev/null
+++ b/tests/transport/test_pipelined_close.py
@@ -0,0 +1,108 @@
+"""Requests that were read behind one whose connection the server wants to close."""
+
+import pytest
+
+from tests.transport.closing import GET, Server, split_responses
+
+PART = b"PUT /9 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe"
+
+
+@pytest.fixture
+def server():
+    server = Server()
+    yield server
+    server.close()
+
+
+def respond(exchange):
+    exchange.respond(200, [], exchange.target)
+
+
+def stop(server, when):
+    if when == "server stops":
+        server.calls.close_idle()
+    else:
+        server.exchanges[-1].close_connection()
+
+
+def read_all(caller):
+    caller.read_until(lambda data: False)
+    return split_responses(caller.data)
+
+
+@pytest.mark.parametrize("when", ["server stops", "handler"])
+def test_requests_that_were_read_are_answered_before_a_close(server, when):
+    """Guards against pipelined requests that are dropped without an answer."""
+    caller = server.open(GET % 1 + GET % 2 + GET % 3)
+    server.wait_for_requests(1)
+    stop(server, when)
+    for count in (1, 2, 3):
+        server.wait_for_requests(count)
+        respond(server.exchanges[-1])
+    responses = read_all(caller)
+    assert [body for _, body in responses] == [b"/1", b"/2", b"/3"]
+    closes = [b"connection: close" in head for head, _ in responses]
+    assert closes == [False, False, True]
+
+
+@pytest.mark.parametrize("when", ["server stops", "handler"])
+def test_request_that_was_read_in_part_is_left_out_of_a_close(server, when):
+    """Guards against a stop that waits for a caller to send the rest of a request."""
+    caller = server.open(GET % 1 + PART)
+    server.wait_for_requests(1)
+    stop(server, when)
+    respond(server.exchanges[0])
+    ((head, _),) = read_all(caller)
+    assert b"connection: close" in head
+    assert len(server.exchanges) == 1
+
+
+def test_idle_connection_is_closed_when_the_server_stops(server):
+    """Guards against a stop that waits for callers without a request."""
+    caller = server.open(GET % 1)
+    server.wait_for_requests(1)
+    respond(server.exchanges[0])
+    caller.read_until(lambda data: split_responses(data))
+    server.calls.close_idle()
+    assert len(read_all(caller)) == 1 and caller.is_closed
+
+
+def test_stop_during_a_streamed_response_closes_after_it(server):
+    """Guards against a connection that is kept because its head was sent before."""
+    caller = server.open(GET % 1 + GET % 2)
+    server.wait_for_requests(1)
+    first = server.exchanges[0]
+    first.start(200, [], 4)
+    first.write(b"ab")
+    server.calls.close_idle()
+    first.finish(b"cd")
+    server.wait_for_requests(2)
+    respond(server.exchanges[1])
+    (first_head, body), (second_head, _) = read_all(caller)
+    assert body == b"abcd"
+    assert b"connection: close" not in first_head
+    assert b"connection: close" in second_head
+
+
+def test_last_streamed_response_of_a_stop_is_followed_by_a_close(server):
+    """Guards against a connection that is kept because its head was sent before."""
+    caller = server.open(GET % 1)
+    server.wait_for_requests(1)
+    first = server.exchanges[0]
+    first.start(200, [], 4)
+    first.write(b"ab")
+    server.calls.close_idle()
+    first.finish(b"cd")
+    ((_, body),) = read_all(caller)
+    assert body == b"abcd" and caller.is_closed
+
+
+def test_close_that_the_caller_asks_for_is_final(server):
+    """Guards against an answer on a connection that the caller wants closed."""
+    last = b"GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+    caller = server.open(last + GET % 2)
+    server.wait_for_requests(1)
+    respond(server.exchanges[0])
+    ((head, _),) = read_all(caller)
+    assert b"connection: close" in head
+    assert len(server.exchanges) == 1
