Let callers receive their answers before their connection is closed

Callers that read slowly, or sent a request as the server closed, lost the answer before it: the connection was reset.

Cause: `_close` called `loseConnection` unless a request was incomplete, so nothing was read any more and a close with unread bytes made the kernel drop what it had not sent. The lingering close was cut 1 s after the answer was written, and an idle connection 60 s (a partial head: 10 s) after that, whether it was read or not.

Change: every close after an answer, and that of an idle connection, is a half close that reads and discards until the caller closes, or for 1 s after its host has acknowledged all (TIOCOUTQ). Idle time and head timeout start at that moment. Callers that acknowledge nothing for 30 s are cut, and `connection.incomplete` says how much they had not received. A planned stop waits for callers whose hosts have not acknowledged all, and not for those that only keep the connection.

--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -311,8 +311,8 @@
         return [c for server in self.servers for c in server.connections]
 
     def has_callers(self) -> bool:
-        """Return whether a connection of a caller is open."""
-        return bool(self.connections)
+        """Return whether a caller on an open connection has not all its responses."""
+        return any(connection.is_awaited for connection in self.connections)
 
     def finish(self) -> None:
         """End the life cycle after all ports and links were closed."""
--- a/bamboocove/sidecar/endpoints.py
+++ b/bamboocove/sidecar/endpoints.py
@@ -32,6 +32,7 @@
         received=sum(exchange.is_complete for exchange in close.unanswered),
         passed_on=sum(exchange.is_started for exchange in close.unanswered),
         unsent_bytes=close.unsent_bytes,
+        unacknowledged_bytes=close.unacknowledged_bytes,
         is_head_incomplete=close.is_head_incomplete,
     )
 
--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -17,7 +17,12 @@
     get_header,
     parse_body_length,
 )
-from bamboocove.transport.sending import write_immediately
+from bamboocove.transport.sending import (
+    DeliveryProgress,
+    count_unacknowledged,
+    count_unsent,
+    write_immediately,
+)
 
 # Request body bytes that one connection buffers while the receiver is not ready;
 # beyond this it stops reading.
@@ -27,11 +32,13 @@
 IDLE_TIMEOUT_S = 60.0
 # Time within which a request head must be complete.
 HEAD_TIMEOUT_S = 10.0
-# Lingering close: after a response that precedes the end of the request, the rest
-# of the request is read and discarded for this time. A close with unread data
-# resets the connection, and the reset can destroy the response before the caller
-# reads it.
+# Lingering close: after the last response the connection is half closed, and what the
+# caller still sends is read and discarded until the caller closes, or for this time
+# after its host has the response. A close with unread data resets the connection, and
+# the reset can destroy the response before the caller reads it.
 LINGER_TIME_S = 1.0
+# A caller that receives nothing of a response for this time is cut.
+STALL_TIMEOUT_S = 30.0
 SWEEP_INTERVAL_S = 1.0
 
 
@@ -48,6 +55,9 @@
         Requests that were read, at least in part, and have no complete response.
     unsent_bytes : int
         Bytes of responses that were not passed to the kernel.
+    unacknowledged_bytes : int
+        Bytes in the kernel that the caller's host had not acknowledged when this
+        server cut the connection; 0 if it ended in another way.
     is_head_incomplete : bool
         Whether a part of a request head was read.
     """
@@ -55,6 +65,7 @@
     reason: str
     unanswered: tuple[Exchange, ...]
     unsent_bytes: int
+    unacknowledged_bytes: int
     is_head_incomplete: bool
 
 
@@ -95,6 +106,9 @@
         self._closes_when_idle = False
         self._close_reason = CALLER_CLOSED
         self._dropped: list[Exchange] = []
+        self._unacknowledged_bytes = 0
+        self._linger_timer: Any = None
+        self._is_written = False
         self.waiting_since = 0.0
         self.on_lost: Callable[[ServerConnection], None] | None = None
         self.on_incomplete: Callable[[IncompleteClose], None] | None = None
@@ -102,6 +116,7 @@
     def connectionMade(self) -> None:
         """Configure the socket and start the idle timeout."""
         self.transport.setTcpNoDelay(True)
+        self._progress = DeliveryProgress(self.transport)
         self.waiting_since = self._clock.seconds()
 
     def dataReceived(self, data: bytes) -> None:
@@ -272,6 +287,7 @@
 
     def write(self, data: bytes) -> None:
         """Send data to the caller."""
+        self._is_written = True
         write_immediately(self.transport, data)
 
     def register_producer(self, producer: Any) -> None:
@@ -301,23 +317,51 @@
         self._close_reason = reason
         self._dropped.extend(self._queue)
         self._queue.clear()
-        if self._incoming is None and self._error is None:
-            self.transport.loseConnection()
-            return
         self.resume()
         self.transport.loseWriteConnection()
-        self._clock.callLater(LINGER_TIME_S, self.abort, f"{reason}, lingered")
+        self.waiting_since = self._clock.seconds()
+        self._progress.update(self.waiting_since)
+        self._linger_timer = self._clock.callLater(LINGER_TIME_S, self._linger)
+
+    def _linger(self) -> None:
+        now = self._clock.seconds()
+        progress = self._progress
+        progress.update(now)
+        still_s = now - max(progress.changed_at, self.waiting_since)
+        if not progress.pending and still_s >= LINGER_TIME_S:
+            self._linger_timer = None
+            self.transport.loseConnection()
+        elif progress.pending and still_s >= STALL_TIMEOUT_S:
+            self._linger_timer = None
+            self.abort(f"{self._close_reason}, the caller does not read")
+        else:
+            self._linger_timer = self._clock.callLater(LINGER_TIME_S, self._linger)
 
     def abort(self, reason: str = "response was cut") -> None:
         """Reset the connection."""
         self._is_closing = True
         self._close_reason = reason
+        self._unacknowledged_bytes = count_unacknowledged(self.transport)
         self.transport.abortConnection()
 
     def sweep(self, now: float) -> None:
-        """Abort the connection if its idle or request head timeout has expired."""
+        """Abort the connection if its idle or request head timeout has expired.
+
+        They count from when the caller has received the previous response. A caller
+        that does not receive it is cut after ``STALL_TIMEOUT_S``.
+        """
         if self._queue or self._is_closing:
             return
+        if self._is_written:
+            progress = self._progress
+            progress.update(now)
+            if progress.pending:
+                still_s = now - max(progress.changed_at, self.waiting_since)
+                if still_s > STALL_TIMEOUT_S:
+                    self.abort("the caller does not read")
+                return
+            self._is_written = False
+            self.waiting_since = now
         limit = HEAD_TIMEOUT_S if self._head_bytes else IDLE_TIMEOUT_S
         if now - self.waiting_since > limit:
             self.abort("head timeout" if self._head_bytes else "idle timeout")
@@ -325,10 +369,8 @@
     def close_if_idle(self) -> None:
         """Close the connection now, or after the responses to requests read by then."""
         self._closes_when_idle = True
-        if not self._queue and not self._is_closing:
-            self._is_closing = True
-            self._close_reason = "server stops"
-            self.transport.loseConnection()
+        if not self._queue:
+            self._close("server stops")
 
     def closes_after(self, exchange: Exchange) -> bool:
         """Return whether the response to a request is the last one.
@@ -343,8 +385,17 @@
     @property
     def unsent_bytes(self) -> int:
         """Bytes of responses that were not passed to the kernel yet."""
-        transport = self.transport
-        return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+        return count_unsent(self.transport)
+
+    @property
+    def is_awaited(self) -> bool:
+        """Whether the caller has not all responses to what it has sent.
+
+        A caller that sends the rest of a request may only then read its response.
+        """
+        if not self._is_closing or self._incoming is not None:
+            return True
+        return bool(self.unsent_bytes or count_unacknowledged(self.transport))
 
     def _report_incomplete(self, queue: deque[Exchange]) -> None:
         unanswered = tuple(e for e in (*queue, *self._dropped) if not e.is_finished)
@@ -353,16 +404,28 @@
             unanswered = tuple(e for e in unanswered if not e.is_started)
         unsent_bytes = self.unsent_bytes
         is_head_incomplete = self._incoming is None and self._head_bytes > 0
-        if unanswered or unsent_bytes or is_head_incomplete:
+        if (
+            unanswered
+            or unsent_bytes
+            or self._unacknowledged_bytes
+            or is_head_incomplete
+        ):
             self.on_incomplete(
                 IncompleteClose(
-                    self._close_reason, unanswered, unsent_bytes, is_head_incomplete
+                    self._close_reason,
+                    unanswered,
+                    unsent_bytes,
+                    self._unacknowledged_bytes,
+                    is_head_incomplete,
                 )
             )
 
     def connectionLost(self, reason: Any = connectionDone) -> None:
         """Cancel the unfinished requests of the caller."""
         self._is_closing = True
+        timer, self._linger_timer = self._linger_timer, None
+        if timer is not None:
+            timer.cancel()
         queue, self._queue = self._queue, deque()
         error = ErrorResult(ErrorKind.CANCELLED, "caller closed its connection")
         for exchange in queue:
--- a/bamboocove/transport/sending.py
+++ b/bamboocove/transport/sending.py
@@ -1,7 +1,12 @@
-"""Writes to a TCP transport that bypass the queue of the reactor."""
+"""Writes to a TCP transport that bypass the reactor's queue, and their progress."""
 
+import struct
+from fcntl import ioctl
+from termios import TIOCOUTQ
 from typing import Any
 
+_NO_COUNT = bytes(struct.calcsize("i"))
+
 
 def write_immediately(transport: Any, data: bytes) -> None:
     """Write to a transport without waiting for the next reactor iteration.
@@ -32,3 +37,60 @@
         transport.write(data)
     elif sent < len(data):
         transport.write(data[sent:])
+
+
+def count_unsent(transport: Any) -> int:
+    """Return the bytes that a TCP transport has not passed to the kernel.
+
+    It is 0 for other transports.
+    """
+    if not hasattr(transport, "_tempDataLen"):
+        return 0
+    return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+
+
+def count_unacknowledged(transport: Any) -> int:
+    """Return the bytes in the kernel that the peer's host has not acknowledged.
+
+    It is 0 if the connection was lost, and for other transports than TCP. The end of
+    a connection that was half closed counts as one byte.
+    """
+    socket = getattr(transport, "socket", None)
+    if socket is None:
+        return 0
+    try:
+        return struct.unpack("i", ioctl(socket, TIOCOUTQ, _NO_COUNT))[0]
+    except OSError:
+        return 0
+
+
+class DeliveryProgress:
+    """Tracks whether the peer of a TCP transport receives what was written to it.
+
+    Parameters
+    ----------
+    transport : ITransport
+        The connection.
+
+    Attributes
+    ----------
+    pending : int
+        Bytes that the peer's host had not acknowledged at the last update.
+    changed_at : float
+        Time of the last update that found another number, in seconds.
+    """
+
+    __slots__ = ("_transport", "changed_at", "pending")
+
+    def __init__(self, transport: Any):
+        self._transport = transport
+        self.pending = 0
+        self.changed_at = 0.0
+
+    def update(self, now: float) -> None:
+        """Count the pending bytes; the time is in seconds."""
+        transport = self._transport
+        pending = count_unsent(transport) + count_unacknowledged(transport)
+        if pending != self.pending:
+            self.pending = pending
+            self.changed_at = now
--- a/tests/sidecar/test_pipelined_stop.py
+++ b/tests/sidecar/test_pipelined_stop.py
@@ -2,6 +2,7 @@
 
 import pytest
 from attrs import evolve
+from twisted.internet import reactor
 
 from bamboocove.sidecar import shutdown
 from tests.callpath import run_reactor_until
@@ -41,3 +42,18 @@
     closes = [b"connection: close" in head for head, _ in responses]
     assert closes == [False, False, True]
     run_reactor_until(lambda: host.node.finished.called)
+
+
+def test_planned_stop_does_not_wait_for_callers_that_keep_connections(mesh):
+    """Guards against a stop that takes the whole grace period for idle callers."""
+    host = mesh.add()
+    mesh.settle()
+    bounds = evolve(host.node.settings.bounds, grace_s=4.0)
+    host.node.settings = evolve(host.node.settings, bounds=bounds)
+    caller = host.open(format_call("/read/1"))
+    caller.read_until(split_responses)
+    started_at = reactor.seconds()
+    host.node.drain()
+    run_reactor_until(lambda: host.node.finished.called)
+    assert reactor.seconds() - started_at < shutdown.CALLER_DRAIN_S + 0.5
+    caller.close()
