--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -315,6 +315,21 @@
     assert server.transport.disconnected
 
 
+def test_partial_head_behind_a_request_is_awaited_as_a_head():
+    """Guards against a head that may take the idle time, and that no log shows."""
+    server = Server()
+    reports = []
+    server.connection.on_incomplete = reports.append
+    server.feed(GET + GET[:8])
+    server.connection.sweep(0.0)
+    server.connection.sweep(HEAD_TIMEOUT_S)
+    assert not server.transport.disconnected
+    server.connection.sweep(HEAD_TIMEOUT_S + 1)
+    assert server.transport.disconnected
+    server.connection.connectionLost()
+    assert [report.is_head_incomplete for report in reports] == [True]
+
+
 def test_streamed_responses_are_framed():
     """Guards against a response whose end the caller cannot determine."""
     server = Server(responds=False)
