Answer a request whose handler raises an exception

Callers saw their connection closed without an answer, with all requests that were read on it, and the log said nothing of it.

Cause: an exception under `dataReceived` makes Twisted close the connection. One in the handler of a pipelined request reached whatever had finished the request before, such as the link on which its reply came.

Change: the connection catches exceptions of handlers, reports them (`request.handler-failed`, with the end of the traceback) and answers 502, since the request may have been passed on; its `on_closed` callback cancels what is left of it. A response that was begun is cut, and reported as `connection.incomplete`, and nothing more is taken from that connection. A callback that fails as the connection is lost no longer keeps it in the set of open ones.

An error while a worker's answer is handled leaves the request to its deadline: 504, before and after.

--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -33,6 +33,7 @@
 from bamboocove.sidecar.endpoints import (
     MAX_REPORT_BYTES,
     DecodeWorker,
+    log_failed_handler,
     log_incomplete_close,
     make_metrics_handler,
     make_readiness_handler,
@@ -257,6 +258,7 @@
             max_body_bytes,
             self.clock,
             partial(log_incomplete_close, self.dialect, port),
+            partial(log_failed_handler, self.dialect, port),
         )
         self._ports.append(self.clock.listenTCP(port, server, LISTEN_BACKLOG, host))
         self.servers.append(server)
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -98,6 +98,12 @@
         "a report names no worker of this host",
         "if it repeats, find the sender",
     ),
+    MeshEvent(
+        840,
+        "request.handler-failed",
+        "a program error occurred while a request was handled; its caller gets a 502",
+        "report it with this line",
+    ),
     MeshEvent(841, "request.answered", "a worker's answer was forwarded"),
     MeshEvent(842, "request.failed", "the node ended a request that had a route"),
     MeshEvent(843, "request.refused", "a request was refused before it was routed"),
--- a/bamboocove/sidecar/endpoints.py
+++ b/bamboocove/sidecar/endpoints.py
@@ -5,7 +5,7 @@
 from bamboocove.errors import ErrorResult
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.inbound import InboundProxy
-from bamboocove.sidecar.logs import log
+from bamboocove.sidecar.logs import MAX_TEXT_LENGTH, log
 from bamboocove.sidecar.metrics import MeshMetrics
 from bamboocove.state.mesh import MeshWorker
 from bamboocove.transport.calls import IncompleteClose
@@ -37,6 +37,19 @@
     )
 
 
+def log_failed_handler(
+    dialect: Dialect, port: int, exchange: Exchange, traceback: str
+) -> None:
+    """Log a program error in the handler of a request."""
+    log(
+        "request.handler-failed",
+        id=get_header(exchange.headers, dialect.attempt_id),
+        port=port,
+        # The last lines say where.
+        traceback=traceback[-MAX_TEXT_LENGTH:],
+    )
+
+
 def make_readiness_handler(dialect: Dialect, is_ready: Callable[[], bool]) -> Handler:
     """Return the handler of readiness checks: 200 if ready, else 503."""
 
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -138,7 +138,7 @@
             )
             return
         self._requests.add(request)
-        exchange.on_closed = lambda error: self._on_caller_gone(request)
+        exchange.on_closed = lambda error: self._on_closed(request, error)
         left_s = request.deadline - request.started_at + DEADLINE_GRACE_S
         request.timer = self._clock.callLater(left_s, self._on_deadline, request)
         if exchange.is_complete and not exchange.held:
@@ -196,11 +196,23 @@
             return
         self._place(request)
 
-    def _on_caller_gone(self, request: OutboundRequest) -> None:
+    def _on_closed(self, request: OutboundRequest, error: ErrorResult) -> None:
+        """Cancel a request that its connection has ended."""
         if request.is_ended:
             return
-        log("request.caller-left", id=request.attempt_id, host=request.host_id)
-        self._metrics.count_failed_request("cancelled")
+        if error.kind is ErrorKind.CANCELLED:
+            log("request.caller-left", id=request.attempt_id, host=request.host_id)
+        else:
+            log(
+                "request.failed",
+                id=request.attempt_id,
+                kind=error.kind.value,
+                reason=error.reason,
+                route=request.route.name,
+                service=request.service,
+                host=request.host_id,
+            )
+        self._metrics.count_failed_request(error.kind.value)
         self._finish(request)
 
     # Placement of requests on hosts.
--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -2,11 +2,13 @@
 
 from collections import deque
 from collections.abc import Callable
+from traceback import format_exc
 from typing import Any
 
 from attrs import frozen
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python import log
 
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.transport.exchanges import Exchange
@@ -112,6 +114,7 @@
         self.waiting_since = 0.0
         self.on_lost: Callable[[ServerConnection], None] | None = None
         self.on_incomplete: Callable[[IncompleteClose], None] | None = None
+        self.on_failed: Callable[[Exchange, str], None] | None = None
 
     def connectionMade(self) -> None:
         """Configure the socket and start the idle timeout."""
@@ -235,7 +238,7 @@
             self._error = error
 
     def _process_queue(self) -> None:
-        if self._is_processing:
+        if self._is_processing or self._is_closing:
             return
         self._is_processing = True
         try:
@@ -244,12 +247,15 @@
                 if not exchange.is_complete and self._error is not None:
                     self._reject_incomplete(exchange)
                     break
-                if not exchange.is_started:
-                    exchange.is_started = True
-                    self._on_request(exchange)
-                elif not exchange.is_finished:
-                    exchange.deliver()
-                if not exchange.is_finished:
+                try:
+                    if not exchange.is_started:
+                        exchange.is_started = True
+                        self._on_request(exchange)
+                    elif not exchange.is_finished:
+                        exchange.deliver()
+                except Exception:
+                    self._fail_exchange(exchange)
+                if self._is_closing or not exchange.is_finished:
                     return
                 self._queue.popleft()
                 if not exchange.is_keep_alive:
@@ -266,14 +272,41 @@
     def _reject_incomplete(self, exchange: Exchange) -> None:
         exchange.is_keep_alive = False
         self._queue.clear()
-        if exchange.on_closed is not None:
-            exchange.on_closed(self._error)
+        self._end_exchange(exchange, self._error)
+        self._close("invalid request")
+
+    def _fail_exchange(self, exchange: Exchange) -> None:
+        """Answer a request whose handler raised an exception.
+
+        The handler may have passed the request on before.
+        """
+        self._report_failure(exchange)
+        if not exchange.is_finished:
+            exchange.on_data = exchange.on_end = None
+            error = ErrorResult(ErrorKind.UPSTREAM_LOST, "program error")
+            self._end_exchange(exchange, error)
+
+    def _end_exchange(self, exchange: Exchange, error: ErrorResult) -> None:
+        self._notify_closed(exchange, error)
         if not exchange.is_finished:
             if exchange.is_response_started:
                 exchange.abort()
             else:
-                exchange.respond_with_error(self._error)
-        self._close("invalid request")
+                exchange.respond_with_error(error)
+
+    def _notify_closed(self, exchange: Exchange, error: ErrorResult) -> None:
+        if exchange.on_closed is None:
+            return
+        try:
+            exchange.on_closed(error)
+        except Exception:
+            self._report_failure(exchange)
+
+    def _report_failure(self, exchange: Exchange) -> None:
+        if self.on_failed is None:
+            log.err()
+        else:
+            self.on_failed(exchange, format_exc())
 
     def _reject_unparsed(self) -> None:
         exchange = Exchange(self, b"GET", b"/", [], None, False, False)
@@ -400,7 +433,9 @@
         return bool(self.unsent_bytes or count_unacknowledged(self.transport))
 
     def _report_incomplete(self, queue: deque[Exchange]) -> None:
-        unanswered = tuple(e for e in (*queue, *self._dropped) if not e.is_finished)
+        unanswered = tuple(
+            e for e in (*queue, *self._dropped) if e.is_cut or not e.is_finished
+        )
         if self._close_reason == CALLER_CLOSED:
             # The handler of a request that was started has its on_closed callback.
             unanswered = tuple(e for e in unanswered if not e.is_started)
@@ -432,8 +467,8 @@
         error = ErrorResult(ErrorKind.CANCELLED, "caller closed its connection")
         for exchange in queue:
             exchange.is_closed = True
-            if exchange.on_closed is not None and not exchange.is_finished:
-                exchange.on_closed(error)
+            if not exchange.is_finished:
+                self._notify_closed(exchange, error)
         if self.on_incomplete is not None:
             self._report_incomplete(queue)
         if self.on_lost is not None:
@@ -457,6 +492,8 @@
     on_incomplete : callable, optional
         Called with an IncompleteClose for each connection that ended before all of its
         responses were sent.
+    on_failed : callable, optional
+        Called with the Exchange and the traceback if its handler raised an exception.
     """
 
     noisy = False
@@ -467,8 +504,10 @@
         max_body_bytes: int,
         clock: Any,
         on_incomplete: Callable[[IncompleteClose], None] | None = None,
+        on_failed: Callable[[Exchange, str], None] | None = None,
     ):
         self._on_incomplete = on_incomplete
+        self._on_failed = on_failed
         self._on_request = on_request
         self._max_body_bytes = max_body_bytes
         self._clock = clock
@@ -482,6 +521,7 @@
         self.connections.add(connection)
         connection.on_lost = self.connections.discard
         connection.on_incomplete = self._on_incomplete
+        connection.on_failed = self._on_failed
         return connection
 
     def sweep(self, now: float) -> None:
--- a/bamboocove/transport/exchanges.py
+++ b/bamboocove/transport/exchanges.py
@@ -52,6 +52,7 @@
         "is_chunked",
         "is_closed",
         "is_complete",
+        "is_cut",
         "is_ended",
         "is_finished",
         "is_http10",
@@ -94,6 +95,7 @@
         self.is_started = False
         self.is_closed = False
         self.is_finished = False
+        self.is_cut = False
         self.is_chunked = False
         self.is_blocked = False
         self.response_head: bytes | None = None
@@ -239,6 +241,7 @@
     def abort(self) -> None:
         """Reset the connection, so that the caller detects the incomplete response."""
         self.is_finished = True
+        self.is_cut = True
         self.connection.abort()
 
     @property
--- /dev/null
+++ b/tests/sidecar/test_program_errors.py
@@ -0,0 +1,49 @@
+"""Program errors while a node handles requests and messages of other nodes."""
+
+import pytest
+
+from tests.sidecar.hosts import HostMesh, format_call
+from tests.transport.closing import split_responses
+
+
+@pytest.fixture
+def mesh():
+    mesh = HostMesh()
+    yield mesh
+    mesh.close()
+
+
+def fail_once(owner, name):
+    """Replace a method by one that raises an error the first time."""
+    method = getattr(owner, name)
+
+    def call(*args):
+        if getattr(owner, name) is call:
+            setattr(owner, name, method)
+            raise ValueError("odd")
+        return method(*args)
+
+    setattr(owner, name, call)
+
+
+@pytest.mark.parametrize(
+    ("name", "status"),
+    # An error while the worker's answer is handled leaves the request to its deadline.
+    [("router.accept", 502), ("_place", 502), ("_dispatch", 502), ("_finish", 504)],
+)
+def test_request_is_answered_after_a_program_error(mesh, capfd, name, status):
+    """Guards against a request that ends without an answer, or waits in vain."""
+    host = mesh.add()
+    mesh.settle()
+    outbound = host.node.outbound
+    owner, _, attribute = name.rpartition(".")
+    fail_once(getattr(outbound, owner) if owner else outbound, attribute)
+    caller = host.open(format_call("/read/1") + format_call("/read/2", attempt="a2"))
+    caller.read_until(lambda data: len(split_responses(data)) == 2)
+    statuses = [int(head.split()[1]) for head, _ in split_responses(caller.data)]
+    assert statuses == [status, 200]
+    assert not outbound.in_flight
+    if status == 502:
+        out = capfd.readouterr().out
+        assert '"request.handler-failed","id":"a1"' in out and "ValueError: odd" in out
+    caller.close()
--- a/tests/transport/closing.py
+++ b/tests/transport/closing.py
@@ -32,7 +32,14 @@
         self.reports = []
         self.on_request = on_request
         self.send_buffer_bytes = send_buffer_bytes
-        self.calls = CallServer(self.take, 1 << 20, reactor, self.reports.append)
+        self.failures = []
+        self.calls = CallServer(
+            self.take,
+            1 << 20,
+            reactor,
+            self.reports.append,
+            lambda *failure: self.failures.append(failure),
+        )
         self.listener = reactor.listenTCP(0, self.calls, interface="127.0.0.1")
         self.callers = []
 
