Keep the link to another node after a program error

One request whose reply could not be handled ended all requests on its link: callers got 502.

Cause: the exception leaves `dataReceived` of the link, and Twisted closes it. Change: the hub catches it and logs `node.message-failed` with the end of the traceback; the request is left to its deadline.

Evidence: the new test has two requests on a link and an error in the first reply; the second got 502 before, and gets the worker's answer now.

--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -27,6 +27,12 @@
 
 
 _EVENTS = (
+    MeshEvent(
+        810,
+        "node.message-failed",
+        "a program error occurred while a message of another node was handled",
+        "report it with this line",
+    ),
     MeshEvent(811, "node.started", "the process has opened its ports"),
     MeshEvent(812, "node.serving", "a configuration is in force"),
     MeshEvent(813, "node.draining", "SIGTERM was received; new requests are refused"),
--- a/bamboocove/sidecar/links.py
+++ b/bamboocove/sidecar/links.py
@@ -1,6 +1,7 @@
 """Links to all other nodes, with reconnection and failure detection by pings."""
 
 from collections.abc import Callable, Mapping
+from traceback import format_exc
 from typing import Any
 
 from attrs import define, frozen
@@ -13,7 +14,7 @@
     decode_mesh_message,
     encode_mesh_message,
 )
-from bamboocove.sidecar.logs import log
+from bamboocove.sidecar.logs import MAX_TEXT_LENGTH, log
 from bamboocove.transport.fetching import enable_keepalive
 from bamboocove.transport.peers import LinkHandlers, PeerLink, PeerNetwork
 
@@ -385,10 +386,23 @@
 
     def _on_accepted_closed(self, link: PeerLink, reason: str) -> None:
         self._accepted.pop(link, None)
-        self._handlers.on_message(link, "", None)
+        self._handle(link, "", None)
 
     def _deliver(self, link: PeerLink, host_id: str, message: Any) -> None:
         if isinstance(message, Ping):
             link.send_encoded(encode_mesh_message(Pong(message.number)))
         elif not isinstance(message, Pong):
+            self._handle(link, host_id, message)
+
+    def _handle(self, link: PeerLink, host_id: str, message: Any) -> None:
+        # An exception would close the link, and end all requests on it.
+        try:
             self._handlers.on_message(link, host_id, message)
+        except Exception:
+            log(
+                "node.message-failed",
+                host=host_id,
+                message=type(message).__name__,
+                # The last lines say where.
+                traceback=format_exc()[-MAX_TEXT_LENGTH:],
+            )
--- a/tests/sidecar/test_program_errors.py
+++ b/tests/sidecar/test_program_errors.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from tests.sidecar.hosts import HostMesh, format_call
+from tests.callpath import run_reactor_until
+from tests.sidecar.hosts import HostMesh, format_call, read_response
 from tests.transport.closing import split_responses
 
 
@@ -47,3 +48,22 @@
         out = capfd.readouterr().out
         assert '"request.handler-failed","id":"a1"' in out and "ValueError: odd" in out
     caller.close()
+
+
+def test_link_is_kept_after_a_program_error(mesh, capfd):
+    """Guards against an error that ends all requests on a link."""
+    caller, target = mesh.add("ledger"), mesh.add("orders")
+    mesh.settle()
+    target.request_handler = lambda exchange: None
+    first = caller.open(format_call("/read/1", attempt="a1"))
+    second = caller.open(format_call("/read/2", attempt="a2"))
+    run_reactor_until(lambda: len(target.requests) == 2)
+    fail_once(caller.node.outbound, "_on_answered")
+    target.request_handler = None
+    for exchange in target.requests[:2]:
+        target.respond(exchange)
+    assert sorted(read_response(c)[0] for c in (first, second)) == [200, 504]
+    assert len(target.requests) == 2
+    out = capfd.readouterr().out
+    assert '"node.message-failed","host":"h1","message":"Reply"' in out
+    assert '"link.down"' not in out
