Send answers that are complete to callers that close their sending half

A caller that closed its sending half while it read an answer lost the rest of it, and so did one that did this while the server closed the connection.

Cause: Twisted closes a connection at the caller's FIN, with what is still buffered. Change: the connection handles half closes. Requests in progress are cancelled as before (decision in docs/decisions/call-path.md: a FIN cannot be told from a caller that has left). What was answered is sent, within the same bound for callers that do not read. A response that was begun is cut by a reset: its end looked complete to HTTP/1.0.

--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -7,8 +7,12 @@
 
 from attrs import frozen
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
+from twisted.internet.interfaces import IHalfCloseableProtocol
+from twisted.internet.main import CONNECTION_DONE
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python import log
+from twisted.python.failure import Failure
+from zope.interface import implementer
 
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.transport.exchanges import Exchange
@@ -74,6 +78,7 @@
 CALLER_CLOSED = "caller"
 
 
+@implementer(IHalfCloseableProtocol)
 class ServerConnection(Protocol):
     """Server side of one connection from a caller.
 
@@ -432,10 +437,8 @@
             return True
         return bool(self.unsent_bytes or count_unacknowledged(self.transport))
 
-    def _report_incomplete(self, queue: deque[Exchange]) -> None:
-        unanswered = tuple(
-            e for e in (*queue, *self._dropped) if e.is_cut or not e.is_finished
-        )
+    def _report_incomplete(self) -> None:
+        unanswered = tuple(e for e in self._dropped if e.is_cut or not e.is_finished)
         if self._close_reason == CALLER_CLOSED:
             # The handler of a request that was started has its on_closed callback.
             unanswered = tuple(e for e in unanswered if not e.is_started)
@@ -457,22 +460,48 @@
                 )
             )
 
+    def readConnectionLost(self) -> None:
+        """Cancel the unfinished requests of the caller, and send it the rest.
+
+        A caller that closes its sending half cannot be told from one that has left.
+        """
+        is_cut = any(e.is_response_started and not e.is_finished for e in self._queue)
+        self._cancel_requests()
+        if is_cut:
+            # The end of the connection may look like that of the response.
+            self.abort(self._close_reason)
+            return
+        if not self.unsent_bytes:
+            self.transport.connectionLost(Failure(CONNECTION_DONE))
+            return
+        self.transport.loseConnection()
+        if self._linger_timer is None:
+            self.waiting_since = self._clock.seconds()
+            self._linger_timer = self._clock.callLater(LINGER_TIME_S, self._linger)
+
+    def writeConnectionLost(self) -> None:
+        """Do nothing: this server has closed its sending half."""
+
     def connectionLost(self, reason: Any = connectionDone) -> None:
         """Cancel the unfinished requests of the caller."""
-        self._is_closing = True
         timer, self._linger_timer = self._linger_timer, None
         if timer is not None:
             timer.cancel()
+        self._cancel_requests()
+        if self.on_incomplete is not None:
+            self._report_incomplete()
+        if self.on_lost is not None:
+            self.on_lost(self)
+
+    def _cancel_requests(self) -> None:
+        self._is_closing = True
         queue, self._queue = self._queue, deque()
+        self._dropped.extend(queue)
         error = ErrorResult(ErrorKind.CANCELLED, "caller closed its connection")
         for exchange in queue:
             exchange.is_closed = True
             if not exchange.is_finished:
                 self._notify_closed(exchange, error)
-        if self.on_incomplete is not None:
-            self._report_incomplete(queue)
-        if self.on_lost is not None:
-            self.on_lost(self)
 
 
 def _strip_authority(target: bytes) -> bytes | None:
