--- a/bamboocove/sidecar/endpoints.py
+++ b/bamboocove/sidecar/endpoints.py
@@ -8,7 +8,7 @@
 from bamboocove.sidecar.logs import MAX_TEXT_LENGTH, log
 from bamboocove.sidecar.metrics import MeshMetrics
 from bamboocove.state.mesh import MeshWorker
-from bamboocove.transport.calls import IncompleteClose
+from bamboocove.transport.closing import IncompleteClose
 from bamboocove.transport.exchanges import Exchange
 from bamboocove.transport.framing import get_header
 
--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -5,7 +5,6 @@
 from traceback import format_exc
 from typing import Any
 
-from attrs import frozen
 from httptools import HttpParserError, HttpParserUpgrade, HttpRequestParser
 from twisted.internet.interfaces import IHalfCloseableProtocol
 from twisted.internet.main import CONNECTION_DONE
@@ -15,14 +14,15 @@
 from zope.interface import implementer
 
 from bamboocove.errors import ErrorKind, ErrorResult
-from bamboocove.transport.exchanges import Exchange
-from bamboocove.transport.framing import (
-    MAX_HEAD_BYTES,
-    MAX_HEADERS,
-    Headers,
-    get_header,
-    parse_body_length,
+from bamboocove.transport.closing import (
+    CALLER_CLOSED,
+    STALL_TIMEOUT_S,
+    IncompleteClose,
+    LingeringClose,
 )
+from bamboocove.transport.exchanges import Exchange
+from bamboocove.transport.framing import MAX_HEAD_BYTES, Headers
+from bamboocove.transport.request_heads import check_head
 from bamboocove.transport.sending import (
     DeliveryProgress,
     count_unacknowledged,
@@ -38,46 +38,9 @@
 IDLE_TIMEOUT_S = 60.0
 # Time within which a request head must be complete.
 HEAD_TIMEOUT_S = 10.0
-# Lingering close: after the last response the connection is half closed, and what the
-# caller still sends is read and discarded until the caller closes, or for this time
-# after its host has the response. A close with unread data resets the connection, and
-# the reset can destroy the response before the caller reads it.
-LINGER_TIME_S = 1.0
-# A caller that receives nothing of a response for this time is cut.
-STALL_TIMEOUT_S = 30.0
 SWEEP_INTERVAL_S = 1.0
 
 
-@frozen
-class IncompleteClose:
-    """A connection that ended before all of its responses were sent.
-
-    Parameters
-    ----------
-    reason : str
-        Why it ended: "caller" if the caller closed it or the network failed, else why
-        this server closed it.
-    unanswered : tuple of Exchange
-        Requests that were read, at least in part, and have no complete response.
-    unsent_bytes : int
-        Bytes of responses that were not passed to the kernel.
-    unacknowledged_bytes : int
-        Bytes in the kernel that the caller's host had not acknowledged when this
-        server cut the connection; 0 if it ended in another way.
-    is_head_incomplete : bool
-        Whether a part of a request head was read.
-    """
-
-    reason: str
-    unanswered: tuple[Exchange, ...]
-    unsent_bytes: int
-    unacknowledged_bytes: int
-    is_head_incomplete: bool
-
-
-CALLER_CLOSED = "caller"
-
-
 @implementer(IHalfCloseableProtocol)
 class ServerConnection(Protocol):
     """Server side of one connection from a caller.
@@ -114,7 +77,7 @@
         self._close_reason = CALLER_CLOSED
         self._dropped: list[Exchange] = []
         self._unacknowledged_bytes = 0
-        self._linger_timer: Any = None
+        self._lingering: LingeringClose | None = None
         self._is_written = False
         self.waiting_since = 0.0
         self.on_lost: Callable[[ServerConnection], None] | None = None
@@ -182,41 +145,11 @@
         )
         self._incoming = exchange
         self._queue.append(exchange)
-        error = self._check_head(exchange)
+        is_upgrade = parser.should_upgrade()
+        error = check_head(exchange, is_upgrade, self._max_body_bytes)
         if error is not None:
             self._set_error(error)
 
-    def _check_head(self, exchange: Exchange) -> ErrorResult | None:
-        headers = exchange.headers
-        head_bytes = len(exchange.target) + sum(len(n) + len(v) for n, v in headers)
-        if head_bytes > MAX_HEAD_BYTES or len(headers) > MAX_HEADERS:
-            return ErrorResult(ErrorKind.TOO_LARGE, "request head is too large")
-        if self._parser.should_upgrade():
-            return ErrorResult(ErrorKind.BAD_REQUEST, "protocol upgrade")
-        hosts = sum(name == b"host" for name, _ in headers)
-        if hosts != 1 and not (hosts == 0 and exchange.is_http10):
-            return ErrorResult(ErrorKind.BAD_REQUEST, "Host must be given once")
-        if not exchange.target.startswith(b"/"):
-            target = _strip_authority(exchange.target)
-            if target is None:
-                reason = "target is not in origin or absolute form"
-                return ErrorResult(ErrorKind.BAD_REQUEST, reason)
-            exchange.target = target
-        length = parse_body_length(headers)
-        if isinstance(length, ErrorResult):
-            return length
-        if length == -1 and exchange.is_http10:
-            return ErrorResult(ErrorKind.BAD_REQUEST, "chunked body in HTTP/1.0")
-        if length is not None and length > self._max_body_bytes:
-            return ErrorResult(ErrorKind.TOO_LARGE, f"body of {length} bytes")
-        exchange.length = length
-        expect = get_header(headers, b"expect")
-        if expect is not None:
-            if expect.strip().lower() != b"100-continue":
-                return ErrorResult(ErrorKind.BAD_REQUEST, "unknown expectation")
-            exchange.needs_continue = not exchange.is_http10
-        return None
-
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body until it is delivered."""
         exchange = self._incoming
@@ -359,23 +292,16 @@
         self._queue.clear()
         self.resume()
         self.transport.loseWriteConnection()
-        self.waiting_since = self._clock.seconds()
-        self._progress.update(self.waiting_since)
-        self._linger_timer = self._clock.callLater(LINGER_TIME_S, self._linger)
+        self._linger()
 
     def _linger(self) -> None:
-        now = self._clock.seconds()
-        progress = self._progress
-        progress.update(now)
-        still_s = now - max(progress.changed_at, self.waiting_since)
-        if not progress.pending and still_s >= LINGER_TIME_S:
-            self._linger_timer = None
-            self.transport.loseConnection()
-        elif progress.pending and still_s >= STALL_TIMEOUT_S:
-            self._linger_timer = None
-            self.abort(f"{self._close_reason}, the caller does not read")
-        else:
-            self._linger_timer = self._clock.callLater(LINGER_TIME_S, self._linger)
+        if self._lingering is None:
+            self._lingering = LingeringClose(
+                self.transport, self._progress, self._clock, self._on_stalled
+            )
+
+    def _on_stalled(self) -> None:
+        self.abort(f"{self._close_reason}, the caller does not read")
 
     def abort(self, reason: str = "response was cut") -> None:
         """Reset the connection."""
@@ -443,7 +369,7 @@
             # The handler of a request that was started has its on_closed callback.
             unanswered = tuple(e for e in unanswered if not e.is_started)
         unsent_bytes = self.unsent_bytes
-        is_head_incomplete = self._incoming is None and self._head_bytes > 0
+        is_head_incomplete = self._head_bytes > 0 and self._incoming is None
         if (
             unanswered
             or unsent_bytes
@@ -475,18 +401,15 @@
             self.transport.connectionLost(Failure(CONNECTION_DONE))
             return
         self.transport.loseConnection()
-        if self._linger_timer is None:
-            self.waiting_since = self._clock.seconds()
-            self._linger_timer = self._clock.callLater(LINGER_TIME_S, self._linger)
+        self._linger()
 
     def writeConnectionLost(self) -> None:
         """Do nothing: this server has closed its sending half."""
 
     def connectionLost(self, reason: Any = connectionDone) -> None:
         """Cancel the unfinished requests of the caller."""
-        timer, self._linger_timer = self._linger_timer, None
-        if timer is not None:
-            timer.cancel()
+        if self._lingering is not None:
+            self._lingering.cancel()
         self._cancel_requests()
         if self.on_incomplete is not None:
             self._report_incomplete()
@@ -504,13 +427,6 @@
                 self._notify_closed(exchange, error)
 
 
-def _strip_authority(target: bytes) -> bytes | None:
-    if not target.lower().startswith(b"http://"):
-        return None
-    slash = target.find(b"/", len(b"http://"))
-    return b"/" if slash < 0 else target[slash:]
-
-
 class CallServer(Factory):
     """Factory that accepts the connections of callers.
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -9,10 +9,10 @@
 from bamboocove.transport.calls import (
     HEAD_TIMEOUT_S,
     IDLE_TIMEOUT_S,
-    LINGER_TIME_S,
     MAX_HELD_BYTES,
     ServerConnection,
 )
+from bamboocove.transport.closing import LINGER_TIME_S
 from bamboocove.transport.framing import MAX_HEAD_BYTES
 
 MAX_BODY = 1000
--- a/tests/transport/test_half_close.py
+++ b/tests/transport/test_half_close.py
@@ -5,7 +5,7 @@
 import pytest
 
 from bamboocove.errors import ErrorKind
-from bamboocove.transport import calls
+from bamboocove.transport import closing
 from tests.callpath import run_reactor_until
 from tests.transport.closing import (
     GET,
@@ -82,8 +82,8 @@
 
 def test_half_closed_caller_that_never_reads_is_cut(server, monkeypatch):
     """Guards against memory that is held for a caller that never reads."""
-    monkeypatch.setattr(calls, "LINGER_TIME_S", 0.05)
-    monkeypatch.setattr(calls, "STALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(closing, "LINGER_TIME_S", 0.05)
+    monkeypatch.setattr(closing, "STALL_TIMEOUT_S", 0.2)
     open_half_closed(server, 1)
     wait(0.1)
     assert server.calls.connections
--- a/tests/transport/test_lingering_close.py
+++ b/tests/transport/test_lingering_close.py
@@ -3,7 +3,7 @@
 import pytest
 from twisted.internet import reactor
 
-from bamboocove.transport import calls
+from bamboocove.transport import closing
 from bamboocove.transport.calls import HEAD_TIMEOUT_S, IDLE_TIMEOUT_S
 from tests.callpath import run_reactor_until
 from tests.transport.closing import (
@@ -73,7 +73,7 @@
 @pytest.mark.parametrize("data", [GET % 1, PART])
 def test_slow_caller_gets_the_last_answer(servers, data, monkeypatch):
     """Guards against a close that does not wait until the answer was read."""
-    monkeypatch.setattr(calls, "LINGER_TIME_S", 0.1)
+    monkeypatch.setattr(closing, "LINGER_TIME_S", 0.1)
     _, caller = open_slow(servers, LARGE, data, is_closing=True)
     read_slowly(caller, 0.6, 20_000)
     assert [len(body) for _, body in split_responses(caller.data)] == [len(LARGE)]
@@ -82,8 +82,8 @@
 @pytest.mark.parametrize("body", [MEDIUM, LARGE])
 def test_caller_that_never_reads_the_last_answer_is_cut(servers, body, monkeypatch):
     """Guards against memory that is held for a caller that never reads."""
-    monkeypatch.setattr(calls, "LINGER_TIME_S", 0.05)
-    monkeypatch.setattr(calls, "STALL_TIMEOUT_S", 0.2)
+    monkeypatch.setattr(closing, "LINGER_TIME_S", 0.05)
+    monkeypatch.setattr(closing, "STALL_TIMEOUT_S", 0.2)
     server, _ = open_slow(servers, body, GET % 1, is_closing=True)
     run_reactor_until(lambda: not server.calls.connections, 1.0)
     (report,) = server.reports
@@ -93,7 +93,7 @@
 
 def test_caller_that_keeps_a_closed_connection_is_left(servers, monkeypatch):
     """Guards against closed connections that stay as long as their callers like."""
-    monkeypatch.setattr(calls, "LINGER_TIME_S", 0.05)
+    monkeypatch.setattr(closing, "LINGER_TIME_S", 0.05)
     server, caller = open_slow(servers, b"done", GET % 1, is_closing=True)
     run_reactor_until(lambda: not server.calls.connections, 1.0)
     assert not server.reports
@@ -133,7 +133,7 @@
     """Guards against memory that is held for a caller that never reads."""
     server, _ = open_slow(servers, LARGE, GET % 1)
     now = reactor.seconds()
-    for seconds in range(int(calls.STALL_TIMEOUT_S) + 3):
+    for seconds in range(int(closing.STALL_TIMEOUT_S) + 3):
         server.calls.sweep(now + seconds)
     run_reactor_until(lambda: not server.calls.connections)
     assert [report.reason for report in server.reports] == ["the caller does not read"]
