Log no incomplete connection for a refused request

A caller with a malformed request got its 400, and `connection.incomplete` reported a part of a head all the same. The two new tests fail on the old code.

--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -369,7 +369,9 @@
             # The handler of a request that was started has its on_closed callback.
             unanswered = tuple(e for e in unanswered if not e.is_started)
         unsent_bytes = self.unsent_bytes
-        is_head_incomplete = self._head_bytes > 0 and self._incoming is None
+        is_head_incomplete = (
+            self._head_bytes > 0 and self._incoming is None and self._error is None
+        )
         if (
             unanswered
             or unsent_bytes
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -315,6 +315,18 @@
     assert server.transport.disconnected
 
 
+@pytest.mark.parametrize("data", [b"nonsense\r\n", PUT[:20] + b"\0\r\n\r\n"])
+def test_refused_request_is_not_reported_as_incomplete(data):
+    """Guards against log lines about callers that got their answer."""
+    server = Server()
+    reports = []
+    server.connection.on_incomplete = reports.append
+    server.feed(data)
+    assert server.output.startswith(b"HTTP/1.1 400 ")
+    server.connection.connectionLost()
+    assert not reports
+
+
 def test_partial_head_behind_a_request_is_awaited_as_a_head():
     """Guards against a head that may take the idle time, and that no log shows."""
     server = Server()
