Share one budget of body bytes between the proxies of a node

Cause: each message is bounded, the sum that a node holds is not, and nothing counts it. The application owns one ByteBudget, passes it to both proxies and reports what it holds as the gauge bamboocove_body_bytes. Nothing is counted yet.

--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -13,6 +13,7 @@
 from twisted.python.failure import Failure
 
 from bamboocove.coordination.body_grants import BodyGrants
+from bamboocove.coordination.byte_budget import ByteBudget, compute_budget
 from bamboocove.coordination.drain_window import NOT_DRAINING, estimate_lag
 from bamboocove.coordination.load_reports import LoadReporter
 from bamboocove.coordination.readers import ReaderRole
@@ -121,6 +122,8 @@
         self.fleet = Fleet(settings.host_id)
         self.rule_table = RuleTable()
         self.metrics = MeshMetrics()
+        # Shared by request and response bodies.
+        self.body_budget = ByteBudget(compute_budget(settings.memory_bytes))
         self.hub = LinkHub(
             self.clock,
             HubHandlers(
@@ -141,6 +144,7 @@
             self.rule_table.is_allowed,
             lambda worker: self.hosts.publish(),
             CrashReports(settings.host_id, self.clock, self._send_crash_notice),
+            self.body_budget,
         )
         self.hosts = HostDirectory(
             settings,
@@ -179,6 +183,7 @@
             self.metrics,
             self.clock,
             self.random.random,
+            self.body_budget,
         )
         self.watch = StoreWatch(
             self.store,
@@ -378,6 +383,7 @@
             "store_calls": self.store.calls,
             "log_lines_dropped": WRITER.dropped_lines,
             "memory_peak_bytes": getrusage(RUSAGE_SELF).ru_maxrss * 1024,
+            "body_bytes": self.body_budget.held,
             "unsent_bytes": sum(c.unsent_bytes for c in self.connections),
         }
         for name, value in gauges.items():
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.drain_window import NOT_DRAINING, SlowestResponses
 from bamboocove.coordination.version_comparison import Tally
 from bamboocove.coordination.worker_queue import QueuedRequest, WorkerQueue
@@ -84,6 +85,8 @@
         Called with the worker when its state has changed.
     crash_reports : CrashReports
         Reports of requests that ran when the worker crashed.
+    budget : ByteBudget
+        Bodies that this node holds.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         is_version_allowed: Callable[[str, str], bool],
         on_worker: Callable[[MeshWorker], None],
         crash_reports: CrashReports,
+        budget: ByteBudget,
     ):
         self._address = address
         self._dialect = dialect
@@ -101,6 +105,7 @@
         self._is_version_allowed = is_version_allowed
         self._on_worker = on_worker
         self.crash_reports = crash_reports
+        self._budget = budget
         self._pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
         self._consecutive_timeouts = 0
         self._last_response_at = 0.0
--- a/bamboocove/sidecar/metrics.py
+++ b/bamboocove/sidecar/metrics.py
@@ -51,6 +51,7 @@
                 ("store_calls", "Calls to the store since the start."),
                 ("log_lines_dropped", "Log lines that could not be written."),
                 ("memory_peak_bytes", "Peak of the resident memory, in bytes."),
+                ("body_bytes", "Bytes of bodies that the node holds."),
                 ("unsent_bytes", "Bytes of answers that callers have not read."),
             )
         }
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.fingerprints import digest_body, make_fingerprint
 from bamboocove.coordination.placement import (
     HostView,
@@ -86,6 +87,8 @@
         Source of time.
     random : callable
         Returns a float from 0 to 1.
+    budget : ByteBudget
+        Bodies that this node holds.
     """
 
     def __init__(
@@ -99,6 +102,7 @@
         metrics: MeshMetrics,
         clock: Any,
         random: Callable[[], float],
+        budget: ByteBudget,
     ):
         self.settings = settings
         self._dialect = dialect
@@ -109,6 +113,7 @@
         self._metrics = metrics
         self._clock = clock
         self._random = random
+        self._budget = budget
         self.router = RequestRouter(dialect, inbound.is_running, random)
         self._candidates = CandidateSelector(fleet, rules, random)
         self._attempts = AttemptTable(
