Write large answers as fast as their callers read them

Callers on the host of a worker with large answers lost requests with the process: an answer was put whole into the transport's buffer, which copied it, and nothing counted what slow callers had not read.

Change: BodyWriter is the transport's producer. A caller that reads nothing for 60 s is disconnected, as before.

The test (tests/platform/test_response_memory.py) uses 60 answers of 1.3 MB and 20 of 3.9 MB.

--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -398,6 +398,8 @@
             self._pause(request, sum(map(len, request.body_parts)))
 
     def _pause(self, request: InboundRequest, size: int) -> None:
+        if request.connection.is_paused:
+            return
         request.connection.pause()
         log(
             "request.response-waits",
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -33,6 +33,7 @@
     Reply,
 )
 from bamboocove.sidecar.attempts import Attempt, AttemptTable
+from bamboocove.sidecar.body_writer import send_body
 from bamboocove.sidecar.candidates import CandidateSelector
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.error_responses import send_error
@@ -391,7 +392,7 @@
         self._finish(request)
         headers = [tuple(item) for item in reply.headers]
         exchange.start(reply.status, headers, len(reply.body))
-        exchange.finish(b"" if exchange.method == b"HEAD" else reply.body)
+        send_body(exchange, reply.body, self._budget, self._clock)
 
     def _on_refused(self, request: OutboundRequest, reply: Reply, now: float) -> None:
         request.last_reason = reply.body.decode("latin-1")
--- a/bamboocove/transport/clients.py
+++ b/bamboocove/transport/clients.py
@@ -81,7 +81,7 @@
         self._attribute: Callable[[int, Headers, bool], Attribution] | None = None
         self._requests = 0
         self._is_skipping = False
-        self._is_paused = False
+        self.is_paused = False
         self.is_connected = False
         self.on_connected: Callable[[ClientConnection], None] | None = None
         self.on_closed: Callable[[ClientConnection], None] | None = None
@@ -151,14 +151,14 @@
 
     def pause(self) -> None:
         """Stop reading from the connection, so that the server stops sending."""
-        if self.is_connected and not self._is_paused:
-            self._is_paused = True
+        if self.is_connected and not self.is_paused:
+            self.is_paused = True
             self.transport.pauseProducing()
 
     def resume(self) -> None:
         """Resume reading from the connection."""
-        if self._is_paused:
-            self._is_paused = False
+        if self.is_paused:
+            self.is_paused = False
             if self.is_connected:
                 self.transport.resumeProducing()
 
--- a/tests/platform/test_response_memory.py
+++ b/tests/platform/test_response_memory.py
@@ -23,12 +23,14 @@
 PIECE_BYTES = 64 * 1024
 PIECE = b"x" * PIECE_BYTES
 CHUNK = b"%x\r\n%b\r\n" % (PIECE_BYTES, PIECE)
-LARGE_BYTES = 3_900_000
+# Sizes of all answers together, if they have a size.
+TOTAL_BYTES = 78_000_000
 
-# Framing fields of the answer, the piece that is sent, and how often it is sent.
+# Framing fields of the answer, and the piece that is sent.
 ANSWERS_BY_NAME = {
-    "chunks": (b"Transfer-Encoding: chunked\r\n", CHUNK, None),
-    "no length": (b"", PIECE, None),
+    "chunks": (b"Transfer-Encoding: chunked\r\n", CHUNK),
+    "no length": (b"", PIECE),
+    "length": (b"Content-Length: %d\r\nConnection: close\r\n", PIECE),
 }
 
 
@@ -69,13 +71,12 @@
         "attempts": 1,
         "priority": 1,
         "service": "orders",
-        "kind": "unsafe",
     }
     config = {
         "version": 1000,
         "routes": {
-            "pay": {**route, "prefix": "/pay/"},
-            "list": {**route, "prefix": "/list/"},
+            "pay": {**route, "prefix": "/pay/", "kind": "unsafe"},
+            "list": {**route, "prefix": "/list/", "kind": "safe"},
         },
         "services": {"orders": {"healthPath": "/healthz", "maxConnections": 120}},
         "limits": {"idleTimeoutS": 60},
@@ -103,34 +104,50 @@
     return '"event":"worker.state"' in log and '"event":"node.serving"' in log
 
 
-def open_call(host, path):
+def open_call(host, path, method):
     caller = Caller(host.outbound_address[1], host.ip)
-    data = format_call(path, "POST", b"", int(TIMEOUT_S * 1000), path)
+    data = format_call(path, method, b"", int(TIMEOUT_S * 1000), path)
     caller.send(data.replace(b"h.example", ROUTE_HOSTNAME.encode()))
     return caller
 
 
-def start_host(cluster, slots, name):
-    """Start a host whose worker answers requests of the route ``pay`` by ``name``."""
+def start_host(cluster, name, count):
+    """Start a host whose worker answers ``count`` requests of route ``pay`` at once.
+
+    All of them have arrived before the first answer begins.
+    """
     host = cluster.start_host("orders")
     worker = host.worker
-    worker.slots = slots
+    worker.slots = count + SPARE_SLOTS
     respond = worker._respond
+    held = []
 
     def respond_by_target(exchange, arrival):
         if not arrival.target.startswith("/pay/"):
             respond(exchange, arrival)
             return
         worker.running -= 1
-        if exchange.is_closed:
-            return
-        transport = exchange.connection.transport
-        Answer(transport, arrival.attempt_id, *ANSWERS_BY_NAME[name])
+        held.append((exchange.connection.transport, arrival.attempt_id))
+        if len(held) == count:
+            framing, piece = ANSWERS_BY_NAME[name]
+            size = None
+            if b"%d" in framing:
+                size = TOTAL_BYTES // count
+                framing %= size
+            for transport, attempt_id in held:
+                Answer(transport, attempt_id, framing, piece, size)
 
     worker._respond = respond_by_target
     worker.report()
     run_reactor_until(lambda: is_serving(host), 20)
-    return host
+    return host, held
+
+
+def call_small(host, number):
+    caller = open_call(host, f"/list/{number}", "GET")
+    status, _, _ = read_response(caller)
+    caller.close()
+    return status
 
 
 @pytest.mark.parametrize("count", [20, 60])
@@ -141,17 +158,15 @@
     Each of them was within its limit; their sum was not, and all requests of other
     callers ended with the process.
     """
-    host = start_host(cluster, count + SPARE_SLOTS, name)
-    callers = [open_call(host, f"/pay/{number}") for number in range(count)]
-    small = []
-    for number in range(10):
-        caller = open_call(host, f"/list/{number}")
-        small.append(read_response(caller)[0])
-        caller.close()
-    statuses = [read_response(caller)[0] for caller in callers]
+    host, held = start_host(cluster, name, count)
+    assert call_small(host, 0) == 200
+    callers = [open_call(host, f"/pay/{number}", "POST") for number in range(count)]
+    run_reactor_until(lambda: len(held) == count)
+    # Requests of other callers are served meanwhile.
+    assert [call_small(host, number) for number in range(1, 11)] == [200] * 10
+    expected = {200} if name == "length" else {502, 504}
+    assert {read_response(caller)[0] for caller in callers} <= expected
     for caller in callers:
         caller.close()
-    assert set(statuses) <= {502, 504}
-    assert small == [200] * 10
     host.node.record_peak_memory()
     assert host.node.is_alive and 0 < host.node.peak_kib * 1024 < MEMORY_MB * 1e6
--- a/tests/sidecar/test_response_memory.py
+++ b/tests/sidecar/test_response_memory.py
@@ -8,7 +8,9 @@
 from tests.sidecar.hosts import HostMesh, format_call, make_config, read_response
 from tests.sidecar.test_endless_responses import make_endless
 
-LARGE_BYTES = 1_000_000
+# More than the buffers of a loopback connection hold.
+LARGE_BYTES = 3_900_000
+LARGE_BODY = bytes(range(250)) * (LARGE_BYTES // 250)
 LIMIT = 2_500_000
 
 
@@ -117,3 +119,46 @@
     assert reactor.seconds() - started_at < 1.0
     for caller in callers:
         caller.close()
+
+
+def respond_large(host):
+    """Let the worker of a host answer all requests with a large body."""
+    host.request_handler = lambda exchange: (
+        start_response(exchange, LARGE_BYTES, b""),
+        exchange.finish(LARGE_BODY),
+    )
+
+
+@pytest.mark.parametrize("is_local", [True])
+def test_body_is_counted_until_its_caller_has_read_it(mesh, is_local):
+    """Guards against answers that pile up in the buffers of slow callers."""
+    target, front = mesh.add("orders"), mesh.add("front")
+    mesh.settle()
+    respond_large(target)
+    origin = target if is_local else front
+    budget = origin.node.body_budget
+    callers = open_calls(origin, 4)
+    run_reactor_until(lambda: len(target.requests) == 4 and budget.held)
+    for caller in callers:
+        status, _, body = read_response(caller)
+        assert status == 200 and body == LARGE_BODY
+    run_reactor_until(lambda: budget.held == 0)
+    # The connection goes on.
+    callers[0].data = b""
+    callers[0].send(format_call("/list/1", "GET", b"", 1500, "a2"))
+    assert read_response(callers[0])[2] == LARGE_BODY
+    for caller in callers:
+        caller.close()
+
+
+def test_body_is_forgotten_when_its_caller_leaves(mesh):
+    target = mesh.add("orders")
+    mesh.settle()
+    respond_large(target)
+    budget = target.node.body_budget
+    callers = open_calls(target, 4)
+    run_reactor_until(lambda: len(target.requests) == 4 and budget.held)
+    for caller in callers:
+        caller.close()
+    run_reactor_until(lambda: budget.held == 0)
+    run_reactor_until(lambda: not target.node.connections)
