Send large answers to other hosts in parts, when these have room

Callers got 502 for requests that had nothing to do with large answers: a reply of some MB was one message, a third one in the buffers of a link (above 5 MiB) closed the link, and all requests on it were lost. The node of the callers held every reply whole, in the buffers of links, as a message and in the buffers of its callers.

Cause: replies had no flow control between hosts, and none to the calling node.

Change: like large request bodies, a reply above 64 KiB is offered (ReplyOffer) and sent when the other node permits it (BodyGrant), which reserves its size in the byte budget first. The body then comes in parts of 64 KiB, the next one when the link has sent the last, so that pings and small answers pass between them. A node tells on the links that it dials that it takes offers (ReplyTerms); earlier releases ignore that message and get replies as before. A body that is complete and leaves slowly may exceed the budget by one body of the maximum size, not each of them in turn.

--- a/bamboocove/coordination/body_queue.py
+++ b/bamboocove/coordination/body_queue.py
@@ -15,6 +15,10 @@
 # Size in bytes up to which a body never waits: what one read from a connection returns
 # at most. Small answers pass while large ones wait.
 PIECE_BYTES = 64 * 1024
+# Bytes by which the budget may be exceeded before the body that may exceed it waits,
+# too: one body of the maximum size. Bodies that were passed on and are not yet sent
+# may have exceeded it already.
+MAX_EXCESS_BYTES = 4 * 1024 * 1024
 
 
 @define
@@ -31,7 +35,7 @@
     """Bodies that are being received, each of which has room reserved or waits for it.
 
     One body at a time may exceed the budget, so that there is always one that can be
-    completed.
+    completed. It waits only for bodies that are complete and leave the node.
 
     Parameters
     ----------
@@ -99,7 +103,8 @@
         if needed > 0 and not self.budget.reserve(needed):
             if self._favoured is None:
                 self._favoured = key
-            if self._favoured != key:
+            excess = self.budget.held - self.budget.limit
+            if self._favoured != key or excess > MAX_EXCESS_BYTES:
                 self._set_waiting(body, True)
                 return False
             self.budget.add(needed)
--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -365,7 +365,7 @@
 
 @frozen
 class BodyGrant:
-    """Permits the sender of a ``BodyOffer`` to send the request with its body."""
+    """Permits the sender of an offer to send the request or the reply with its body."""
 
     stream: int
 
@@ -386,6 +386,42 @@
     fingerprints_by_caller: dict[str, list[bytes]]
 
 
+@frozen
+class ReplyTerms:
+    """First message on a link after the greeting, sent by the side that dialled.
+
+    Tells that it takes offers of large replies. Nodes of earlier releases neither send
+    nor understand it, and get each reply as one message.
+    """
+
+
+@frozen
+class ReplyOffer:
+    """Asks for permission to send a reply with a large body.
+
+    The answer is a ``BodyGrant``, after which all of the body but its last part follows
+    in ``ReplyPart`` messages, and the last one in the ``Reply``; or a ``Cancel``.
+
+    Parameters
+    ----------
+    stream : int
+        Identifier of the request on this link.
+    size : int
+        Size of the body in bytes.
+    """
+
+    stream: int
+    size: int
+
+
+@frozen
+class ReplyPart:
+    """The next part of the body of a reply that was offered."""
+
+    stream: int
+    data: bytes
+
+
 # The index of a type is its number on the wire; new types are added at the end.
 _MESSAGE_TYPES = (
     Greeting,
@@ -410,6 +446,9 @@
     BodyOffer,
     BodyGrant,
     CrashNotice,
+    ReplyTerms,
+    ReplyOffer,
+    ReplyPart,
 )
 _FIELD_NAMES_BY_TYPE = {
     cls: tuple(f.name for f in fields(cls)) for cls in _MESSAGE_TYPES
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -25,6 +25,7 @@
     CrashNotice,
     Greeting,
     HostRecords,
+    ReplyTerms,
     StateRequest,
     SuspectReport,
 )
@@ -50,6 +51,7 @@
 from bamboocove.sidecar.metrics import MeshMetrics
 from bamboocove.sidecar.moves import MoveController
 from bamboocove.sidecar.outbound import OutboundProxy
+from bamboocove.sidecar.reply_offers import ReplyOffers
 from bamboocove.sidecar.rules import RuleTable
 from bamboocove.sidecar.settings import HostSettings
 from bamboocove.sidecar.shutdown import drain
@@ -160,7 +162,10 @@
             RecordRepair(self.random.random),
         )
         self.forwarding = Forwarding(
-            self.inbound, self.clock, BodyGrants(settings.link_bytes_per_s)
+            self.inbound,
+            self.clock,
+            BodyGrants(settings.link_bytes_per_s),
+            ReplyOffers(self.body_budget),
         )
         self.moves = MoveController(
             self.rule_table,
@@ -343,6 +348,7 @@
         self._last_ticks = (self._last_ticks[1], now)
         self.hub.tick(now)
         self.inbound.tick(now)
+        self.forwarding.replies.tick(now)
         self.moves.tick(now)
         self._report_load(now)
         if now >= self._next_sweep_at:
@@ -453,7 +459,7 @@
         if not is_dialled:
             # The peer receives the record when this node dials it.
             return [greeting]
-        return [greeting, HostRecords([to_plain(record)])]
+        return [greeting, ReplyTerms(), HostRecords([to_plain(record)])]
 
     def _on_up(self, host_id: str) -> None:
         self.fleet.mark_reachable(host_id)
--- a/bamboocove/sidecar/attempts.py
+++ b/bamboocove/sidecar/attempts.py
@@ -5,6 +5,8 @@
 from attrs import define, field
 
 from bamboocove.coordination.body_grants import MIN_OFFERED_BYTES
+from bamboocove.coordination.body_queue import BodyQueue
+from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.placement import HostView
 from bamboocove.protocol.mesh_messages import (
     BodyGrant,
@@ -12,11 +14,14 @@
     Cancel,
     Forward,
     Reply,
+    ReplyOffer,
+    ReplyPart,
 )
 from bamboocove.sidecar.fleet import Fleet
 from bamboocove.sidecar.inbound import InboundProxy
 from bamboocove.sidecar.inbound_request import InboundRequest
 from bamboocove.sidecar.links import LinkHub
+from bamboocove.sidecar.logs import log
 from bamboocove.sidecar.outbound_request import OutboundRequest
 from bamboocove.sidecar.settings import HostSettings
 
@@ -42,6 +47,8 @@
         cannot have run the request.
     inbound_request : InboundRequest or None
         The request in the queue of this host's worker, if it was sent there.
+    reply_parts : list of bytes
+        Parts of the body of a large reply, as far as they have arrived.
     """
 
     request: OutboundRequest
@@ -49,6 +56,7 @@
     view: HostView
     is_offered: bool = False
     inbound_request: InboundRequest | None = None
+    reply_parts: list[bytes] = field(factory=list)
 
     @property
     def host_id(self) -> str:
@@ -75,6 +83,8 @@
         Known hosts, the worker on this host, and links to other nodes.
     on_reply : callable
         Called with each reply of the worker on this host.
+    budget : ByteBudget
+        Bodies that this node holds.
     """
 
     get_settings: Callable[[], HostSettings]
@@ -82,8 +92,14 @@
     inbound: InboundProxy
     hub: LinkHub
     on_reply: Callable[[Reply], None]
+    budget: ByteBudget
     _attempts_by_stream: dict[int, Attempt] = field(factory=dict)
     _next_stream: int = 1
+    _replies: BodyQueue = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._replies = BodyQueue(self.budget)
+        self.budget.on_release.append(self._grant_replies)
 
     def get(self, stream: int) -> Attempt | None:
         """Return an open attempt, or None."""
@@ -165,10 +181,39 @@
             self.hub.expect_busy(host_id, now + transfer_s)
         self.hub.send(host_id, forward)
 
+    def take_reply_offer(self, offer: ReplyOffer, host_id: str) -> None:
+        """Permit a host to send a large reply as soon as there is room for it."""
+        attempt = self._attempts_by_stream.get(offer.stream)
+        if attempt is None:
+            self.hub.send(host_id, Cancel(offer.stream))
+        elif self._replies.reserve(attempt, offer.size):
+            self.hub.send(host_id, BodyGrant(offer.stream))
+        else:
+            log(
+                "request.reply-waits",
+                id=attempt.request.attempt_id,
+                host=host_id,
+                size=offer.size,
+                held=self.budget.held,
+                limit=self.budget.limit,
+            )
+
+    def _grant_replies(self) -> None:
+        for attempt in self._replies.take_ready():
+            self.hub.send(attempt.host_id, BodyGrant(attempt.stream))
+
+    def take_reply_part(self, part: ReplyPart) -> None:
+        """Keep a part of a large reply."""
+        attempt = self._attempts_by_stream.get(part.stream)
+        if attempt is not None:
+            attempt.reply_parts.append(part.data)
+            self._replies.count(attempt, len(part.data))
+
     def close(self, attempt: Attempt) -> None:
         """Forget an attempt that has ended."""
         if self._attempts_by_stream.pop(attempt.stream, None) is None:
             return
+        self._replies.remove(attempt)
         request = attempt.request
         if request.attempt is attempt:
             request.attempt = None
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -197,6 +197,13 @@
         "later",
         "if it repeats, look for a worker with large or endless answers",
     ),
+    MeshEvent(
+        872,
+        "request.reply-waits",
+        "the node holds as many bytes of bodies as it may and lets another node send a "
+        "large answer later",
+        "if it repeats, look for callers that read slowly",
+    ),
     MeshEvent(
         891,
         "log.left-out",
--- a/bamboocove/sidecar/forwarding.py
+++ b/bamboocove/sidecar/forwarding.py
@@ -12,9 +12,15 @@
     Cancel,
     Forward,
     Reply,
+    ReplyTerms,
     encode_mesh_message,
 )
 from bamboocove.sidecar.inbound import InboundProxy, InboundRequest
+from bamboocove.sidecar.reply_offers import ReplyOffers
+
+# Time after the deadline of a request for which its reply is held for the node of its
+# caller, in seconds. That node ends the request sooner and says so.
+REPLY_GRACE_S = 1.0
 
 
 @define
@@ -32,24 +38,32 @@
         Source of time.
     grants : BodyGrants
         Large bodies that other nodes offer to this host.
+    replies : ReplyOffers
+        Large replies that this node offers to others.
     """
 
     inbound: InboundProxy
     clock: Any
     grants: BodyGrants
+    replies: ReplyOffers
     _requests_by_link: dict[Any, dict[int, InboundRequest]] = field(factory=dict)
     _offers_by_link: dict[Any, set[int]] = field(factory=dict)
     _pending_by_key: dict[tuple[Any, int], Forward | None] = field(factory=dict)
 
-    def take(self, link: Any, message: Forward | BodyOffer | Cancel | None) -> None:
+    def take(
+        self,
+        link: Any,
+        message: Forward | BodyOffer | BodyGrant | ReplyTerms | Cancel | None,
+    ) -> None:
         """Handle a message of a link.
 
         Parameters
         ----------
         link : object
             Link that the message arrived on; replies go there.
-        message : Forward, BodyOffer, Cancel or None
-            None if the link was closed, which cancels its requests.
+        message : Forward, BodyOffer, BodyGrant, ReplyTerms, Cancel or None
+            A grant permits a reply. None if the link was closed, which cancels its
+            requests.
         """
         if isinstance(message, Forward):
             if not self._pending_by_key:
@@ -58,7 +72,12 @@
             self._end_offer(link, message.stream)
         elif isinstance(message, BodyOffer):
             self._take_offer(link, message)
+        elif isinstance(message, ReplyTerms):
+            self.replies.add_link(link)
+        elif isinstance(message, BodyGrant):
+            self.replies.grant(link, message.stream)
         elif message is None:
+            self.replies.remove_link(link)
             for stream in self._offers_by_link.pop(link, set()):
                 self.grants.remove((link, stream))
             self._send_grants()
@@ -66,6 +85,8 @@
                 self._pending_by_key[key] = None
             for request in self._requests_by_link.pop(link, {}).values():
                 self.inbound.cancel(request)
+        elif self.replies.remove(link, message.stream):
+            pass
         elif message.stream in self._offers_by_link.get(link, ()):
             self._end_offer(link, message.stream)
         elif (link, message.stream) in self._pending_by_key:
@@ -109,12 +130,14 @@
             if forward is None:
                 continue
             requests = self._requests_by_link.setdefault(link, {})
-            request = self.inbound.submit(forward, partial(self._send_reply, link))
+            deadline = self.clock.seconds() + forward.left_ms / 1000 + REPLY_GRACE_S
+            reply = partial(self._send_reply, link, deadline)
+            request = self.inbound.submit(forward, reply)
             if not request.is_ended:
                 requests[stream] = request
 
-    def _send_reply(self, link: Any, reply: Reply) -> None:
+    def _send_reply(self, link: Any, deadline: float, reply: Reply) -> None:
         requests = self._requests_by_link.get(link)
         if requests is not None:
             requests.pop(reply.stream, None)
-        link.send_encoded(encode_mesh_message(reply))
+        self.replies.send(link, reply, deadline)
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -18,6 +18,9 @@
     OutcomeReport,
     RelayedMessage,
     Reply,
+    ReplyOffer,
+    ReplyPart,
+    ReplyTerms,
     RulesUpdate,
     StateOffer,
     StateRequest,
@@ -86,10 +89,18 @@
         Whether this node has already relayed the message in its zone.
     """
     now = application.clock.seconds()
-    if isinstance(message, Forward | BodyOffer | Cancel) or message is None:
+    if isinstance(message, Forward | BodyOffer | ReplyTerms | Cancel | None):
         application.forwarding.take(link, message)
     elif isinstance(message, BodyGrant):
-        application.outbound.on_grant(message, now)
+        # Requests are offered on links that this node dialled, replies on others.
+        if link.outgoing:
+            application.outbound.on_grant(message, now)
+        else:
+            application.forwarding.take(link, message)
+    elif isinstance(message, ReplyOffer):
+        application.outbound.on_reply_offer(message, host_id)
+    elif isinstance(message, ReplyPart):
+        application.outbound.on_reply_part(message)
     elif isinstance(message, Reply):
         application.outbound.on_reply(message)
     elif isinstance(message, OutcomeBatch):
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from typing import Any
 
+from attrs import evolve
+
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.fingerprints import digest_body, make_fingerprint
 from bamboocove.coordination.placement import (
@@ -31,6 +33,8 @@
     BodyGrant,
     CrashNotice,
     Reply,
+    ReplyOffer,
+    ReplyPart,
 )
 from bamboocove.sidecar.attempts import Attempt, AttemptTable
 from bamboocove.sidecar.body_writer import send_body
@@ -118,7 +122,7 @@
         self.router = RequestRouter(dialect, inbound.is_running, random)
         self._candidates = CandidateSelector(fleet, rules, random)
         self._attempts = AttemptTable(
-            lambda: self.settings, fleet, inbound, hub, self.on_reply
+            lambda: self.settings, fleet, inbound, hub, self.on_reply, budget
         )
         self._requests: set[OutboundRequest] = set()
         self.crashes = CrashTable()
@@ -280,6 +284,14 @@
         """Send the request whose body a host has permitted."""
         self._attempts.send_granted(grant, now)
 
+    def on_reply_offer(self, offer: ReplyOffer, host_id: str) -> None:
+        """Permit a host to send a large reply, now or when there is room for it."""
+        self._attempts.take_reply_offer(offer, host_id)
+
+    def on_reply_part(self, part: ReplyPart) -> None:
+        """Keep a part of a large reply."""
+        self._attempts.take_reply_part(part)
+
     def _withdraw(self, attempt: Attempt, now: float) -> None:
         """Place a request that its host has not got on another one."""
         request = attempt.request
@@ -295,6 +307,17 @@
         attempt = self._attempts.get(reply.stream)
         if attempt is None:
             return
+        if attempt.reply_parts:
+            parts, attempt.reply_parts = attempt.reply_parts, []
+            reply = evolve(reply, body=b"".join([*parts, reply.body]))
+        # Counted while the body passes from the attempt to the caller, so that no other
+        # takes its room meanwhile.
+        size = len(reply.body)
+        self._budget.add(size)
+        self._handle_reply(attempt, reply)
+        self._budget.release(size)
+
+    def _handle_reply(self, attempt: Attempt, reply: Reply) -> None:
         now = self._clock.seconds()
         request = attempt.request
         running, slots, failures, *waits = reply.load
@@ -334,7 +357,7 @@
             self._on_earlier_lost(request)
             return
         if reply.status >= 500 and request.attempt is not None:
-            request.fallback_reply = reply
+            self._keep_fallback(request, reply)
             return
         request.host_id = attempt.host_id
         request.view = attempt.view
@@ -361,12 +384,18 @@
             )
             request.excluded_host_ids.add(request.host_id)
             # Delivered if no further attempt succeeds.
-            request.fallback_reply = reply
+            self._keep_fallback(request, reply)
             request.hosts_tried = 1
             self._dispatch(request, now)
             return
         self._deliver(request, reply, now)
 
+    def _keep_fallback(self, request: OutboundRequest, reply: Reply) -> None:
+        if request.fallback_reply is not None:
+            self._budget.release(len(request.fallback_reply.body))
+        self._budget.add(len(reply.body))
+        request.fallback_reply = reply
+
     def _deliver(self, request: OutboundRequest, reply: Reply, now: float) -> None:
         seconds = now - request.started_at
         self._metrics.record_response(request.route.name, reply.status, seconds)
@@ -582,6 +611,9 @@
             self.router.slowest.record(request.route.name, seconds, now)
         self._attempts.cancel_all(request)
         self._requests.discard(request)
+        fallback, request.fallback_reply = request.fallback_reply, None
+        if fallback is not None:
+            self._budget.release(len(fallback.body))
         timer, request.timer = request.timer, None
         if timer is not None and timer.active():
             timer.cancel()
--- a/bamboocove/transport/peers.py
+++ b/bamboocove/transport/peers.py
@@ -139,6 +139,10 @@
         "connecting", "handshaking", "open", "closing" or "closed".
     bytes_sent, bytes_received, writes, reads : int
         Traffic on the TCP connection, WebSocket framing included.
+    is_paused : bool
+        Whether messages are kept back because the transport's buffer is full.
+    on_drained : callable or None
+        Called without arguments when messages are no longer kept back.
     """
 
     def __init__(self, clock, websocket, address, handlers, outgoing):
@@ -156,7 +160,8 @@
         self._invalid_messages = 0
         self._is_incomplete = False
         self._close_code = CloseCode.NORMAL_CLOSURE
-        self._paused = False
+        self.is_paused = False
+        self.on_drained: Callable[[], None] | None = None
         self._notifications: deque[tuple[Callable[..., None], Any]] = deque()
         self._buffer: list[bytes] = []
         self._buffered_bytes = 0
@@ -225,14 +230,16 @@
 
     def pauseProducing(self) -> None:
         """Buffer data in the link while the transport's buffer is full."""
-        self._paused = True
+        self.is_paused = True
 
     def resumeProducing(self) -> None:
         """Write the buffered data to the transport."""
-        self._paused = False
+        self.is_paused = False
         data, self._buffer, self._buffered_bytes = self._buffer, [], 0
         if data:
             self.transport.write(b"".join(data))
+        if not self.is_paused and self.on_drained is not None:
+            self.on_drained()
 
     def stopProducing(self) -> None:
         """Do nothing; ``connectionLost`` follows."""
@@ -355,7 +362,7 @@
                 continue
             self.bytes_sent += len(data)
             self.writes += 1
-            if self._paused:
+            if self.is_paused:
                 self._buffer.append(data)
                 self._buffered_bytes += len(data)
             else:
--- a/tests/coordination/test_body_queue.py
+++ b/tests/coordination/test_body_queue.py
@@ -3,7 +3,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from bamboocove.coordination.body_queue import PIECE_BYTES, BodyQueue
+from bamboocove.coordination.body_queue import MAX_EXCESS_BYTES, PIECE_BYTES, BodyQueue
 from bamboocove.coordination.byte_budget import ByteBudget
 
 MAX_BYTES = 1_000_000
@@ -59,3 +59,19 @@
     bodies.remove("a")
     bodies.remove("b")
     assert bodies.take_ready() == [] and budget.held == 0
+
+
+def test_complete_bodies_that_leave_slowly_do_not_add_up():
+    """Guards against a sum without limit: each next body could exceed the budget."""
+    budget = ByteBudget(LIMIT)
+    bodies = BodyQueue(budget)
+    held = 0
+    for key in range(50):
+        if bodies.reserve(key, MAX_BYTES):
+            # Complete, and passed on to a caller that does not read it.
+            budget.add(MAX_BYTES)
+            held += MAX_BYTES
+            bodies.remove(key)
+    assert budget.held <= LIMIT + MAX_EXCESS_BYTES + MAX_BYTES
+    budget.release(held)
+    assert len(bodies.take_ready()) >= LIMIT // MAX_BYTES
--- a/tests/sidecar/test_forwarding.py
+++ b/tests/sidecar/test_forwarding.py
@@ -4,8 +4,10 @@
 from twisted.internet.task import Clock
 
 from bamboocove.coordination.body_grants import BodyGrants
+from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.protocol.mesh_messages import Cancel, Forward
 from bamboocove.sidecar.forwarding import Forwarding
+from bamboocove.sidecar.reply_offers import ReplyOffers
 
 
 class FakeInboundRequest:
@@ -46,7 +48,7 @@
 
 @pytest.fixture
 def forwarding(inbound, clock):
-    return Forwarding(inbound, clock, BodyGrants(0))
+    return Forwarding(inbound, clock, BodyGrants(0), ReplyOffers(ByteBudget(0)))
 
 
 def test_requests_are_submitted_in_the_next_reactor_turn(forwarding, inbound, clock):
--- a/tests/sidecar/test_response_memory.py
+++ b/tests/sidecar/test_response_memory.py
@@ -1,10 +1,12 @@
 """Responses that wait because the node holds as many bytes as it may."""
 
+import socket
+
 import pytest
 from twisted.internet import reactor
 
-from bamboocove.coordination.body_queue import PIECE_BYTES
-from tests.callpath import run_reactor_until
+from bamboocove.coordination.body_queue import MAX_EXCESS_BYTES, PIECE_BYTES
+from tests.callpath import Caller, run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, make_config, read_response
 from tests.sidecar.test_endless_responses import make_endless
 
@@ -12,6 +14,7 @@
 LARGE_BYTES = 3_900_000
 LARGE_BODY = bytes(range(250)) * (LARGE_BYTES // 250)
 LIMIT = 2_500_000
+SOCKET_BYTES = 16 * 1024
 
 
 @pytest.fixture
@@ -30,6 +33,19 @@
     ]
 
 
+def open_slow_call(host, attempt, left_ms):
+    """Send a request from a caller whose socket takes few bytes until it is read."""
+    port = host.settings.caller_address[1]
+    caller = Caller.__new__(Caller)
+    caller.socket = socket.socket()
+    caller.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, SOCKET_BYTES)
+    caller.socket.connect(("127.0.0.1", port))
+    caller.socket.setblocking(False)
+    caller.data, caller.is_closed = b"", False
+    caller.send(format_call("/pay/1", "POST", b"", left_ms, attempt))
+    return caller
+
+
 def start_response(exchange, length, data):
     attempt = dict(exchange.headers)[b"x-attempt-id"]
     fields = [(b"x-attempt-id", attempt), (b"x-response-signature", b"s")]
@@ -129,7 +145,7 @@
     )
 
 
-@pytest.mark.parametrize("is_local", [True])
+@pytest.mark.parametrize("is_local", [True, False])
 def test_body_is_counted_until_its_caller_has_read_it(mesh, is_local):
     """Guards against answers that pile up in the buffers of slow callers."""
     target, front = mesh.add("orders"), mesh.add("front")
@@ -162,3 +178,36 @@
         caller.close()
     run_reactor_until(lambda: budget.held == 0)
     run_reactor_until(lambda: not target.node.connections)
+
+
+@pytest.mark.parametrize("is_local", [True, False])
+def test_answers_to_callers_that_do_not_read_stay_within_the_budget(mesh, is_local):
+    """Guards against a sum of answers that callers read slowly or not at all."""
+    target, front = mesh.add("orders"), mesh.add("front")
+    mesh.settle()
+    respond_large(target)
+    hosts = [target] if is_local else [target, front]
+    for host in hosts:
+        host.node.body_budget.limit = LIMIT
+    # Answers that wait occupy the worker.
+    target.node.inbound.queue.slots = 12
+    budgets = [host.node.body_budget for host in hosts]
+    callers = []
+    peak = 0
+    for number in range(10):
+        callers.append(open_slow_call(hosts[-1], f"s{number}", 1900))
+        end = reactor.seconds() + 0.1
+        peak = max(
+            peak, *(watch_held(b, lambda: reactor.seconds() > end) for b in budgets)
+        )
+    assert LARGE_BYTES < peak <= LIMIT + MAX_EXCESS_BYTES + 2 * LARGE_BYTES
+    # A small answer passes.
+    target.request_handler = None
+    assert front.call("/list/1", attempt="a2")[0] == 200
+    results = [read_response(caller) for caller in callers]
+    statuses = [status for status, _, _ in results]
+    assert 200 in statuses and set(statuses) <= {200, 504}
+    assert all(body == LARGE_BODY for status, _, body in results if status == 200)
+    run_reactor_until(lambda: not any(budget.held for budget in budgets))
+    for caller in callers:
+        caller.close()
