Run tests with processes on loopback addresses that are free

Two runs of the tests at a time, in two checkouts, used the same addresses: three tests of planned stops could not start (address already in use), and one had failed before with 'condition not met in time' (test_process_answers_all_requests_before_it_ends, one run beside four other checkouts; it passed alone and beside load afterwards). That its cause was the shared address is likely, not shown: the logs of that run were not kept.

The second number of the addresses is now one on which nothing listens.

--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -13,9 +13,9 @@
 from soak.cluster import ROUTE_HOSTNAME, Cluster
 from soak.records import Journal
 from tests.callpath import Caller, run, run_reactor_until
+from tests.networks import find_free_network
 from tests.sidecar.hosts import format_call, read_response
 
-NETWORK = 93
 GRACE_S = 6.0
 # Longer than the grace period.
 TIMEOUT_S = 9.0
@@ -44,7 +44,7 @@
 
 @pytest.fixture
 def host(tmp_path):
-    cluster = Cluster(NETWORK, tmp_path, Random(1), reactor, Journal(1))
+    cluster = Cluster(find_free_network(), tmp_path, Random(1), reactor, Journal(1))
     # The reactor of the tests installs no signal handlers, so no SIGCHLD arrives.
     reaper = LoopingCall(reapAllProcesses)
     reaper.start(0.05)
--- a/tests/platform/test_response_memory.py
+++ b/tests/platform/test_response_memory.py
@@ -13,9 +13,9 @@
 from soak.cluster import ROUTE_HOSTNAME, SETTINGS_TEMPLATE, Cluster
 from soak.records import Journal
 from tests.callpath import Caller, run, run_reactor_until
+from tests.networks import find_free_network
 from tests.sidecar.hosts import format_call, read_response
 
-NETWORK = 94
 MEMORY_MB = 150
 TIMEOUT_S = 6.0
 # Slots of the worker for the small requests.
@@ -88,7 +88,7 @@
 def cluster(tmp_path, monkeypatch):
     limits = f"[self.limits]\nmemoryMb = {MEMORY_MB}\n"
     monkeypatch.setattr("soak.cluster.SETTINGS_TEMPLATE", SETTINGS_TEMPLATE + limits)
-    cluster = Cluster(NETWORK, tmp_path, Random(1), reactor, Journal(1))
+    cluster = Cluster(find_free_network(), tmp_path, Random(1), reactor, Journal(1))
     # The reactor of the tests installs no signal handlers, so no SIGCHLD arrives.
     reaper = LoopingCall(reapAllProcesses)
     reaper.start(0.05)
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -9,13 +9,12 @@
 import pytest
 
 import soak
+from tests.networks import find_free_network
 
 SEEDS = Path(soak.__file__).parent / "seeds.toml"
 ENTRIES = tomllib.loads(SEEDS.read_text(encoding="utf-8"))["seed"]
 # Covers start, faults, recovery and the recovery check on a busy machine.
 TIMEOUT_S = 180
-# Second octet of the loopback addresses; manual runs use 20 and above.
-NETWORK = 90
 
 
 @pytest.mark.parametrize("entry", ENTRIES, ids=lambda entry: str(entry["seed"]))
@@ -25,7 +24,7 @@
     command += ["--seed", str(entry["seed"]), "--duration", str(entry["duration_s"])]
     command += ["--hosts", str(entry.get("hosts", 6))]
     command += ["--rate", str(entry.get("rate", 5))]
-    command += ["--network", str(NETWORK)]
+    command += ["--network", str(find_free_network())]
     command += ["--folder", str(tmp_path)]
     done = subprocess.run(
         command,
