Bound the bodies of requests that a node holds by its byte budget

Cause: a body was read whole before its size was compared with what a link carries, the declared length only with 64 MiB, parts were joined while they were still held, and nothing bounded the sum: at the node of the caller, and beside the worker, where bodies wait.

Change: `RequestBodies` reserves a declared length before it is read, counts a body in chunks as it arrives, and refuses what can never be served with 413 and what has no room with 503, at the head where the length is declared. Small bodies may exceed the budget by a bounded amount, larger ones leave room for a response, and a body that can't arrive in time gives its room up. The node beside the worker reserves room when it accepts an offer, refuses offers and unannounced bodies without room, and releases a body once it was written to the worker. A body that has not arrived by its deadline gets 503: it has not run (504 before).

Why it works: each body is counted before it is held and released in the one place where its request ends; nothing waits for room, so bodies in part can't wait for each other.

The stand-ins of `InboundProxy.submit` in test_mesh.py and test_forwarding.py take its new argument.

--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -1,5 +1,6 @@
 """The application object of a sidecar node, which creates and owns its tasks."""
 
+import sys
 from collections.abc import Callable
 from functools import partial
 from random import Random
@@ -68,7 +69,6 @@
 VERSION = "0.2"
 TICK_S = 0.1
 LISTEN_BACKLOG = 1024
-MAX_BODY_BYTES = 64 * 1024 * 1024
 # Interval at which nodes exchange state, in seconds: a node offers its state to a
 # peer of its zone, or requests a peer's state while the store is unavailable. A
 # watch call may hang without an error; a peer then offers the configuration before
@@ -245,7 +245,8 @@
             return port
         metrics_address = (settings.ip, self.metrics_port)
         try:
-            self._listen(settings.caller_address, self.outbound.take, MAX_BODY_BYTES)
+            # The outbound proxy limits the bodies of callers, and logs what it refuses.
+            self._listen(settings.caller_address, self.outbound.take, sys.maxsize)
             readiness = make_readiness_handler(self.dialect, self.is_ready)
             self._listen(settings.readiness_address, readiness, 0)
             reports = make_report_handler(
--- /dev/null
+++ b/bamboocove/sidecar/body_receiver.py
@@ -0,0 +1,87 @@
+"""Receives the bodies of callers' requests as far as the node has room for them."""
+
+from collections.abc import Callable
+from functools import partial
+from typing import Any
+
+from attrs import define, field
+
+from bamboocove.coordination.byte_budget import ByteBudget
+from bamboocove.coordination.request_bodies import RequestBodies
+from bamboocove.errors import ErrorKind
+from bamboocove.protocol.mesh_messages import MAX_FORWARDED_BODY_BYTES
+from bamboocove.sidecar.outbound_request import OutboundRequest
+
+
+@define(eq=False)
+class BodyReceiver:
+    """Receives bodies of requests, and refuses those that there is no room for.
+
+    Parameters
+    ----------
+    budget : ByteBudget
+        Bytes of all bodies that the node holds.
+    clock : reactor
+        Source of time.
+    on_received : callable
+        Called with a request whose body has arrived whole.
+    refuse : callable
+        Called with a request that was not passed on, an ErrorKind and a reason.
+    """
+
+    budget: ByteBudget
+    clock: Any
+    on_received: Callable[[OutboundRequest], None]
+    refuse: Callable[[OutboundRequest, ErrorKind, str], None]
+    _bodies: RequestBodies = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._bodies = RequestBodies(self.budget)
+
+    def receive(self, request: OutboundRequest) -> None:
+        """Start to receive the body of a request, or refuse it before it is read."""
+        length = request.exchange.length
+        body = self._reserve(
+            lambda now: self._bodies.start(request, length, now, request.deadline)
+        )
+        if isinstance(body, ErrorKind):
+            self._refuse(request, body)
+            return
+        request.received_body = body
+        request.exchange.receive(
+            partial(self._on_data, request), partial(self._on_end, request)
+        )
+
+    def release(self, request: OutboundRequest) -> None:
+        """Drop the body of a request that has ended; safe to call more than once."""
+        if request.received_body is not None:
+            self._bodies.release(request.received_body)
+
+    def _on_data(self, request: OutboundRequest, data: bytes) -> None:
+        body = request.received_body
+        error = self._reserve(lambda now: self._bodies.receive(body, data))
+        if error is not None:
+            self._refuse(request, error)
+
+    def _on_end(self, request: OutboundRequest) -> None:
+        self._bodies.complete(request.received_body)
+        self.on_received(request)
+
+    def _reserve(self, attempt: Callable[[float], Any]) -> Any:
+        """Reserve room, if need be that of bodies that can't arrive in time."""
+        now = self.clock.seconds()
+        result = attempt(now)
+        if result is not ErrorKind.OVERLOADED:
+            return result
+        late = self._bodies.find_late(now)
+        for body in late:
+            reason = "its body arrives too slowly for its deadline"
+            self.refuse(body.owner, ErrorKind.OVERLOADED, reason)
+        return attempt(now) if late else result
+
+    def _refuse(self, request: OutboundRequest, kind: ErrorKind) -> None:
+        if kind is ErrorKind.TOO_LARGE:
+            reason = f"its body exceeds {MAX_FORWARDED_BODY_BYTES} bytes"
+        else:
+            reason = "no memory is left for its body"
+        self.refuse(request, kind, reason)
--- a/bamboocove/sidecar/forwarding.py
+++ b/bamboocove/sidecar/forwarding.py
@@ -6,7 +6,9 @@
 from attrs import define, field
 
 from bamboocove.coordination.body_grants import BodyGrants
+from bamboocove.coordination.request_bodies import reserve_body, reserve_small
 from bamboocove.protocol.mesh_messages import (
+    REFUSED,
     BodyGrant,
     BodyOffer,
     Cancel,
@@ -22,6 +24,8 @@
 # caller, in seconds. That node ends the request sooner and says so.
 REPLY_GRACE_S = 1.0
 
+NO_MEMORY = "no memory is left for its body"
+
 
 @define
 class Forwarding:
@@ -47,7 +51,8 @@
     grants: BodyGrants
     replies: ReplyOffers
     _requests_by_link: dict[Any, dict[int, InboundRequest]] = field(factory=dict)
-    _offers_by_link: dict[Any, set[int]] = field(factory=dict)
+    # Sizes of offered bodies by stream; each is reserved in the budget.
+    _offers_by_link: dict[Any, dict[int, int]] = field(factory=dict)
     _pending_by_key: dict[tuple[Any, int], Forward | None] = field(factory=dict)
 
     def take(
@@ -66,10 +71,7 @@
             requests.
         """
         if isinstance(message, Forward):
-            if not self._pending_by_key:
-                self.clock.callLater(0, self.submit_pending)
-            self._pending_by_key[link, message.stream] = message
-            self._end_offer(link, message.stream)
+            self._take_forward(link, message)
         elif isinstance(message, BodyOffer):
             self._take_offer(link, message)
         elif isinstance(message, ReplyTerms):
@@ -78,11 +80,12 @@
             self.replies.grant(link, message.stream)
         elif message is None:
             self.replies.remove_link(link)
-            for stream in self._offers_by_link.pop(link, set()):
+            for stream, size in self._offers_by_link.pop(link, {}).items():
                 self.grants.remove((link, stream))
+                self.inbound.budget.release(size)
             self._send_grants()
             for key in [key for key in self._pending_by_key if key[0] is link]:
-                self._pending_by_key[key] = None
+                self._drop_pending(key)
             for request in self._requests_by_link.pop(link, {}).values():
                 self.inbound.cancel(request)
         elif self.replies.remove(link, message.stream):
@@ -90,12 +93,36 @@
         elif message.stream in self._offers_by_link.get(link, ()):
             self._end_offer(link, message.stream)
         elif (link, message.stream) in self._pending_by_key:
-            self._pending_by_key[link, message.stream] = None
+            self._drop_pending((link, message.stream))
         else:
             request = self._requests_by_link.get(link, {}).get(message.stream)
             if request is not None:
                 self.inbound.cancel(request)
 
+    def _take_forward(self, link: Any, forward: Forward) -> None:
+        is_offered = forward.stream in self._offers_by_link.get(link, ())
+        budget = self.inbound.budget
+        size = len(forward.body)
+        if is_offered:
+            budget.add(size)
+        elif not reserve_small(budget, size):
+            reply = self.inbound.refuse(forward, REFUSED, NO_MEMORY)
+            link.send_encoded(encode_mesh_message(reply))
+            return
+        self._end_offer(link, forward.stream)
+        if not self._pending_by_key:
+            self.clock.callLater(0, self.submit_pending)
+        key = (link, forward.stream)
+        self._drop_pending(key)
+        self._pending_by_key[key] = forward
+
+    def _drop_pending(self, key: tuple[Any, int]) -> None:
+        forward = self._pending_by_key.get(key)
+        if forward is not None:
+            if forward.body:
+                self.inbound.budget.release(len(forward.body))
+            self._pending_by_key[key] = None
+
     def _take_offer(self, link: Any, offer: BodyOffer) -> None:
         now = self.clock.seconds()
 
@@ -104,18 +131,22 @@
             return wait_s + self.grants.predict_transfer(offer.size) if wait_s else 0.0
 
         result = self.inbound.assess_offer(offer, predict_delay, now)
+        if not isinstance(result, Reply) and not reserve_body(
+            self.inbound.budget, offer.size
+        ):
+            result = self.inbound.refuse(offer, REFUSED, NO_MEMORY)
         if isinstance(result, Reply):
             link.send_encoded(encode_mesh_message(result))
             return
         key = (link, offer.stream)
-        self._offers_by_link.setdefault(link, set()).add(offer.stream)
+        self._offers_by_link.setdefault(link, {})[offer.stream] = offer.size
         self.grants.add(key, offer.size, now + offer.left_ms / 1000, result)
         self._send_grants()
 
     def _end_offer(self, link: Any, stream: int) -> None:
-        offered_streams = self._offers_by_link.get(link, set())
-        if stream in offered_streams:
-            offered_streams.discard(stream)
+        sizes_by_stream = self._offers_by_link.get(link, {})
+        if stream in sizes_by_stream:
+            self.inbound.budget.release(sizes_by_stream.pop(stream))
             self.grants.remove((link, stream))
             self._send_grants()
 
@@ -132,7 +163,7 @@
             requests = self._requests_by_link.setdefault(link, {})
             deadline = self.clock.seconds() + forward.left_ms / 1000 + REPLY_GRACE_S
             reply = partial(self._send_reply, link, deadline)
-            request = self.inbound.submit(forward, reply)
+            request = self.inbound.submit(forward, reply, len(forward.body))
             if not request.is_ended:
                 requests[stream] = request
 
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -7,9 +7,12 @@
 from collections.abc import Callable
 from typing import Any
 
+from attrs import evolve
+
 from bamboocove.coordination.body_queue import PIECE_BYTES, BodyQueue
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.drain_window import NOT_DRAINING, SlowestResponses
+from bamboocove.coordination.fingerprints import FINGERPRINT_BODY_BYTES
 from bamboocove.coordination.version_comparison import Tally
 from bamboocove.coordination.worker_queue import QueuedRequest, WorkerQueue
 from bamboocove.protocol.mesh_messages import (
@@ -44,6 +47,7 @@
     get_header,
     strip_hop_by_hop_headers,
 )
+from bamboocove.transport.sending import count_unsent
 
 # The worker is on this host and normally accepts a connection in about 1 ms.
 CONNECT_TIMEOUT_S = 0.5
@@ -106,6 +110,7 @@
         self._is_version_allowed = is_version_allowed
         self._on_worker = on_worker
         self.crash_reports = crash_reports
+        self.budget = budget
         self._responses = BodyQueue(budget)
         budget.on_release.append(self._resume_responses)
         self._pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
@@ -186,6 +191,9 @@
     def tick(self, now: float) -> None:
         """Refuse requests that expired in the queue; probe a worker that is down."""
         self._pool.sweep(now)
+        for request in self._requests:
+            if request.held_bytes:
+                self._release_written_body(request)
         for entry in list(self.queue.waiting):
             if entry.deadline <= now:
                 self.queue.discard(entry)
@@ -194,15 +202,22 @@
         self.watch.tick(now)
 
     def submit(
-        self, forward: Forward, reply: Callable[[Reply], None]
+        self, forward: Forward, reply: Callable[[Reply], None], held_bytes: int = 0
     ) -> InboundRequest:
         """Queue a request for the worker, or refuse it.
 
         ``reply`` is called once with the Reply, possibly before this returns.
+        ``held_bytes`` of the budget are released as soon as the request no longer
+        needs its body.
         """
         now = self._clock.seconds()
         request = InboundRequest(
-            self, forward, reply, now, now + forward.left_ms / 1000
+            self,
+            forward,
+            reply,
+            now,
+            now + forward.left_ms / 1000,
+            held_bytes=held_bytes,
         )
         self._requests.add(request)
         if not self._may_run(forward):
@@ -283,10 +298,17 @@
             if self.queue.can_admit(entry, predict_delay, now):
                 return entry.priority
             outcome, reason = REFUSED, "no room for its body in time"
-        left_s = offer.left_ms / 1000
-        self._log_refusal(offer.attempt_id, offer, left_s, reason)
+        return self.refuse(offer, outcome, reason)
+
+    def refuse(self, message: Forward | BodyOffer, outcome: int, reason: str) -> Reply:
+        """Log and return the refusal of a request that was not submitted."""
+        if isinstance(message, BodyOffer):
+            attempt_id = message.attempt_id
+        else:
+            attempt_id = get_header(message.headers, self._dialect.attempt_id)
+        self._log_refusal(attempt_id, message, message.left_ms / 1000, reason)
         load = self.make_load()
-        return Reply(offer.stream, outcome, 0, [], reason.encode(), 0, load)
+        return Reply(message.stream, outcome, 0, [], reason.encode(), 0, load)
 
     def _start_next(self, now: float) -> None:
         self._refuse_late(now)
@@ -365,6 +387,20 @@
             ),
             MAX_FORWARDED_BODY_BYTES,
         )
+        # What identifies the request if it crashes the worker.
+        start = bytes(forward.body[:FINGERPRINT_BODY_BYTES])
+        request.forward = evolve(forward, body=start)
+        self._release_written_body(request)
+
+    def _release_written_body(self, request: InboundRequest) -> None:
+        connection = request.connection
+        if connection is not None and not count_unsent(connection.transport):
+            self._release_body(request)
+
+    def _release_body(self, request: InboundRequest) -> None:
+        if request.held_bytes:
+            self.budget.release(request.held_bytes)
+            request.held_bytes = 0
 
     def cancel(self, request: InboundRequest) -> None:
         """Cancel a request whose caller has disconnected.
@@ -499,6 +535,7 @@
         request.is_ended = True
         self._requests.discard(request)
         self._running_ids.discard(request.attempt_id)
+        self._release_body(request)
         now = self._clock.seconds()
         timer, request.timer = request.timer, None
         if timer is not None:
--- a/bamboocove/sidecar/inbound_request.py
+++ b/bamboocove/sidecar/inbound_request.py
@@ -40,6 +40,8 @@
         Whether the request was sent to the worker.
     is_ended : bool
         Whether the reply was sent.
+    held_bytes : int
+        Bytes of the budget that its body holds.
     status, headers, body_parts
         Response of the worker, as far as it was received.
     """
@@ -57,6 +59,7 @@
     worker: MeshWorker | None = None
     is_sent: bool = False
     is_ended: bool = False
+    held_bytes: int = 0
     status: int = 0
     headers: Headers = field(factory=list)
     body_parts: list[bytearray] = field(factory=list)
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -25,7 +25,6 @@
     ANSWERED,
     CRASHED,
     LOST,
-    MAX_FORWARDED_BODY_BYTES,
     REFUSED,
     SHED,
     TIMED_OUT,
@@ -37,6 +36,7 @@
     ReplyPart,
 )
 from bamboocove.sidecar.attempts import Attempt, AttemptTable
+from bamboocove.sidecar.body_receiver import BodyReceiver
 from bamboocove.sidecar.body_writer import send_body
 from bamboocove.sidecar.candidates import CandidateSelector
 from bamboocove.sidecar.dialect import Dialect
@@ -119,6 +119,9 @@
         self._clock = clock
         self._random = random
         self._budget = budget
+        self._body_receiver = BodyReceiver(
+            budget, clock, self._place, self._refuse_body
+        )
         self.router = RequestRouter(dialect, inbound.is_running, random)
         self._candidates = CandidateSelector(fleet, rules, random)
         self._attempts = AttemptTable(
@@ -155,7 +158,7 @@
             exchange.is_ended = True
             self._place(request)
         else:
-            exchange.receive(request.body_parts.append, lambda: self._on_body(request))
+            self._body_receiver.receive(request)
 
     def end_requests(self) -> None:
         """Respond to all open requests with an error, because the node stops."""
@@ -197,14 +200,13 @@
             return UNAVAILABLE_RETRY_AFTER_S * (0.5 + self._random())
         return 0.0
 
-    def _on_body(self, request: OutboundRequest) -> None:
-        request.body = b"".join(request.body_parts)
-        request.body_parts = []
-        if len(request.body) > MAX_FORWARDED_BODY_BYTES:
-            reason = f"a body of {len(request.body)} bytes does not fit a link"
-            self._respond_with_error(request, ErrorResult(ErrorKind.TOO_LARGE, reason))
-            return
-        self._place(request)
+    def _refuse_body(
+        self, request: OutboundRequest, kind: ErrorKind, reason: str
+    ) -> None:
+        if kind is ErrorKind.TOO_LARGE:
+            self._respond_with_error(request, ErrorResult(kind, reason))
+        else:
+            self._refuse(request, kind, reason)
 
     def _on_closed(self, request: OutboundRequest, error: ErrorResult) -> None:
         """Cancel a request that its connection has ended."""
@@ -542,6 +544,10 @@
         if request.is_ended:
             return
         is_offered = request.attempt is not None and request.attempt.is_offered
+        if request.received_at is None:
+            reason = "its body did not arrive in time"
+            self._refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, reason)
+            return
         self._attempts.cancel_all(request)
         if is_offered and not request.may_have_run:
             reason = "no room for its body in time"
@@ -611,6 +617,7 @@
             self.router.slowest.record(request.route.name, seconds, now)
         self._attempts.cancel_all(request)
         self._requests.discard(request)
+        self._body_receiver.release(request)
         fallback, request.fallback_reply = request.fallback_reply, None
         if fallback is not None:
             self._budget.release(len(fallback.body))
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -7,6 +7,7 @@
 
 from bamboocove.coordination.drain_window import NOT_DRAINING, SlowestResponses
 from bamboocove.coordination.placement import HostView
+from bamboocove.coordination.request_bodies import RequestBody
 from bamboocove.coordination.retry_limits import CallerWaitEstimator
 from bamboocove.coordination.route_table import (
     PrefixTable,
@@ -77,6 +78,8 @@
         Reason of the latest refusal.
     may_return_soon : bool
         Whether the latest refusal came from a worker with free slots.
+    received_body : RequestBody or None
+        The body, if the request has one, and the room that it holds.
     """
 
     exchange: Exchange
@@ -89,7 +92,6 @@
     attempt_id: bytes
     headers: list[list[bytes]]
     caller_deadline: float
-    body: bytes = b""
     received_at: float | None = None
     passed_at: float | None = None
     is_new_version: bool = False
@@ -107,7 +109,12 @@
     fallback_reply: Reply | None = None
     last_reason: str = ""
     may_return_soon: bool = False
-    body_parts: list[bytes] = field(factory=list)
+    received_body: RequestBody | None = None
+
+    @property
+    def body(self) -> bytes | bytearray:
+        """The body, as far as it has arrived."""
+        return b"" if self.received_body is None else self.received_body.data
 
     def get_age(self, now: float | None) -> float | None:
         """Return the time since the request arrived, in seconds; None for None."""
--- a/tests/sidecar/test_forwarding.py
+++ b/tests/sidecar/test_forwarding.py
@@ -20,10 +20,11 @@
     """An inbound proxy that records its calls."""
 
     def __init__(self):
+        self.budget = ByteBudget(1000)
         self.submitted = []
         self.cancelled = []
 
-    def submit(self, forward, reply):
+    def submit(self, forward, reply, held_bytes):
         self.submitted.append(forward.stream)
         return FakeInboundRequest()
 
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -281,11 +281,11 @@
     priorities = {}
     submit = target.node.inbound.submit
 
-    def record(forward, reply):
+    def record(forward, reply, *held):
         priorities[dict(map(tuple, forward.headers))[b"x-attempt-id"]] = (
             forward.priority
         )
-        return submit(forward, reply)
+        return submit(forward, reply, *held)
 
     target.node.inbound.submit = record
     caller.node.inbound._running_ids.add(b"parent")
