Let callers that still send a refused request read the refusal

What callers saw: a body that is refused at its head gets 413 or 503 and then, while the caller goes on sending, a reset 1 s later.

Cause: the lingering close lasted 1 s whether or not the rest of the request still arrived.

Change: it lasts while the rest of the request arrives, 15 s at most, and 1 s after the caller fell silent or has sent all, as before. What arrives is discarded.

--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -73,6 +73,7 @@
         self._is_processing = False
         self._is_paused = False
         self._is_closing = False
+        self._discarded_bytes = self._checked_bytes = 0
         self._closes_when_idle = False
         self._close_reason = CALLER_CLOSED
         self._dropped: list[Exchange] = []
@@ -93,6 +94,7 @@
     def dataReceived(self, data: bytes) -> None:
         """Feed the parser, then process the queued requests."""
         if self._error is not None or self._is_closing:
+            self._discarded_bytes += len(data)
             return
         self._head_bytes += len(data)
         try:
@@ -297,9 +299,23 @@
     def _linger(self) -> None:
         if self._lingering is None:
             self._lingering = LingeringClose(
-                self.transport, self._progress, self._clock, self._on_stalled
+                self.transport,
+                self._progress,
+                self._clock,
+                self._on_stalled,
+                self._is_request_arriving,
             )
 
+    def _is_request_arriving(self) -> bool:
+        """Return whether a part of the last request arrived since the last call."""
+        checked, self._checked_bytes = self._checked_bytes, self._discarded_bytes
+        exchange = self._incoming
+        if exchange is None or self._discarded_bytes == checked:
+            return False
+        if exchange.length is None or exchange.length < 0:
+            return True
+        return exchange.received_bytes + self._discarded_bytes < exchange.length
+
     def _on_stalled(self) -> None:
         self.abort(f"{self._close_reason}, the caller does not read")
 
--- a/bamboocove/transport/closing.py
+++ b/bamboocove/transport/closing.py
@@ -13,6 +13,9 @@
 # after its host has the response. A close with unread data resets the connection, and
 # the reset can destroy the response before the caller reads it.
 LINGER_TIME_S = 1.0
+# Longest lingering close of a connection on which the rest of a request still arrives.
+# Many callers read only when they have sent all.
+MAX_LINGER_TIME_S = 15.0
 # A caller that receives nothing of a response for this time is cut.
 STALL_TIMEOUT_S = 30.0
 CALLER_CLOSED = "caller"
@@ -58,6 +61,9 @@
         Source of time and timers.
     on_stalled : callable
         Called once if the peer receives nothing for ``STALL_TIMEOUT_S``.
+    is_arriving : callable
+        Returns whether a part of a request has arrived since the last call, and more
+        of it is to come.
     """
 
     def __init__(
@@ -66,11 +72,13 @@
         progress: DeliveryProgress,
         clock: Any,
         on_stalled: Callable[[], None],
+        is_arriving: Callable[[], bool],
     ):
         self._transport = transport
         self._progress = progress
         self._clock = clock
         self._on_stalled = on_stalled
+        self._is_arriving = is_arriving
         self._started_at = clock.seconds()
         progress.update(self._started_at)
         self._timer = clock.callLater(LINGER_TIME_S, self._check)
@@ -81,7 +89,10 @@
         progress = self._progress
         progress.update(now)
         still_s = now - max(progress.changed_at, self._started_at)
-        if not progress.pending and still_s >= LINGER_TIME_S:
+        is_late = now - self._started_at >= MAX_LINGER_TIME_S
+        if self._is_arriving() and not is_late:
+            self._timer = self._clock.callLater(LINGER_TIME_S, self._check)
+        elif not progress.pending and still_s >= LINGER_TIME_S:
             self._transport.loseConnection()
         elif progress.pending and still_s >= STALL_TIMEOUT_S:
             self._on_stalled()
--- a/tests/sidecar/test_upload_memory.py
+++ b/tests/sidecar/test_upload_memory.py
@@ -112,6 +112,16 @@
     run_reactor_until(check, timeout_s)
 
 
+def accept_later(exchange):
+    """Answer without a body, 0.1 s after the whole request has arrived."""
+    attempt = dict(exchange.headers)[b"x-attempt-id"]
+    fields = [(b"x-attempt-id", attempt), (b"x-response-signature", b"s")]
+    exchange.receive(
+        lambda data: None,
+        lambda: reactor.callLater(0.1, exchange.respond, 200, fields),
+    )
+
+
 @pytest.mark.parametrize("length", [MAX_FORWARDED_BODY_BYTES + 1, 1 << 33])
 @pytest.mark.parametrize("fields", ["", "Expect: 100-continue\r\n"])
 def test_length_that_no_link_carries_is_refused_at_the_head(host, length, fields):
@@ -149,17 +159,16 @@
         run(pause(0.005))
     assert upload.status == 413
     # The caller goes on, like one that reads only when it has sent all.
-    run(pause(LINGER_TIME_S / 2))
-    upload.to_send += len(PIECE)
-    upload.send()
+    for _ in range(5):
+        run(pause(LINGER_TIME_S / 2))
+        upload.to_send += len(PIECE)
+        upload.send()
     assert not upload.is_cut
 
 
 def test_bodies_at_once_stay_within_the_budget(host):
     """Guards against bodies that each fit but together exceed the memory."""
-    host.request_handler = lambda exchange: reactor.callLater(
-        0.1, host.respond, exchange
-    )
+    host.request_handler = accept_later
     uploads = [Upload(host, len(LARGE), attempt=f"a{n}") for n in range(12)]
     peaks = []
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -12,7 +12,7 @@
     MAX_HELD_BYTES,
     ServerConnection,
 )
-from bamboocove.transport.closing import LINGER_TIME_S
+from bamboocove.transport.closing import LINGER_TIME_S, MAX_LINGER_TIME_S
 from bamboocove.transport.framing import MAX_HEAD_BYTES
 
 MAX_BODY = 1000
@@ -281,6 +281,36 @@
     assert server.transport.disconnecting
 
 
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 9", b"Transfer-Encoding: chunked"]
+)
+def test_lingering_close_lasts_while_the_request_still_arrives(framing):
+    """Guards against a reset that destroys the response of a caller that sends on.
+
+    Callers often read only when they have sent all of a request.
+    """
+    server = Server(responds=False)
+    server.feed(b"PUT /a HTTP/1.1\r\nHost: h\r\n%b\r\n\r\n" % framing)
+    server.respond(server.exchanges[0])
+    for _ in range(5):
+        server.feed(b"x")
+        server.clock.advance(LINGER_TIME_S)
+        assert not server.transport.disconnecting
+    server.clock.advance(LINGER_TIME_S)
+    assert server.transport.disconnecting
+
+
+def test_lingering_close_of_a_request_without_an_end_is_bounded():
+    server = Server(responds=False)
+    chunked = b"Transfer-Encoding: chunked"
+    server.feed(b"PUT /a HTTP/1.1\r\nHost: h\r\n%b\r\n\r\n" % chunked)
+    server.respond(server.exchanges[0])
+    for _ in range(int(MAX_LINGER_TIME_S / LINGER_TIME_S)):
+        server.feed(b"x")
+        server.clock.advance(LINGER_TIME_S)
+    assert server.transport.disconnecting
+
+
 def test_lost_connection_cancels_the_request():
     """Guards against work for a caller that has disconnected."""
     server = Server(responds=False)
