Let large bodies of one sender follow each other on its link

What callers saw: 502 "the host was lost" for uploads and for all other requests of the same link, when several uploads of megabytes go to a host at once.

Change: `BodyGrants` knows the link of each offer and grants at most 4 MiB of bodies on one link at a time, at least one body.

--- a/bamboocove/coordination/body_grants.py
+++ b/bamboocove/coordination/body_grants.py
@@ -9,6 +9,7 @@
 could not arrive in time, before any of its bytes were sent.
 """
 
+from collections import Counter
 from typing import Any
 
 from attrs import define, field, frozen
@@ -23,6 +24,9 @@
 # Small messages wait behind them for as long. A sender may be slower than the link,
 # so one body alone would leave it idle.
 IN_TRANSFER_S = 0.2
+# Bytes of bodies on their way from one sender at a time; at least one body. A sender
+# closes a link on which more than 5 MiB wait.
+MAX_BYTES_PER_SENDER = 4 * 1024 * 1024
 
 
 @frozen
@@ -30,6 +34,7 @@
     size: int
     deadline: float
     priority: float = 0.0
+    sender: Any = None
 
 
 @define
@@ -69,7 +74,14 @@
             return 0.0
         return size / (BODY_RATE_FRACTION * self.bytes_per_s)
 
-    def add(self, key: Any, size: int, deadline: float, priority: float = 0.0) -> None:
+    def add(
+        self,
+        key: Any,
+        size: int,
+        deadline: float,
+        priority: float = 0.0,
+        sender: Any = None,
+    ) -> None:
         """Add an offer that waits for permission.
 
         Parameters
@@ -83,8 +95,10 @@
             clock.
         priority : float
             Lower values are granted first.
+        sender : hashable
+            Identifies the link on which the body will arrive; None if unknown.
         """
-        self._waiting_by_key[key] = _Offer(size, deadline, priority)
+        self._waiting_by_key[key] = _Offer(size, deadline, priority, sender)
 
     def remove(self, key: Any) -> None:
         """Remove an offer: its body has arrived or will not be sent."""
@@ -111,12 +125,19 @@
         granted = []
         room = IN_TRANSFER_S * self.bytes_per_s
         room -= sum(offer.size for offer in self._granted_by_key.values())
+        bytes_by_sender: Counter[Any] = Counter()
+        for offer in self._granted_by_key.values():
+            bytes_by_sender[offer.sender] += offer.size
         by_urgency = sorted(
             self._waiting_by_key.items(), key=lambda item: item[1].priority
         )
         for key, offer in by_urgency:
             if self.bytes_per_s and self._granted_by_key and offer.size > room:
                 break
+            size = bytes_by_sender[offer.sender] + offer.size
+            if offer.sender is not None and MAX_BYTES_PER_SENDER < size > offer.size:
+                continue
+            bytes_by_sender[offer.sender] = size
             del self._waiting_by_key[key]
             self._granted_by_key[key] = offer
             room -= offer.size
--- a/bamboocove/sidecar/forwarding.py
+++ b/bamboocove/sidecar/forwarding.py
@@ -140,7 +140,8 @@
             return
         key = (link, offer.stream)
         self._offers_by_link.setdefault(link, {})[offer.stream] = offer.size
-        self.grants.add(key, offer.size, now + offer.left_ms / 1000, result)
+        deadline = now + offer.left_ms / 1000
+        self.grants.add(key, offer.size, deadline, result, link)
         self._send_grants()
 
     def _end_offer(self, link: Any, stream: int) -> None:
--- a/tests/coordination/test_body_grants.py
+++ b/tests/coordination/test_body_grants.py
@@ -170,3 +170,23 @@
     assert grants.predict_wait(1.0) < 0.3 < grants.predict_wait(101.0)
     grants.remove(0)
     assert grants.take_granted(0.1) == ["in time"]
+
+
+def test_bodies_of_one_sender_do_not_fill_its_link():
+    """Guards against links that are closed because granted bodies wait on them."""
+    grants = BodyGrants(bytes_per_s=125e6)
+    for sender in "ab":
+        for number in range(3):
+            key = sender, number
+            grants.add(key, 3_900_000, deadline=9.0, sender=sender)
+    assert grants.take_granted(0.0) == [("a", 0), ("b", 0)]
+    assert grants.take_granted(0.0) == []
+    grants.remove(("b", 0))
+    assert grants.take_granted(0.0) == [("b", 1)]
+
+
+def test_small_bodies_of_one_sender_are_granted_together():
+    grants = BodyGrants(bytes_per_s=125e6)
+    for number in range(3):
+        grants.add(number, 60_000, deadline=9.0, sender="a")
+    assert grants.take_granted(0.0) == [0, 1, 2]
