Drop the buffered part of a refused body with its response

Cause: the first read of a body, up to 64 KB, stayed with its connection after the request was refused, for as long as the lingering close kept the connection: hundreds a second.

Change: the end of a response drops what is buffered of its request.

--- a/bamboocove/transport/exchanges.py
+++ b/bamboocove/transport/exchanges.py
@@ -196,6 +196,7 @@
         if self.is_closed or self.is_finished:
             return
         self.is_finished = True
+        self.held = []
         if self.is_chunked:
             data = (format_chunk(data) if data else b"") + LAST_CHUNK
         if self.response_head:
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -281,6 +281,15 @@
     assert server.transport.disconnecting
 
 
+def test_early_response_drops_the_buffered_part_of_the_body():
+    """Guards against connections that hold parts of bodies until they are closed."""
+    server = Server(responds=False)
+    server.feed(PUT[:-2])
+    assert server.exchanges[0].held
+    server.respond(server.exchanges[0])
+    assert not server.exchanges[0].held
+
+
 @pytest.mark.parametrize(
     "framing", [b"Content-Length: 9", b"Transfer-Encoding: chunked"]
 )
