--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -118,7 +118,7 @@
         self._target = b""
         self._headers = []
         # The end of the message before may be in the same read, and resets the number.
-        self._head_bytes = max(1, self._head_bytes)
+        self._head_bytes = self._head_bytes or 1
         self.waiting_since = self._clock.seconds()
 
     def on_url(self, part: bytes) -> None:
