Run the requests that were read with one that fails

A program error as a host took a request of another node left all requests of the same read to their deadlines: callers got 504, though most of them were never tried.

Cause: the exception ends the loop that submits them. Change: it is caught for each request and logged (`node.message-failed`), and the request is reported as lost, since the worker may have got it.

Evidence: the new test has two requests in one read; before, both got 504 at their deadline. One gets the answer now, and the other 502 at once.

--- a/bamboocove/sidecar/forwarding.py
+++ b/bamboocove/sidecar/forwarding.py
@@ -1,6 +1,7 @@
 """Requests that other nodes forward to the worker on this host."""
 
 from functools import partial
+from traceback import format_exc
 from typing import Any
 
 from attrs import define, field
@@ -8,6 +9,7 @@
 from bamboocove.coordination.body_grants import BodyGrants
 from bamboocove.coordination.request_bodies import reserve_body, reserve_small
 from bamboocove.protocol.mesh_messages import (
+    LOST,
     REFUSED,
     BodyGrant,
     BodyOffer,
@@ -18,6 +20,7 @@
     encode_mesh_message,
 )
 from bamboocove.sidecar.inbound import InboundProxy, InboundRequest
+from bamboocove.sidecar.logs import MAX_TEXT_LENGTH, log
 from bamboocove.sidecar.reply_offers import ReplyOffers
 
 # Time after the deadline of a request for which its reply is held for the node of its
@@ -161,12 +164,30 @@
         for (link, stream), forward in pending.items():
             if forward is None:
                 continue
-            requests = self._requests_by_link.setdefault(link, {})
-            deadline = self.clock.seconds() + forward.left_ms / 1000 + REPLY_GRACE_S
-            reply = partial(self._send_reply, link, deadline)
-            request = self.inbound.submit(forward, reply, len(forward.body))
-            if not request.is_ended:
-                requests[stream] = request
+            # An exception would leave the other requests to their deadlines.
+            try:
+                self._submit(link, forward)
+            except Exception:
+                log(
+                    "node.message-failed",
+                    message=type(forward).__name__,
+                    # The last lines say where.
+                    traceback=format_exc()[-MAX_TEXT_LENGTH:],
+                )
+                load = self.inbound.make_load()
+                # The worker may have got it.
+                reply = Reply(stream, LOST, 0, [], b"program error", 0, load)
+                self._send_reply(link, self._get_reply_deadline(forward), reply)
+
+    def _get_reply_deadline(self, forward: Forward) -> float:
+        return self.clock.seconds() + forward.left_ms / 1000 + REPLY_GRACE_S
+
+    def _submit(self, link: Any, forward: Forward) -> None:
+        requests = self._requests_by_link.setdefault(link, {})
+        reply = partial(self._send_reply, link, self._get_reply_deadline(forward))
+        request = self.inbound.submit(forward, reply, len(forward.body))
+        if not request.is_ended:
+            requests[forward.stream] = request
 
     def _send_reply(self, link: Any, deadline: float, reply: Reply) -> None:
         requests = self._requests_by_link.get(link)
--- a/tests/sidecar/test_program_errors.py
+++ b/tests/sidecar/test_program_errors.py
@@ -3,13 +3,14 @@
 import pytest
 
 from tests.callpath import run_reactor_until
-from tests.sidecar.hosts import HostMesh, format_call, read_response
+from tests.sidecar.hosts import HostMesh, format_call, make_config, read_response
 from tests.transport.closing import split_responses
 
 
 @pytest.fixture
 def mesh():
     mesh = HostMesh()
+    mesh.store.put_config(make_config(2, read={"orders": 1}, pay={"orders": 1}))
     yield mesh
     mesh.close()
 
@@ -67,3 +68,16 @@
     out = capfd.readouterr().out
     assert '"node.message-failed","host":"h1","message":"Reply"' in out
     assert '"link.down"' not in out
+
+
+def test_requests_read_with_one_that_fails_are_run(mesh, capfd):
+    """Guards against one error that leaves all requests of a read to their deadline."""
+    caller, target = mesh.add("ledger"), mesh.add("orders")
+    mesh.settle()
+    fail_once(target.node.inbound, "submit")
+    data = [format_call("/pay/1", "POST", attempt=f"a{n}") for n in range(2)]
+    callers = [caller.open(item) for item in data]
+    statuses = sorted(read_response(c)[0] for c in callers)
+    assert statuses == [200, 502]
+    assert len(target.requests) == 1
+    assert '"node.message-failed","message":"Forward"' in capfd.readouterr().out
