Test requests whose body arrives during planned work

A request whose body is still being received at SIGTERM, as the settings are read again, or as a configuration removes its route gets its answer; nothing had to be changed for it.

--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -355,3 +355,25 @@
     status, fields, _ = read_response(sockets[0])
     assert status == 503 and float(fields["retry-after"]) > 0
     assert len(target.requests) == 1
+
+
+@pytest.mark.parametrize("event", ["reload", "configuration", "stop"])
+def test_request_whose_body_arrives_during_planned_work_is_answered(mesh, event):
+    """Guards against a body that is dropped, or one whose route is gone meanwhile."""
+    caller, target = make_hosts(mesh, "ledger", "orders")
+    data = format_call("/pay/1", "POST", b"12345", LEFT_MS)
+    socket = caller.open(data[:-2])
+    run_reactor_until(lambda: caller.node.outbound.in_flight)
+    if event == "reload":
+        bounds = evolve(caller.node.settings.bounds, grace_s=2.0)
+        caller.node.reload(evolve(caller.node.settings, bounds=bounds))
+    elif event == "configuration":
+        mesh.store.put_config(make_config(3, timeout_s=6.1, read={"orders": 1}))
+        run_reactor_until(lambda: mesh.get_versions() == [3, 3])
+    else:
+        start_stop(caller)
+        wait_until(reactor.seconds() + 0.1)
+    socket.send(data[-2:])
+    status, _, body = read_response(socket)
+    assert (status, body) == (200, b"12345")
+    assert len(target.requests) == 1
