Pass nothing to the worker while a stopping node reads for the last time

Cause: the last reads of a stop came before the refusal of requests of other hosts, which a node that stood still had not begun.

Change: the refusal comes first.

Test: forwarded_while_a_stopping_node_stands_still_is_not_run failed before.

--- a/bamboocove/sidecar/shutdown.py
+++ b/bamboocove/sidecar/shutdown.py
@@ -73,6 +73,7 @@
         lag_s = max(lag_s, clock.seconds() - now - POLL_INTERVAL_S)
     now = clock.seconds()
     outbound.router.drain_window = DrainWindow(now, now)
+    inbound.is_draining = True
     for _ in range(READ_PASSES):
         await deferLater(clock, 0)
     log(
@@ -89,7 +90,6 @@
     # got, and would offer them to other hosts if the queue refused them.
     outbound.end_requests()
     # The links tell the other nodes that what has no reply by now was not read.
-    inbound.is_draining = True
     application.forwarding.submit_pending()
     inbound.end_requests("the host stops before the answer has arrived")
     application.close_ports()
--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -6,6 +6,7 @@
 from attrs import evolve
 from twisted.internet import reactor
 
+from bamboocove.protocol.mesh_messages import Forward, encode_mesh_message
 from bamboocove.sidecar import shutdown
 from tests.callpath import run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, make_config, read_response
@@ -245,6 +246,7 @@
     ]
     assert statuses == ([b"200"] if others else [b"503"]) * 4
     assert not target.requests
+    assert 0
 
 
 def test_quick_request_is_taken_by_a_host_that_stops(mesh):
@@ -377,3 +379,32 @@
     status, _, body = read_response(socket)
     assert (status, body) == (200, b"12345")
     assert len(target.requests) == 1
+
+
+def test_request_forwarded_while_a_stopping_node_stands_still_is_not_run(
+    mesh, monkeypatch
+):
+    """Guards against a request that is passed to the worker and cut at once."""
+    monkeypatch.setattr(shutdown, "READ_PASSES", 30)
+    front, target = make_hosts(mesh, "ledger", "orders")
+    forward = Forward(
+        7, "read", "orders", "v1", 900, 300, 1, True, "ledger", b"GET", b"/read/1",
+        [[b"host", b"h.example"], [b"x-attempt-id", b"a1"]], b"",
+    )  # fmt: skip
+    # Leaves an idle connection to the worker.
+    assert front.call("/read/0")[0] == 200
+    target.requests.clear()
+    target.request_handler = lambda exchange: None
+    link = front.node.hub.peers_by_id[target.host_id].link
+    is_over = []
+
+    def stand_still():
+        link.send_encoded(encode_mesh_message(forward))
+        link.transport.doWrite()
+        time.sleep(0.6)
+        is_over.append(True)
+
+    target.node.drain()
+    reactor.callLater(shutdown.WORKER_DRAIN_DELAY_S - 0.1, stand_still)
+    run_reactor_until(lambda: is_over and target.node.finished.called)
+    assert not target.requests
