Do not send a request again whose reply a stopping host has offered

A request that must not run twice ran twice: its worker had answered, the caller's node had no room for the large reply yet, and the host beside the worker stopped. Without another host the caller got 503 though it had run.

Cause: the stop did not know of replies that are held until they are granted. It ended the node as idle and closed the links as if all had been replied to, so the caller's node took the request for one that was never read.

Change: a stopping node awaits held replies like requests at which a worker is at work, and reports those left at the end as lost. The caller's node also remembers the offer: such a request was read. Parts of a reply that is lost later are dropped and do not become part of the reason.

--- a/bamboocove/sidecar/attempts.py
+++ b/bamboocove/sidecar/attempts.py
@@ -47,6 +47,8 @@
         cannot have run the request.
     inbound_request : InboundRequest or None
         The request in the queue of this host's worker, if it was sent there.
+    has_reply : bool
+        Whether the host has offered its reply.
     reply_parts : list of bytes
         Parts of the body of a large reply, as far as they have arrived.
     """
@@ -56,6 +58,7 @@
     view: HostView
     is_offered: bool = False
     inbound_request: InboundRequest | None = None
+    has_reply: bool = False
     reply_parts: list[bytes] = field(factory=list)
 
     @property
@@ -186,7 +189,9 @@
         attempt = self._attempts_by_stream.get(offer.stream)
         if attempt is None:
             self.hub.send(host_id, Cancel(offer.stream))
-        elif self._replies.reserve(attempt, offer.size):
+            return
+        attempt.has_reply = True
+        if self._replies.reserve(attempt, offer.size):
             self.hub.send(host_id, BodyGrant(offer.stream))
         else:
             log(
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -309,7 +309,7 @@
         attempt = self._attempts.get(reply.stream)
         if attempt is None:
             return
-        if attempt.reply_parts:
+        if attempt.reply_parts and reply.outcome == ANSWERED:
             parts, attempt.reply_parts = attempt.reply_parts, []
             reply = evolve(reply, body=b"".join([*parts, reply.body]))
         # Counted while the body passes from the attempt to the caller, so that no other
@@ -497,7 +497,8 @@
         """
         for attempt in self._attempts.find(host_id):
             request = attempt.request
-            if attempt.is_offered or has_replied and attempt is request.attempt:
+            is_unread = has_replied and not attempt.has_reply
+            if attempt.is_offered or is_unread and attempt is request.attempt:
                 self._withdraw(attempt, now)
                 continue
             is_earlier = attempt is request.earlier_attempt
--- a/bamboocove/sidecar/reply_offers.py
+++ b/bamboocove/sidecar/reply_offers.py
@@ -7,6 +7,7 @@
 from bamboocove.coordination.body_queue import PIECE_BYTES
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.protocol.mesh_messages import (
+    LOST,
     Reply,
     ReplyOffer,
     ReplyPart,
@@ -111,6 +112,21 @@
             self.remove(link, stream)
         self._replies_by_link.pop(link, None)
 
+    @property
+    def count(self) -> int:
+        """Number of replies that are held."""
+        return sum(map(len, self._replies_by_link.values()))
+
+    def end_all(self, reason: str) -> None:
+        """Tell the other nodes that the replies held for them are lost."""
+        for link, replies in self._replies_by_link.items():
+            for stream, held in list(replies.items()):
+                lost = evolve(
+                    held.reply, outcome=LOST, status=0, headers=[], body=reason.encode()
+                )
+                self.remove(link, stream)
+                link.send_encoded(encode_mesh_message(lost))
+
     def tick(self, now: float) -> None:
         """Forget replies that nobody waits for any more."""
         for link, replies in self._replies_by_link.items():
--- a/bamboocove/sidecar/shutdown.py
+++ b/bamboocove/sidecar/shutdown.py
@@ -23,6 +23,7 @@
 # one accepts connections, the next reads from them. A process that stood still runs its
 # timers before it reads anything, and would end with all of that unread.
 READ_PASSES = 3
+STOPPING_REASON = "the host stops before the answer has arrived"
 
 
 async def drain(application: Any) -> None:
@@ -56,9 +57,10 @@
     worker_drain_at = started_at + WORKER_DRAIN_DELAY_S
     outbound.router.drain_window = DrainWindow(callers_drained_at, last_answer_at)
     inbound.drain_window = DrainWindow(started_at, last_answer_at)
+    replies = application.forwarding.replies
     has_refused_waiting = False
     while (now := clock.seconds()) < schedule.get_end(lag_s):
-        is_idle = not outbound.in_flight and not inbound.in_flight
+        is_idle = not (outbound.in_flight or inbound.in_flight or replies.count)
         if is_idle and now >= callers_drained_at:
             break
         # The worker keeps serving other hosts while callers on this host are drained.
@@ -82,6 +84,7 @@
         lag_s=round(lag_s, 3),
         outbound=outbound.in_flight,
         inbound=inbound.in_flight,
+        replies=replies.count,
         connections=len(application.connections),
         unsent_bytes=sum(c.unsent_bytes for c in application.connections),
     )
@@ -91,7 +94,8 @@
     outbound.end_requests()
     # The links tell the other nodes that what has no reply by now was not read.
     application.forwarding.submit_pending()
-    inbound.end_requests("the host stops before the answer has arrived")
+    inbound.end_requests(STOPPING_REASON)
+    replies.end_all(STOPPING_REASON)
     application.close_ports()
     application.watch.stop()
     await application.hub.close_links()
--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -14,6 +14,10 @@
 GRACE_S = 1.5
 # Longer than the grace period, as for routes whose requests take long.
 LEFT_MS = 6100
+# Large enough that the reply is offered first.
+LARGE_BYTES = 1_000_000
+# More than a node holds at a time, also for the one body that may exceed its budget.
+HELD_BYTES = 1_000_000_000
 
 
 @pytest.fixture
@@ -408,3 +412,46 @@
     reactor.callLater(shutdown.WORKER_DRAIN_DELAY_S - 0.1, stand_still)
     run_reactor_until(lambda: is_over and target.node.finished.called)
     assert not target.requests
+
+
+@pytest.fixture
+def offered(mesh):
+    """Return a caller's host and two others, one of which offers a large answer.
+
+    The caller's host has no room for it. Also returns the caller's connection.
+    """
+    caller, *others = make_hosts(mesh, "ledger", "orders", "orders")
+    for host in others:
+        host.request_handler = lambda exchange: exchange.respond(
+            200,
+            [(b"x-attempt-id", b"a1"), (b"x-response-signature", b"s")],
+            bytes(LARGE_BYTES),
+        )
+    caller.node.body_budget.add(HELD_BYTES)
+    socket = open_call(caller, "/pay/1")
+    run_reactor_until(lambda: others[0].requests or others[1].requests)
+    target, other = others if others[0].requests else others[::-1]
+    run_reactor_until(lambda: not target.node.inbound.in_flight)
+    wait_until(reactor.seconds() + 0.1)
+    return caller, target, other, socket
+
+
+def test_answer_that_another_host_has_no_room_for_keeps_a_stopping_node(offered):
+    """Guards against an answer that is there and is lost with the node."""
+    caller, target, other, socket = offered
+    start_stop(target)
+    wait_until(caller_drained_at(target) + 0.2)
+    caller.node.body_budget.release(HELD_BYTES)
+    status, _, body = read_response(socket)
+    assert (status, len(body)) == (200, LARGE_BYTES)
+    run_reactor_until(lambda: target.node.finished.called)
+    assert not other.requests
+
+
+def test_request_whose_answer_was_only_offered_is_not_sent_again(offered):
+    """Guards against a request that runs twice when the first host has stopped."""
+    caller, target, other, socket = offered
+    start_stop(target)
+    run_reactor_until(lambda: target.node.finished.called)
+    assert read_response(socket)[0] == 502
+    assert not other.requests
