Trust the end of a link only if all its messages were understood

After a program error in the handling of a reply, the request was open at the caller's node. When the other host stopped, that node took it for one that was never read and sent it again, though it must not run twice.

Cause: a link that ends in order says that all requests that were read have a reply; whether this node had handled the replies was not asked. Change: an error in the handling of a message marks its link like a message that was not sent or cannot be decoded, on both sides.

--- a/bamboocove/sidecar/links.py
+++ b/bamboocove/sidecar/links.py
@@ -399,6 +399,7 @@
         try:
             self._handlers.on_message(link, host_id, message)
         except Exception:
+            link.has_lost_message = True
             log(
                 "node.message-failed",
                 host=host_id,
--- a/bamboocove/transport/peers.py
+++ b/bamboocove/transport/peers.py
@@ -139,6 +139,8 @@
         "connecting", "handshaking", "open", "closing" or "closed".
     bytes_sent, bytes_received, writes, reads : int
         Traffic on the TCP connection, WebSocket framing included.
+    has_lost_message : bool
+        Whether a message was not sent, or was received and not understood.
     is_paused : bool
         Whether messages are kept back because the transport's buffer is full.
     on_drained : callable or None
@@ -158,7 +160,7 @@
         self._timer = None
         self._reason = ""
         self._invalid_messages = 0
-        self._is_incomplete = False
+        self.has_lost_message = False
         self._close_code = CloseCode.NORMAL_CLOSURE
         self.is_paused = False
         self.on_drained: Callable[[], None] | None = None
@@ -186,7 +188,7 @@
         The peer learns that what it has sent since was not read. If a message was not
         sent, the link is closed without saying so.
         """
-        if not self._is_incomplete:
+        if not self.has_lost_message:
             self._close_code = CloseCode.GOING_AWAY
         self.close(reason)
 
@@ -198,7 +200,7 @@
             received is not None
             and received.code == CloseCode.GOING_AWAY
             and self._websocket.close_rcvd_then_sent is True
-            and not self._is_incomplete
+            and not self.has_lost_message
         )
 
     def drop(self, reason: str) -> None:
@@ -284,10 +286,10 @@
         if self._websocket.state is not State.OPEN:
             return False
         if len(data) > MAX_MESSAGE_BYTES:
-            self._is_incomplete = True
+            self.has_lost_message = True
             return False
         if self._buffered_bytes + len(data) > MAX_BUFFERED_BYTES:
-            self._is_incomplete = True
+            self.has_lost_message = True
             self._clock.callLater(0, self._drop, "peer reads too slowly")
             return False
         self._websocket.send_binary(data)
@@ -350,7 +352,7 @@
                 self._queue_notification(self._handlers.on_message, self, message)
                 self._notify()
             return
-        self._is_incomplete = True
+        self.has_lost_message = True
         self._invalid_messages += 1
         if self._invalid_messages >= MAX_INVALID_MESSAGES:
             self._input(self._machine.close, message.reason)
--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -455,3 +455,21 @@
     run_reactor_until(lambda: target.node.finished.called)
     assert read_response(socket)[0] == 502
     assert not other.requests
+
+
+def test_request_whose_reply_was_not_understood_is_not_sent_again(mesh):
+    """Guards against a request that runs twice after a program error."""
+    caller, *others = make_hosts(mesh, "ledger", "orders", "orders")
+
+    def fail(reply):
+        raise ValueError
+
+    caller.node.outbound.on_reply = fail
+    socket = open_call(caller, "/pay/1")
+    run_reactor_until(lambda: others[0].requests or others[1].requests)
+    target, other = others if others[0].requests else others[::-1]
+    wait_until(reactor.seconds() + 0.1)
+    del caller.node.outbound.on_reply
+    start_stop(target)
+    assert read_response(socket)[0] == 502
+    assert not other.requests
