Send the rest of a large answer to a caller that closes its sending half

Large answers are written in parts now, so that one counted as unfinished when the caller's FIN came, and was cut by a reset. An answer that is known whole goes on; no work depends on it, and a caller that has left resets the connection.

--- a/bamboocove/sidecar/body_writer.py
+++ b/bamboocove/sidecar/body_writer.py
@@ -45,6 +45,7 @@
     def start(self) -> None:
         """Write until the caller's connection takes no more, and go on later."""
         self._exchange.on_closed = self._on_closed
+        self._exchange.is_answered = True
         self._timer = self._clock.callLater(IDLE_TIMEOUT_S, self._on_stalled)
         self._exchange.connection.register_producer(self)
         self.resumeProducing()
--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -75,6 +75,7 @@
         self._is_closing = False
         self._discarded_bytes = self._checked_bytes = 0
         self._closes_when_idle = False
+        self._is_read_closed = False
         self._close_reason = CALLER_CLOSED
         self._dropped: list[Exchange] = []
         self._unacknowledged_bytes = 0
@@ -281,7 +282,7 @@
 
     def resume(self) -> None:
         """Resume reading from the connection."""
-        if self._is_paused:
+        if self._is_paused and not self._is_read_closed:
             self._is_paused = False
             self.transport.resumeProducing()
 
@@ -289,11 +290,14 @@
         if self._is_closing:
             return
         self._is_closing = True
-        self._close_reason = reason
+        self._close_reason = CALLER_CLOSED if self._is_read_closed else reason
         self._dropped.extend(self._queue)
         self._queue.clear()
         self.resume()
-        self.transport.loseWriteConnection()
+        if self._is_read_closed:
+            self.transport.loseConnection()
+        else:
+            self.transport.loseWriteConnection()
         self._linger()
 
     def _linger(self) -> None:
@@ -409,6 +413,11 @@
 
         A caller that closes its sending half cannot be told from one that has left.
         """
+        self._is_read_closed = True
+        if self._queue and self._queue[0].is_answered:
+            # No work depends on the rest of the response.
+            self._queue[0].is_keep_alive = False
+            return
         is_cut = any(e.is_response_started and not e.is_finished for e in self._queue)
         self._cancel_requests()
         if is_cut:
--- a/bamboocove/transport/exchanges.py
+++ b/bamboocove/transport/exchanges.py
@@ -38,6 +38,9 @@
     ----------
     on_data, on_end : callable or None
         Called with each part of the body and at its end; set by ``receive``.
+    is_answered : bool
+        Whether the whole response is known and only remains to be sent. The response
+        then goes on if the caller closes its sending half.
     on_closed : callable or None
         Called with an ErrorResult when the request cannot be completed or
         the caller's connection is lost before the response is finished.
@@ -48,6 +51,7 @@
         "headers",
         "held",
         "held_bytes",
+        "is_answered",
         "is_blocked",
         "is_chunked",
         "is_closed",
@@ -96,6 +100,7 @@
         self.is_closed = False
         self.is_finished = False
         self.is_cut = False
+        self.is_answered = False
         self.is_chunked = False
         self.is_blocked = False
         self.response_head: bytes | None = None
--- a/tests/transport/test_half_close.py
+++ b/tests/transport/test_half_close.py
@@ -3,8 +3,11 @@
 import socket
 
 import pytest
+from twisted.internet import reactor
 
+from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.errors import ErrorKind
+from bamboocove.sidecar.body_writer import send_body
 from bamboocove.transport import closing
 from tests.callpath import run_reactor_until
 from tests.transport.closing import (
@@ -64,6 +67,21 @@
     assert not server.errors and not server.reports
 
 
+def test_half_close_lets_an_answer_arrive_that_is_written_in_parts(server):
+    """Guards against an answer that is cut though its worker has finished."""
+    caller = server.open(GET % 1, RECEIVE_BUFFER_BYTES)
+    server.wait_for_requests(1)
+    budget = ByteBudget(2 * len(LARGE))
+    exchange = server.exchanges[0]
+    exchange.start(200, [], len(LARGE))
+    send_body(exchange, LARGE, budget, reactor)
+    caller.socket.shutdown(socket.SHUT_WR)
+    wait(0.05)
+    assert read_bodies(caller) == [LARGE]
+    run_reactor_until(lambda: not server.calls.connections, 0.5)
+    assert not budget.held and not server.errors and not server.reports
+
+
 def test_half_close_cancels_the_request_behind_an_answer(server):
     """Guards against a cancellation that waits until an earlier answer was read."""
     caller = open_half_closed(server, 2)
