Read no request behind a response that announces the close

While a large or streamed answer with `Connection: close` was written, requests that the caller sent were read, and dropped without an answer as it ended.

Change: from the head of the last response on, what arrives is discarded like in the lingering close. The rest of the request itself is still read. The new test fails on the code before: `connection.incomplete` named the dropped request.

--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -97,6 +97,8 @@
         if self._error is not None or self._is_closing:
             self._discarded_bytes += len(data)
             return
+        if self._queue and self._queue[0].is_last_response:
+            return
         self._head_bytes += len(data)
         try:
             self._parser.feed_data(data)
--- a/bamboocove/transport/exchanges.py
+++ b/bamboocove/transport/exchanges.py
@@ -254,3 +254,11 @@
     def is_response_started(self) -> bool:
         """Whether the response head was sent."""
         return self.response_head == b""
+
+    @property
+    def is_last_response(self) -> bool:
+        """Whether the caller was told that no later request gets a response.
+
+        The rest of this request is still read.
+        """
+        return self.is_complete and not self.is_keep_alive and self.is_response_started
--- a/tests/transport/test_pipelined_close.py
+++ b/tests/transport/test_pipelined_close.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from tests.transport.closing import GET, Server, split_responses
+from tests.callpath import run_reactor_until
+from tests.transport.closing import GET, Server, split_responses, wait
 
 PART = b"PUT /9 HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhe"
 
@@ -97,6 +98,24 @@
     assert body == b"abcd" and caller.is_closed
 
 
+def test_request_that_follows_the_start_of_the_last_response_is_not_read(server):
+    """Guards against a request that is read, and dropped as the response ends."""
+    caller = server.open(GET % 1)
+    server.wait_for_requests(1)
+    first = server.exchanges[0]
+    first.close_connection()
+    first.start(200, [], 4)
+    first.write(b"ab")
+    caller.send(GET % 2)
+    wait(0.05)
+    first.finish(b"cd")
+    ((head, _),) = read_all(caller)
+    assert b"connection: close" in head
+    caller.close()
+    run_reactor_until(lambda: not server.calls.connections)
+    assert len(server.exchanges) == 1 and not server.reports
+
+
 def test_close_that_the_caller_asks_for_is_final(server):
     """Guards against an answer on a connection that the caller wants closed."""
     last = b"GET /1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
