--- a/tests/sidecar/test_response_memory.py
+++ b/tests/sidecar/test_response_memory.py
@@ -3,9 +3,11 @@
 import socket
 
 import pytest
+from attrs import evolve
 from twisted.internet import reactor
 
 from bamboocove.coordination.body_queue import MAX_EXCESS_BYTES, PIECE_BYTES
+from bamboocove.sidecar import shutdown
 from tests.callpath import Caller, run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, make_config, read_response
 from tests.sidecar.test_endless_responses import make_endless
@@ -211,3 +213,34 @@
     run_reactor_until(lambda: not any(budget.held for budget in budgets))
     for caller in callers:
         caller.close()
+
+
+@pytest.mark.parametrize(("is_released", "expected"), [(True, 200), (False, 502)])
+def test_large_answer_of_a_host_that_stops(mesh, monkeypatch, is_released, expected):
+    """Guards against running a request again whose answer waits on another host."""
+    monkeypatch.setattr(shutdown, "CALLER_DRAIN_S", 0.5)
+    monkeypatch.setattr(shutdown, "WORKER_DRAIN_DELAY_S", 0.4)
+    targets = [mesh.add("orders"), mesh.add("orders")]
+    front = mesh.add("front")
+    mesh.settle()
+    for target in targets:
+        respond_large(target)
+        bounds = evolve(target.node.settings.bounds, grace_s=1.5)
+        target.node.settings = evolve(target.node.settings, bounds=bounds)
+    budget = front.node.body_budget
+    taken = budget.limit + MAX_EXCESS_BYTES + 1
+    budget.add(taken)
+    (caller,) = open_calls(front, 1, left_ms=2000)
+    run_reactor_until(
+        lambda: any(not t.node.forwarding.replies.is_empty() for t in targets)
+    )
+    (stopping,) = [target for target in targets if target.requests]
+    stopping.node.drain()
+    until = reactor.seconds() + 0.8
+    run_reactor_until(lambda: reactor.seconds() > until)
+    if is_released:
+        budget.release(taken)
+    assert read_response(caller)[0] == expected
+    run_reactor_until(lambda: stopping.node.finished.called)
+    assert sum(len(target.requests) for target in targets) == 1
+    caller.close()
