Keep few bytes of large answers in the buffers of sockets

The memory of a host counts the bytes that wait in the buffers of the process's sockets. A connection to a worker that the node does not read, or to a caller that does not read a large answer, kept 3.5 MB each there, beyond the byte budget.

Change: connections to the worker have a receive buffer, and those of callers of large answers a send buffer, of 128 KiB. Both ends are on the same host.

Evidence: test_bytes_in_the_buffers_of_sockets_are_few found 3,563,520 bytes unread on a connection to the worker before; below 320 KiB on each connection now.

The process test read its callers one after the other and relied on the kernel to hold the answers of the others; callers that do not read now hold the room of the node, as they should, so the test reads all at the same time. Its limits are the same.

--- a/bamboocove/sidecar/body_writer.py
+++ b/bamboocove/sidecar/body_writer.py
@@ -1,5 +1,6 @@
 """Writes a large response body to a caller as fast as the caller reads it."""
 
+from socket import SO_SNDBUF, SOL_SOCKET
 from typing import Any
 
 from twisted.internet.interfaces import IPushProducer
@@ -11,6 +12,10 @@
 from bamboocove.transport.calls import IDLE_TIMEOUT_S
 from bamboocove.transport.exchanges import Exchange
 
+# Kernel's buffer of a connection whose caller gets a large body. Left to the kernel it
+# grows to some megabytes while the caller reads slowly. Callers are on the same host.
+SEND_BUFFER_BYTES = 128 * 1024
+
 
 @implementer(IPushProducer)
 class BodyWriter:
@@ -47,7 +52,10 @@
         self._exchange.on_closed = self._on_closed
         self._exchange.is_answered = True
         self._timer = self._clock.callLater(IDLE_TIMEOUT_S, self._on_stalled)
-        self._exchange.connection.register_producer(self)
+        connection = self._exchange.connection
+        handle = connection.transport.getHandle()
+        handle.setsockopt(SOL_SOCKET, SO_SNDBUF, SEND_BUFFER_BYTES)
+        connection.register_producer(self)
         self.resumeProducing()
 
     def resumeProducing(self) -> None:
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -51,6 +51,9 @@
 
 # The worker is on this host and normally accepts a connection in about 1 ms.
 CONNECT_TIMEOUT_S = 0.5
+# Kernel's buffer of a connection to the worker: what waits there while the node does
+# not read counts as memory of the host, too. Ample without a network between.
+RECEIVE_BUFFER_BYTES = 128 * 1024
 # Workers close idle connections after some seconds, sometimes much sooner, and a
 # request that is sent at that moment is lost. A request that must not run twice
 # therefore only reuses a connection that has hardly been idle.
@@ -113,7 +116,7 @@
         self.budget = budget
         self._responses = BodyQueue(budget)
         budget.on_release.append(self._resume_responses)
-        self._pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
+        self._pool = ConnectionPool(clock, CONNECT_TIMEOUT_S, RECEIVE_BUFFER_BYTES)
         self._consecutive_timeouts = 0
         self._last_response_at = 0.0
         self._requests: set[InboundRequest] = set()
--- a/bamboocove/transport/clients.py
+++ b/bamboocove/transport/clients.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from enum import Enum, auto
+from socket import SO_RCVBUF, SOL_SOCKET
 from typing import Any
 from typing import Protocol as Interface
 
@@ -350,10 +351,14 @@
         Source of time and connections.
     connect_timeout_s : float
         Time limit for the establishment of a connection.
+    receive_buffer_bytes : int
+        Size of the kernel's buffer for received bytes of a connection; 0 lets the
+        kernel choose, which gives some megabytes to a connection that is read slowly.
     """
 
     clock: Any
     connect_timeout_s: float
+    receive_buffer_bytes: int = 0
     _idle_by_address: dict[Address, list[tuple[ClientConnection, float]]] = field(
         factory=dict
     )
@@ -405,6 +410,10 @@
 
         def handle_connected(connection: ClientConnection) -> None:
             connection.on_closed = lambda closed: self.discard(address, closed)
+            if self.receive_buffer_bytes:
+                size = self.receive_buffer_bytes
+                handle = connection.transport.getHandle()
+                handle.setsockopt(SOL_SOCKET, SO_RCVBUF, size)
             on_connected(connection)
 
         host, port = address
--- a/tests/platform/test_response_memory.py
+++ b/tests/platform/test_response_memory.py
@@ -14,13 +14,14 @@
 from soak.records import Journal
 from tests.callpath import Caller, run, run_reactor_until
 from tests.networks import find_free_network
-from tests.sidecar.hosts import format_call, read_response
+from tests.sidecar.hosts import format_call, parse_head, read_response
 
 MEMORY_MB = 150
 TIMEOUT_S = 6.0
 # Slots of the worker for the small requests.
 SPARE_SLOTS = 4
 PIECE_BYTES = 64 * 1024
+MAX_HEAD_BYTES = 32 * 1024
 PIECE = b"x" * PIECE_BYTES
 CHUNK = b"%x\r\n%b\r\n" % (PIECE_BYTES, PIECE)
 # Sizes of all answers together, if they have a size.
@@ -150,6 +151,22 @@
     return status
 
 
+def read_all(callers):
+    """Read responses at the same time; return their status codes."""
+
+    def read(caller):
+        caller._read()
+        head, separator, _ = caller.data[:MAX_HEAD_BYTES].partition(b"\r\n\r\n")
+        if not separator:
+            return 0
+        status, fields = parse_head(head)
+        size = len(head) + len(separator) + int(fields["content-length"])
+        return status if len(caller.data) >= size else 0
+
+    run_reactor_until(lambda: all([read(c) for c in callers]), 2 * TIMEOUT_S)
+    return [read(caller) for caller in callers]
+
+
 @pytest.mark.parametrize("count", [20, 60])
 @pytest.mark.parametrize("name", ANSWERS_BY_NAME)
 def test_answers_at_once_do_not_fill_the_memory(cluster, name, count):
@@ -165,7 +182,7 @@
     # Requests of other callers are served meanwhile.
     assert [call_small(host, number) for number in range(1, 11)] == [200] * 10
     expected = {200} if name == "length" else {502, 504}
-    assert {read_response(caller)[0] for caller in callers} <= expected
+    assert set(read_all(callers)) <= expected
     for caller in callers:
         caller.close()
     host.node.record_peak_memory()
--- a/tests/sidecar/test_response_memory.py
+++ b/tests/sidecar/test_response_memory.py
@@ -1,6 +1,9 @@
 """Responses that wait because the node holds as many bytes as it may."""
 
 import socket
+import struct
+from fcntl import ioctl
+from termios import FIONREAD
 
 import pytest
 from attrs import evolve
@@ -8,6 +11,7 @@
 
 from bamboocove.coordination.body_queue import MAX_EXCESS_BYTES, PIECE_BYTES
 from bamboocove.sidecar import shutdown
+from bamboocove.transport.sending import count_unacknowledged
 from tests.callpath import Caller, run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, make_config, read_response
 from tests.sidecar.test_endless_responses import make_endless
@@ -17,6 +21,8 @@
 LARGE_BODY = bytes(range(250)) * (LARGE_BYTES // 250)
 LIMIT = 2_500_000
 SOCKET_BYTES = 16 * 1024
+# The kernel doubles the size that is asked for.
+MAX_SOCKET_BYTES = 2 * 128 * 1024 + 64 * 1024
 
 
 @pytest.fixture
@@ -244,3 +250,28 @@
     run_reactor_until(lambda: stopping.node.finished.called)
     assert sum(len(target.requests) for target in targets) == 1
     caller.close()
+
+
+def test_bytes_in_the_buffers_of_sockets_are_few(mesh):
+    """Guards against megabytes that wait in the kernel for each slow caller."""
+    target = mesh.add("orders")
+    mesh.settle()
+    respond_large(target)
+    target.node.inbound.queue.slots = 12
+    target.node.body_budget.limit = LIMIT
+    callers = [open_slow_call(target, f"s{number}", 1900) for number in range(10)]
+    run_reactor_until(lambda: len(target.requests) == 10)
+    until = reactor.seconds() + 0.5
+    run_reactor_until(lambda: reactor.seconds() > until)
+    waiting = [r.connection for r in target.node.inbound._requests]
+    assert waiting
+    unread = [count_unread(c.transport.socket) for c in waiting if c is not None]
+    unsent = [count_unacknowledged(c.transport) for c in target.node.connections]
+    assert max(unread) < MAX_SOCKET_BYTES
+    assert 0 < max(unsent) < MAX_SOCKET_BYTES
+    for caller in callers:
+        caller.close()
+
+
+def count_unread(connected):
+    return struct.unpack("i", ioctl(connected, FIONREAD, bytes(4)))[0]
