Await silent hosts late in a planned stop

What callers saw: 502 for a safe request at whose worker was at work, in the last tenth of the grace period, when the worker's host did not answer a ping for 0.25 s.

Cause: the second attempt of such a request found that the node starts nothing any more, and ended the request in place of the attempt.

Change: a request whose first host may still answer is left open, as it is where no other host takes it; the end of the stop answers it.

Evidence: test_running_request_is_awaited_late_in_a_planned_stop fails without the change (502) and passes with it (200).

--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -256,7 +256,9 @@
         Answers with an error if no host is left, or if the node stops too soon.
         """
         if now >= self.router.drain_window.end_at:
-            self._respond_stopping(request)
+            # A host that was silent may still answer, until the node stops.
+            if request.earlier_attempt is None:
+                self._respond_stopping(request)
             return
         while True:
             views = self._candidates.select(request)
--- a/tests/sidecar/test_silent_hosts.py
+++ b/tests/sidecar/test_silent_hosts.py
@@ -3,6 +3,7 @@
 import pytest
 from twisted.internet import reactor
 
+from bamboocove.coordination.drain_window import DrainWindow
 from tests.callpath import run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, make_config, read_response
 
@@ -116,3 +117,15 @@
     suspect(caller, silent)
     assert read_response(connection)[0] == 504
     assert not caller.node.outbound._attempts._attempts_by_stream
+
+
+def test_running_request_is_awaited_late_in_a_planned_stop(mesh):
+    """Guards against 502 for a request at whose silent host the worker is at work."""
+    caller, *targets = make_hosts(mesh)
+    connection, silent, other = start_request(caller, targets)
+    now = reactor.seconds()
+    caller.node.outbound.router.drain_window = DrainWindow(now, now)
+    suspect(caller, silent)
+    silent.respond(silent.requests[0])
+    assert read_response(connection)[0] == 200
+    assert (len(silent.requests), len(other.requests)) == (1, 0)
