Give up the room of an offered body at its deadline

What callers saw: 503 for bodies of 16 KiB or more at all workers to which a frozen node had offered bodies, until that node went on or its link was lost.

Cause: the room of an offered body was given back only with its arrival, its cancellation or the end of the link. A frozen node sends none of them, and its kernel keeps the link open.

Change: the tick ends offers whose deadline is over. A body that comes later is treated as one without an offer.

Evidence: test_offer_of_a_node_that_stands_still_holds_no_room_after_its_deadline: 1000 bytes still held without the change, none with it.

--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -349,7 +349,7 @@
         self._last_ticks = (self._last_ticks[1], now)
         self.hub.tick(now)
         self.inbound.tick(now)
-        self.forwarding.replies.tick(now)
+        self.forwarding.tick(now)
         self.moves.tick(now)
         self._report_load(now)
         if now >= self._next_sweep_at:
--- a/bamboocove/sidecar/forwarding.py
+++ b/bamboocove/sidecar/forwarding.py
@@ -4,7 +4,7 @@
 from traceback import format_exc
 from typing import Any
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from bamboocove.coordination.body_grants import BodyGrants
 from bamboocove.coordination.request_bodies import reserve_body, reserve_small
@@ -30,6 +30,12 @@
 NO_MEMORY = "no memory is left for its body"
 
 
+@frozen
+class _OfferedBody:
+    size: int
+    deadline: float
+
+
 @define
 class Forwarding:
     """Passes requests of other nodes to the inbound proxy, and its replies back.
@@ -54,8 +60,8 @@
     grants: BodyGrants
     replies: ReplyOffers
     _requests_by_link: dict[Any, dict[int, InboundRequest]] = field(factory=dict)
-    # Sizes of offered bodies by stream; each is reserved in the budget.
-    _offers_by_link: dict[Any, dict[int, int]] = field(factory=dict)
+    # Offered bodies by stream; the size of each is reserved in the budget.
+    _offers_by_link: dict[Any, dict[int, _OfferedBody]] = field(factory=dict)
     _pending_by_key: dict[tuple[Any, int], Forward | None] = field(factory=dict)
 
     def take(
@@ -83,9 +89,9 @@
             self.replies.grant(link, message.stream)
         elif message is None:
             self.replies.remove_link(link)
-            for stream, size in self._offers_by_link.pop(link, {}).items():
+            for stream, offered in self._offers_by_link.pop(link, {}).items():
                 self.grants.remove((link, stream))
-                self.inbound.budget.release(size)
+                self.inbound.budget.release(offered.size)
             self._send_grants()
             for key in [key for key in self._pending_by_key if key[0] is link]:
                 self._drop_pending(key)
@@ -142,18 +148,29 @@
             link.send_encoded(encode_mesh_message(result))
             return
         key = (link, offer.stream)
-        self._offers_by_link.setdefault(link, {})[offer.stream] = offer.size
         deadline = now + offer.left_ms / 1000
+        offers = self._offers_by_link.setdefault(link, {})
+        offers[offer.stream] = _OfferedBody(offer.size, deadline)
         self.grants.add(key, offer.size, deadline, result, link)
         self._send_grants()
 
     def _end_offer(self, link: Any, stream: int) -> None:
-        sizes_by_stream = self._offers_by_link.get(link, {})
-        if stream in sizes_by_stream:
-            self.inbound.budget.release(sizes_by_stream.pop(stream))
+        offered = self._offers_by_link.get(link, {}).pop(stream, None)
+        if offered is not None:
+            self.inbound.budget.release(offered.size)
             self.grants.remove((link, stream))
             self._send_grants()
 
+    def tick(self, now: float) -> None:
+        """Forget offers and replies that nobody waits for any more.
+
+        A node that stands still does not cancel them.
+        """
+        for link, offers in self._offers_by_link.items():
+            for stream in [s for s, o in offers.items() if o.deadline <= now]:
+                self._end_offer(link, stream)
+        self.replies.tick(now)
+
     def _send_grants(self) -> None:
         for link, stream in self.grants.take_granted(self.clock.seconds()):
             link.send_encoded(encode_mesh_message(BodyGrant(stream)))
--- a/tests/sidecar/test_forwarding.py
+++ b/tests/sidecar/test_forwarding.py
@@ -5,11 +5,18 @@
 
 from bamboocove.coordination.body_grants import BodyGrants
 from bamboocove.coordination.byte_budget import ByteBudget
-from bamboocove.protocol.mesh_messages import Cancel, Forward
+from bamboocove.protocol.mesh_messages import BodyOffer, Cancel, Forward
 from bamboocove.sidecar.forwarding import Forwarding
 from bamboocove.sidecar.reply_offers import ReplyOffers
 
 
+class FakeLink:
+    """A link that discards messages."""
+
+    def send_encoded(self, data):
+        return True
+
+
 class FakeInboundRequest:
     """A request that runs until it is cancelled."""
 
@@ -81,3 +88,26 @@
     clock.advance(0)
     forwarding.take("link", Cancel(1))
     assert len(inbound.cancelled) == 1
+
+
+def test_offer_of_a_node_that_stands_still_holds_no_room_after_its_deadline(
+    forwarding, inbound, clock
+):
+    """Guards against bodies refused for as long as another node is frozen.
+
+    A frozen node neither sends the body nor cancels it, and its link stays open.
+    """
+    inbound.assess_offer = lambda offer, predict_delay, now: 1.0
+    link = FakeLink()
+    offer = BodyOffer(1, "read", "s", "v1", 900, 300, 1, 1000, b"a1")
+    forwarding.take(link, offer)
+    assert inbound.budget.held == 1000
+    clock.advance(0.8)
+    forwarding.tick(clock.seconds())
+    assert inbound.budget.held == 1000
+    clock.advance(0.2)
+    forwarding.tick(clock.seconds())
+    assert inbound.budget.held == 0
+    forwarding.take(link, Cancel(1))
+    forwarding.take(link, None)
+    assert inbound.budget.held == 0
