Soak: planned work only, with clients that pipeline and read slowly

The soak could not show it: its clients send one request at a time on a connection, its check skips requests that reached no worker, and its faults excuse most stops.

--- a/bamboocove/platform/standin_worker.py
+++ b/bamboocove/platform/standin_worker.py
@@ -20,6 +20,9 @@
 
 MAX_BODY_BYTES = 1 << 20
 HEALTH_PATH = b"/healthz"
+# Requests that take up to LONG_WORK_S, in seconds.
+LONG_TARGET = b"/long/"
+LONG_WORK_S = 3.8
 REPORT_INTERVAL_S = 1.0
 REPORT_TIMEOUT_S = 1.0
 OVERLOAD_FIELDS = [(DIALECT.not_run, b"1")]
@@ -239,6 +242,8 @@
         load_factor = max(1.0, self.running / self.slots)
         work_s = self.work_s * self.troubles.slow_factor * load_factor
         work_s *= 0.5 + self.random.random()
+        if exchange.target.startswith(LONG_TARGET):
+            work_s = LONG_WORK_S * self.random.random()
         self.clock.callLater(work_s, self._respond, exchange, arrival)
 
     def _describe_itself(self) -> Headers:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -47,6 +47,7 @@
         ),
         option("folder", None, "directory for logs and the report", flag=False),
         option("series", None, "also repeat faults in quick succession", flag=True),
+        option("planned", None, "only stops, signals and changes", flag=True),
         option("plot", None, "also write a plot (needs matplotlib)", flag=True),
     ]
 
@@ -63,6 +64,7 @@
             int(self.option("network")),
             folder,
             bool(self.option("series")),
+            bool(self.option("planned")),
         )
         journal = run_seed(options)
         report = summarize(journal)
@@ -95,6 +97,7 @@
         option("hosts", None, "hosts at the start", flag=False, default="9"),
         option("rate", None, "requests/s on each host", flag=False, default="8"),
         option("folder", None, "directory for logs and reports", flag=False),
+        option("planned", None, "only stops, signals and changes", flag=True),
     ]
 
     def handle(self) -> int:
@@ -136,7 +139,7 @@
         command += ["--network", str(network), "--folder", str(folder)]
         for name in ("duration", "hosts", "rate"):
             command += [f"--{name}", self.option(name)]
-        command.append("--series")
+        command.append("--planned" if self.option("planned") else "--series")
         return subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
 
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,16 +3,14 @@
 from collections import defaultdict
 from collections.abc import Iterable
 
+from soak.lost import CONFIG_APPLY_S, LOSS_SLACK_S, RECONNECT_S, check_unanswered
 from soak.records import ClientRequest, ConfigChange, Journal
 
 # Limits from the users' requirements, in seconds.
-RECONNECT_S = 3.0
-CONFIG_APPLY_S = 2.0
 REGRESSION_SLACK_S = 0.25
 DRAIN_TIMEOUT_S = 2.0
 ROLLBACK_TIMEOUT_S = 5.0
 RECOVERY_S = 15.0
-LOSS_SLACK_S = 0.2
 # Memory of a node on the smallest hosts, in KiB.
 MEMORY_LIMIT_KIB = 128 * 1024
 # Error responses of a faulty version after which ROLLBACK_TIMEOUT_S begins.
@@ -361,6 +359,7 @@
     "no older configuration": check_config_regression,
     "removed routes": check_removed_routes,
     "planned stop": check_planned_stop,
+    "answers around planned work": check_unanswered,
     "exposure": check_rollback,
     "recovery": check_recovery,
     "own ends": check_unexpected_exits,
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -17,6 +17,8 @@
 from soak.nodes import SETTINGS_TEMPLATE, NodeProcess
 from soak.proxies import FaultProxy
 from soak.records import (
+    LONG_TIMEOUT_S,
+    ROUTE_TIMEOUT_S,
     AcknowledgedDrain,
     ConfigChange,
     Disruption,
@@ -227,7 +229,8 @@
         self.newest_route += 1
         self._routes.append(self.newest_route)
         removed = self._routes.pop(0) if len(self._routes) > MAX_PROBE_ROUTES else 0
-        route = {"hostname": ROUTE_HOSTNAME, "timeoutS": 1.5, "targetLatencyS": 0.3}
+        route = {"hostname": ROUTE_HOSTNAME, "targetLatencyS": 0.3}
+        route["timeoutS"] = ROUTE_TIMEOUT_S
         read = {**route, "kind": "safe", "attempts": 2, "priority": 1}
         pay = {**route, "kind": "unsafe", "attempts": 2, "priority": 0}
         split = [
@@ -240,6 +243,12 @@
                 f"pay-{s}": {**pay, "prefix": f"/{s}/pay/", "service": s}
                 for s in SERVICES
             },
+            "long": {
+                **read,
+                "prefix": "/long/",
+                "service": SERVICES[-1],
+                "timeoutS": LONG_TIMEOUT_S,
+            },
             "split": {**read, "prefix": "/split/", "trafficSplit": split},
             **{
                 f"added-{n}": {**read, "prefix": f"/added-{n}/", "service": "orders"}
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -29,6 +29,10 @@
 LIMIT_S = 11.0
 MIN_LIMIT_PER_S, MAX_LIMIT_PER_S = 0.5, 4.0
 STORE_ERROR_STATUSES = (429, 503)
+PLANNED_KINDS = ("stop", "stop", "stop", "hang_up", "drain_worker", "change_config")
+# When a node gets no processor after it was told to stop, and for how long.
+STARVE_WITHIN_S = 2.4
+MAX_STARVE_S = 1.0
 
 
 @frozen
@@ -91,6 +95,31 @@
         events.append(FaultEvent(at, kind, length_s, random.random()))
 
 
+def plan_work(random: Random, duration_s: float) -> list[FaultEvent]:
+    """Return the events of a run that has planned work only, in series that overlap.
+
+    Each second stop meets a busy machine: the node gets no processor for a time.
+    """
+    events = []
+    at = 0.0
+    while (at := at + random.expovariate(1 / MEAN_INTERVAL_S)) < duration_s:
+        kind = random.choice(PLANNED_KINDS)
+        draw = random.random()
+        events.append(FaultEvent(at, kind, 0.0, draw))
+        if kind != "stop":
+            continue
+        if random.random() < 0.3:
+            events.append(FaultEvent(at, "stop", 0.0, random.random()))
+        for _ in range(random.randint(0, 2)):
+            near_s = random.choice((-0.05, 0.0, 0.05, 2.0, 2.3))
+            events.append(FaultEvent(max(0.0, at + near_s), "hang_up", 0.0, draw))
+        if random.random() < 0.5:
+            starve_at = at + random.uniform(0.0, STARVE_WITHIN_S)
+            length_s = random.uniform(0.2, MAX_STARVE_S)
+            events.append(FaultEvent(starve_at, "starve", length_s, draw))
+    return events
+
+
 def plan_limits(random: Random, duration_s: float) -> list[FaultEvent]:
     """Return the events of a run in which workers name rate limits.
 
@@ -152,6 +181,19 @@
     _restore_at_end(cluster, event, (host.host_id, start_number), resume)
 
 
+def _starve(cluster: Cluster, host: Host, event: FaultEvent) -> None:
+    # Stands for other processes that hold the processor, so it excuses nothing.
+    cluster.record_disruption("starve", host.host_id, event.duration_s, is_planned=True)
+    start_number = host.node.start_number
+    host.node.send_signal(signal.SIGSTOP)
+
+    def resume() -> None:
+        if host.node.start_number == start_number:
+            host.node.send_signal(signal.SIGCONT)
+
+    _restore_at_end(cluster, event, (host.host_id, start_number), resume)
+
+
 def _stop(cluster: Cluster, host: Host, event: FaultEvent) -> None:
     if not host.node.is_alive or host.node.is_stopping:
         return
@@ -290,8 +332,8 @@
     "change_config": _change_config,
 }
 
-# Kinds that are planned apart from those above, see ``plan_limits``.
-SEPARATE_INJECTORS_BY_KIND = {"limit_worker": _limit_worker}
+# Kinds that are planned apart from those above, see ``plan_limits``, ``plan_work``.
+SEPARATE_INJECTORS_BY_KIND = {"limit_worker": _limit_worker, "starve": _starve}
 
 
 async def roll_out_version(
--- a/soak/records.py
+++ b/soak/records.py
@@ -4,6 +4,10 @@
 
 from bamboocove.platform.standin_worker import Arrival
 
+# Time-outs of the routes, the longer one of those whose requests take seconds.
+ROUTE_TIMEOUT_S = 1.5
+LONG_TIMEOUT_S = 4.0
+
 
 @define(eq=False)
 class ClientRequest:
@@ -25,6 +29,12 @@
         What is wrong with the response, or why there was none.
     route : int
         Number of the route that a probe requests; 0 for other kinds.
+    timeout_s : float
+        Time-out of its route, in seconds.
+    is_sent : bool
+        Whether it was sent; not so if there was no connection.
+    is_signed : bool
+        Whether the response bears the signature of a worker.
     """
 
     attempt_id: str
@@ -38,6 +48,9 @@
     status: int = 0
     problem: str = ""
     route: int = 0
+    timeout_s: float = ROUTE_TIMEOUT_S
+    is_sent: bool = True
+    is_signed: bool = False
 
 
 @frozen
--- a/soak/report.py
+++ b/soak/report.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from soak.checks import run_checks
+from soak.lost import find_unanswered, is_exempt
 from soak.records import Journal
 
 # Per check; the report counts all of them.
@@ -28,6 +29,12 @@
         "requests": len(requests),
         "statuses": {str(k): v for k, v in sorted(statuses.items())},
         "arrivals": len(journal.arrivals),
+        # What callers lose although no check counts it.
+        "exempt": [
+            f"{request.attempt_id} got {how}"
+            for request, how in find_unanswered(journal)
+            if is_exempt(journal, request)
+        ],
         "troubles": dict(
             Counter(disruption.kind for disruption in journal.disruptions)
         ),
--- a/soak/run.py
+++ b/soak/run.py
@@ -14,7 +14,13 @@
 from bamboocove.transport.clients import ConnectionPool
 from soak.checks import RECOVERY_S
 from soak.cluster import SERVICES, Cluster
-from soak.faults import inject_fault, plan_faults, plan_limits, roll_out_version
+from soak.faults import (
+    inject_fault,
+    plan_faults,
+    plan_limits,
+    plan_work,
+    roll_out_version,
+)
 from soak.records import Journal
 from soak.traffic import LoadGenerator, is_ready
 
@@ -24,6 +30,10 @@
 WARM_UP_S = 2.0
 # Duration of the load after the recovery time, on which the recovery is checked.
 RECOVERY_CHECK_S = 4.0
+# In runs of planned work: share of the clients that pipeline, and factors of the
+# processing time of workers.
+PIPELINE_RATE = 0.3
+WORK_FACTORS = (1.0, 4.0, 12.0)
 
 
 @frozen
@@ -46,6 +56,8 @@
         Directory for settings and logs.
     has_series : bool
         Whether faults also come in quick succession.
+    is_planned_only : bool
+        Whether there is planned work only, and clients pipeline and read slowly.
     """
 
     seed: int
@@ -55,6 +67,7 @@
     network: int
     folder: Path
     has_series: bool = False
+    is_planned_only: bool = False
 
 
 async def _wait_until_ready(cluster: Cluster, clock: Any) -> None:
@@ -78,7 +91,15 @@
 
     def start_load(host: Any) -> None:
         load_seed = f"{options.seed}/{host.host_id}"
-        generators.append(LoadGenerator(cluster, host, Random(load_seed), options.rate))
+        generators.append(
+            LoadGenerator(
+                cluster,
+                host,
+                Random(load_seed),
+                options.rate,
+                PIPELINE_RATE if options.is_planned_only else 0.0,
+            )
+        )
         generators[-1].start()
 
     # Leaves no node processes behind if a signal stops the run.
@@ -101,8 +122,11 @@
 ) -> None:
     clock, random, journal = cluster.clock, cluster.random, cluster.journal
     series_random = Random(f"{options.seed}/series") if options.has_series else None
-    events = plan_faults(random, options.duration_s, series_random)
-    events += plan_limits(Random(f"{options.seed}/limits"), options.duration_s)
+    if options.is_planned_only:
+        events = plan_work(random, options.duration_s)
+    else:
+        events = plan_faults(random, options.duration_s, series_random)
+        events += plan_limits(Random(f"{options.seed}/limits"), options.duration_s)
     rollout_at = random.uniform(0.0, 0.6) * options.duration_s
     cluster.start_store()
     for number in range(options.hosts):
@@ -111,9 +135,14 @@
     for host in list(cluster.hosts_by_id.values()):
         start_load(host)
     await deferLater(clock, WARM_UP_S)
-    clock.callLater(
-        rollout_at, lambda: run_logged(roll_out_version(cluster, random, start_load))
-    )
+    if options.is_planned_only:
+        for host in cluster.hosts_by_id.values():
+            host.worker.work_s *= random.choice(WORK_FACTORS)
+    else:
+        clock.callLater(
+            rollout_at,
+            lambda: run_logged(roll_out_version(cluster, random, start_load)),
+        )
     for event in events:
         clock.callLater(event.at, inject_fault, cluster, event)
     await deferLater(clock, options.duration_s)
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,5 +1,6 @@
 """Each check of the soak test reports its violation, and passes without it."""
 
+import pytest
 from attrs import evolve
 
 from bamboocove.platform.standin_worker import Arrival
@@ -174,6 +175,58 @@
     assert "planned stop" not in failed_checks(journal)
 
 
+STOP = Disruption("stop", "h", 98.0, 105.0, is_planned=True)
+SECOND_ARRIVAL = evolve(ARRIVAL, attempt_id="h-2")
+
+
+def is_lost(disruptions, arrivals=(ARRIVAL,), **fields):
+    """Return whether a second request counts as ended without an answer."""
+    values = {"status": 0, "sent_at": 99.0, "ended_at": 99.5, **fields}
+    request = make_request(attempt_id="h-2", **values)
+    journal = make_journal([request], arrivals, disruptions=disruptions)
+    return "answers around planned work" in failed_checks(journal)
+
+
+@pytest.mark.parametrize(
+    "disruption",
+    [
+        STOP,
+        Disruption("hang_up", "h", 98.5, 98.6, is_planned=True),
+        Disruption("change_config", "operator", 97.0, 97.1, is_planned=True),
+    ],
+)
+def test_request_without_an_answer_around_planned_work_is_reported(disruption):
+    """Guards against a connection that is closed with requests on it."""
+    assert is_lost([disruption])
+    assert is_lost([disruption], [ARRIVAL, SECOND_ARRIVAL], ended_at=99.1)
+    # It crossed the close, was never sent, or its time was over.
+    assert not is_lost([disruption], ended_at=99.1)
+    assert not is_lost([disruption], is_sent=False)
+    assert not is_lost([disruption], ended_at=100.45)
+    assert not is_lost([disruption, Disruption("kill", "g", 95.5, 96.5)])
+    assert not is_lost([evolve(disruption, subject="g")])
+
+
+def test_answer_of_a_stopping_node_in_place_of_its_worker_is_reported():
+    """Guards against a 502 for a request that a worker is still running."""
+    arrivals = [ARRIVAL, SECOND_ARRIVAL]
+    assert is_lost([STOP], arrivals, status=502)
+    assert not is_lost([STOP], arrivals, status=502, is_signed=True)
+    assert not is_lost([STOP], status=502)
+    hang_up = Disruption("hang_up", "h", 98.5, 98.6, is_planned=True)
+    assert not is_lost([hang_up], arrivals, status=502)
+
+
+def test_request_at_work_in_the_last_sixth_of_a_stop_is_exempt():
+    """Guards against an exemption of requests that were sent late, or cut early."""
+    arrivals = [ARRIVAL, SECOND_ARRIVAL]
+    stop = evolve(STOP, start=90.0)
+    times = {"sent_at": 92.9, "ended_at": 95.2, "timeout_s": 4.0}
+    assert not is_lost([stop], arrivals, **times)
+    assert is_lost([stop], arrivals, **{**times, "ended_at": 94.9})
+    assert is_lost([stop], arrivals, **{**times, "sent_at": 93.1})
+
+
 def test_late_request_to_a_faulty_version_is_reported():
     faulty = {
         "faulty_version": ("orders", "v1"),
@@ -236,6 +289,7 @@
         "no older configuration",
         "removed routes",
         "planned stop",
+        "answers around planned work",
         "exposure",
         "recovery",
         "own ends",
--- a/tests/soak/test_faults.py
+++ b/tests/soak/test_faults.py
@@ -5,7 +5,7 @@
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
 
-from soak.faults import plan_faults
+from soak.faults import PLANNED_KINDS, plan_faults, plan_work
 from soak.proxies import FaultProxy
 from tests.callpath import Caller, Worker, run
 from tests.sidecar.hosts import get_free_port
@@ -25,6 +25,16 @@
         assert len(events) > len(single)
 
 
+def test_planned_work_comes_in_series_on_the_same_hosts():
+    """Guards against a run of planned work that excuses what it breaks."""
+    events = [event for seed in range(20) for event in plan_work(Random(seed), 20.0)]
+    kinds = {event.kind for event in events}
+    assert kinds == {*PLANNED_KINDS, "starve"}
+    for kind in "hang_up", "starve":
+        draws = {event.draw for event in events if event.kind == kind}
+        assert draws & {event.draw for event in events if event.kind == "stop"}
+
+
 def test_delayed_bytes_keep_their_order_when_the_delay_ends():
     """Guards against a proxy that reorders a stream, which TCP never does."""
     worker = Worker()
--- a/tests/soak/test_seeds.py
+++ b/tests/soak/test_seeds.py
@@ -25,6 +25,7 @@
     command += ["--hosts", str(entry.get("hosts", 6))]
     command += ["--rate", str(entry.get("rate", 5))]
     command += ["--network", str(find_free_network())]
+    command += ["--planned"] if entry.get("is_planned_only") else []
     command += ["--folder", str(tmp_path)]
     done = subprocess.run(
         command,
