--- a/soak/pipelines.py
+++ b/soak/pipelines.py
@@ -85,6 +85,8 @@
     ) -> None:
         """Send requests in parts, with a pause after each.
 
+        Nothing is sent once a response has said that the connection will be closed.
+
         Parameters
         ----------
         parts : list of (bytes, ClientRequest or None)
@@ -96,7 +98,7 @@
         self._write(parts, pause_s)
 
     def _write(self, parts: list, pause_s: float) -> None:
-        while parts and self.is_open:
+        while parts and self.is_open and not self.is_leaving:
             (data, request), *parts = parts
             self.transport.write(data)
             if request is not None:
--- a/tests/soak/test_pipelines.py
+++ b/tests/soak/test_pipelines.py
@@ -50,6 +50,17 @@
     assert isinstance(ends[2][1], str)
 
 
+def test_nothing_is_sent_after_the_last_response():
+    """Guards against a request that is taken for lost though it came after a close."""
+    connection, clock, transport, _ = connect()
+    requests = [make_request(number) for number in range(2)]
+    connection.send([(b"a", requests[0]), (b"b", requests[1])], 0.1)
+    connection.dataReceived(LAST_ANSWER)
+    clock.advance(0.1)
+    assert transport.value() == b"a"
+    assert not requests[1].is_sent
+
+
 def test_request_counts_as_sent_with_its_last_part():
     """Guards against a request that is taken for lost before it was written."""
     connection, clock, transport, ends = connect()
