Keep idle connections for as long as the configuration says

Callers reuse a connection that has been idle for up to four fifths of the idle timeout in the configuration. A node closed it after 60 s whatever that was, so with more than 75 s a request could cross the close and end without an answer.

Cause: the timeout was decoded, passed between nodes and used nowhere.

Change: the servers of a node use it, and never less than 60 s.

Test: connection_may_be_idle_for_as_long_as_the_configuration_says failed before.

--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -61,6 +61,7 @@
 from bamboocove.state.codec import to_plain
 from bamboocove.state.mesh import HostRecord, MeshConfig
 from bamboocove.transport.calls import (
+    IDLE_TIMEOUT_S,
     SWEEP_INTERVAL_S,
     CallServer,
     ServerConnection,
@@ -431,6 +432,9 @@
         if not before.version:
             self._configured_at = self.clock.seconds()
         self.config = config
+        for server in self.servers:
+            # Callers reuse connections for as long as the configuration says.
+            server.idle_timeout_s = max(IDLE_TIMEOUT_S, config.idle_timeout_s)
         self.dissemination.propagate_config(before, config, source)
         service = config.services_by_name.get(self.settings.service)
         if service is not None:
--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -33,8 +33,8 @@
 # Request body bytes that one connection buffers while the receiver is not ready;
 # beyond this it stops reading.
 MAX_HELD_BYTES = 64 * 1024
-# Longer than the idle timeout of the client, so that the client closes idle
-# connections first.
+# Idle timeout unless a server sets another one. Longer than that of the client, so
+# that the client closes idle connections first.
 IDLE_TIMEOUT_S = 60.0
 # Time within which a request head must be complete.
 HEAD_TIMEOUT_S = 10.0
@@ -332,11 +332,18 @@
         self._unacknowledged_bytes = count_unacknowledged(self.transport)
         self.transport.abortConnection()
 
-    def sweep(self, now: float) -> None:
+    def sweep(self, now: float, idle_timeout_s: float = IDLE_TIMEOUT_S) -> None:
         """Abort the connection if its idle or request head timeout has expired.
 
         They count from when the caller has received the previous response. A caller
         that does not receive it is cut after ``STALL_TIMEOUT_S``.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of the local clock.
+        idle_timeout_s : float
+            Time for which a connection may be idle, in seconds.
         """
         if self._queue or self._is_closing:
             return
@@ -350,7 +357,7 @@
                 return
             self._is_written = False
             self.waiting_since = now
-        limit = HEAD_TIMEOUT_S if self._head_bytes else IDLE_TIMEOUT_S
+        limit = HEAD_TIMEOUT_S if self._head_bytes else idle_timeout_s
         if now - self.waiting_since > limit:
             self.abort("head timeout" if self._head_bytes else "idle timeout")
 
@@ -486,6 +493,7 @@
         self._max_body_bytes = max_body_bytes
         self._clock = clock
         self.connections: set[ServerConnection] = set()
+        self.idle_timeout_s = IDLE_TIMEOUT_S
 
     def buildProtocol(self, addr: Any) -> ServerConnection:
         """Create the protocol of an accepted connection."""
@@ -501,7 +509,7 @@
     def sweep(self, now: float) -> None:
         """Abort connections whose idle or request head timeout has expired."""
         for connection in list(self.connections):
-            connection.sweep(now)
+            connection.sweep(now, self.idle_timeout_s)
 
     def close_idle(self) -> None:
         """Close idle connections now and the others after their responses."""
--- a/tests/sidecar/test_mesh.py
+++ b/tests/sidecar/test_mesh.py
@@ -3,6 +3,7 @@
 import threading
 
 import pytest
+from attrs import evolve
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 
@@ -532,3 +533,23 @@
     assert target.node.inbound.worker.state == "draining"
     assert caller.call()[0] == 503
     assert not target.requests
+
+
+def test_connection_may_be_idle_for_as_long_as_the_configuration_says(mesh):
+    """Guards against a close that crosses a request on a connection that is reused."""
+    config = evolve(make_config(5), idle_timeout_s=120.0)
+    mesh.store.put_config(config)
+    host = mesh.add("orders")
+    mesh.settle()
+    caller = host.open(format_call("/read/1"))
+    assert read_response(caller)[0] == 200
+    node = host.node
+    run_reactor_until(lambda: node.config.version == 5)
+    server = next(s for s in node.servers if s.connections)
+    (connection,) = server.connections
+    node._sweep(reactor.seconds())
+    node._sweep(reactor.seconds() + 110.0)
+    assert connection in server.connections and not connection._is_closing
+    node._sweep(reactor.seconds() + 125.0)
+    assert connection._is_closing
+    caller.close()
