--- a/tests/sidecar/test_response_memory.py
+++ b/tests/sidecar/test_response_memory.py
@@ -237,9 +237,7 @@
     taken = budget.limit + MAX_EXCESS_BYTES + 1
     budget.add(taken)
     (caller,) = open_calls(front, 1, left_ms=2000)
-    run_reactor_until(
-        lambda: any(not t.node.forwarding.replies.is_empty() for t in targets)
-    )
+    run_reactor_until(lambda: any(t.node.forwarding.replies.count for t in targets))
     (stopping,) = [target for target in targets if target.requests]
     stopping.node.drain()
     until = reactor.seconds() + 0.8
