Take a reply while other nodes have no room for this one's

What callers saw: 504 for all answers over 64 kB between two hosts whose workers answer each other's callers with megabytes at once.

Cause: replies that a node has offered count against its budget until the other node grants them. With more than the budget and 4 MB of them, it grants none itself; two such nodes waited for each other until the deadlines.

Change: the one reply that may exceed the budget is also granted if all that is held beside the offered replies is at most 4 MB. The excess stays bounded: at most two bodies more than before, since a reply that has arrived is no longer one that is offered.

Evidence: test_two_nodes_that_hold_replies_for_each_other_do_not_wait_in_vain fails without the change (504 for all six) and passes with it.

--- a/bamboocove/coordination/body_queue.py
+++ b/bamboocove/coordination/body_queue.py
@@ -41,9 +41,14 @@
     ----------
     budget : ByteBudget
         Bodies that the node holds.
+    comes_from_nodes : bool
+        Whether the bodies come from other nodes. The one that may exceed the budget
+        then does not wait for bodies that other nodes have no room for: each of two
+        nodes might wait for the other.
     """
 
     budget: ByteBudget
+    comes_from_nodes: bool = False
     _bodies_by_key: dict[Any, _Body] = field(factory=dict)
     _waiting_count: int = 0
     _favoured: Any = None
@@ -104,6 +109,8 @@
             if self._favoured is None:
                 self._favoured = key
             excess = self.budget.held - self.budget.limit
+            if self.comes_from_nodes:
+                excess = min(excess, self.budget.held - self.budget.offered)
             if self._favoured != key or excess > MAX_EXCESS_BYTES:
                 self._set_waiting(body, True)
                 return False
--- a/bamboocove/coordination/byte_budget.py
+++ b/bamboocove/coordination/byte_budget.py
@@ -46,12 +46,15 @@
         Bytes that may be held.
     held : int
         Bytes that are held.
+    offered : int
+        Those of them that wait until another node has room.
     on_release : list of callable
         Called without arguments when bytes were given back.
     """
 
     limit: int
     held: int = 0
+    offered: int = 0
     on_release: list[Callable[[], None]] = field(factory=list)
 
     @property
--- a/bamboocove/sidecar/attempts.py
+++ b/bamboocove/sidecar/attempts.py
@@ -101,7 +101,7 @@
     _replies: BodyQueue = field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._replies = BodyQueue(self.budget)
+        self._replies = BodyQueue(self.budget, comes_from_nodes=True)
         self.budget.on_release.append(self._grant_replies)
 
     def get(self, stream: int) -> Attempt | None:
--- a/bamboocove/sidecar/reply_offers.py
+++ b/bamboocove/sidecar/reply_offers.py
@@ -66,6 +66,7 @@
             return
         replies[reply.stream] = _HeldReply(reply, deadline)
         self.budget.add(len(reply.body))
+        self.budget.offered += len(reply.body)
         offer = ReplyOffer(reply.stream, len(reply.body))
         link.send_encoded(encode_mesh_message(offer))
 
@@ -103,6 +104,7 @@
         held = self._replies_by_link.get(link, {}).pop(stream, None)
         if held is None:
             return False
+        self.budget.offered -= len(held.reply.body)
         self.budget.release(len(held.reply.body))
         return True
 
--- a/tests/sidecar/test_response_memory.py
+++ b/tests/sidecar/test_response_memory.py
@@ -273,3 +273,41 @@
 
 def count_unread(connected):
     return struct.unpack("i", ioctl(connected, FIONREAD, bytes(4)))[0]
+
+
+def test_two_nodes_that_hold_replies_for_each_other_do_not_wait_in_vain(mesh):
+    """Guards against 504 for all large answers between two busy nodes.
+
+    Each held more replies for the other than its budget, and so took none of them.
+    """
+    routes = {"read": {"orders": 1}, "pay": {"front": 1}}
+    mesh.store.put_config(make_config(3, timeout_s=2.0, **routes))
+    hosts = mesh.add("front"), mesh.add("orders")
+    mesh.settle()
+    for host in hosts:
+        host.node.body_budget.limit = 0
+        host.request_handler = lambda exchange: None
+    callers = []
+    for number in range(3):
+        read = format_call("/read/1", "GET", b"", 1500, f"r{number}")
+        callers.append(hosts[0].open(read))
+        pay = format_call("/pay/1", "POST", b"", 1500, f"p{number}")
+        callers.append(hosts[1].open(pay))
+    run_reactor_until(lambda: all(len(host.requests) == 3 for host in hosts))
+    peaks = [0]
+    for exchanges in zip(*(host.requests for host in hosts), strict=True):
+        for exchange in exchanges:
+            start_response(exchange, LARGE_BYTES, b"")
+            exchange.finish(LARGE_BODY)
+    for caller in callers:
+        caller.read_until(
+            lambda data: (
+                peaks.append(max(h.node.body_budget.held for h in hosts))
+                or len(data) > LARGE_BYTES
+            )
+        )
+        assert caller.data[9:12] == b"200"
+        caller.close()
+    assert max(peaks) <= 4 * MAX_EXCESS_BYTES + 6 * PIECE_BYTES
+    run_reactor_until(lambda: not any(h.node.body_budget.held for h in hosts))
+    assert not any(h.node.body_budget.offered for h in hosts)
