Give the room of a reply back after a program error

Cause: the bytes that are counted while a reply passes from the attempt to the caller were not given back if its handler raised an exception. The budget shrank with each, until all bodies were refused.

Evidence: test_answer_that_meets_a_program_error_gives_its_room_back fails without the change (4 bytes held) and passes with it.

--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -318,8 +318,10 @@
         # takes its room meanwhile.
         size = len(reply.body)
         self._budget.add(size)
-        self._handle_reply(attempt, reply)
-        self._budget.release(size)
+        try:
+            self._handle_reply(attempt, reply)
+        finally:
+            self._budget.release(size)
 
     def _handle_reply(self, attempt: Attempt, reply: Reply) -> None:
         now = self._clock.seconds()
--- a/tests/sidecar/test_program_errors.py
+++ b/tests/sidecar/test_program_errors.py
@@ -81,3 +81,17 @@
     assert statuses == [200, 502]
     assert len(target.requests) == 1
     assert '"node.message-failed","message":"Forward"' in capfd.readouterr().out
+
+
+def test_answer_that_meets_a_program_error_gives_its_room_back(mesh):
+    """Guards against a node that refuses all bodies after some program errors."""
+    host = mesh.add()
+    mesh.settle()
+    host.request_handler = lambda exchange: None
+    caller = host.open(format_call("/read/1"))
+    run_reactor_until(lambda: host.requests)
+    fail_once(host.node.outbound, "_on_answered")
+    fields = [(b"x-attempt-id", b"a1"), (b"x-response-signature", b"s")]
+    host.requests[0].respond(200, fields, b"1234")
+    assert read_response(caller)[0] == 504
+    assert host.node.body_budget.held == 0
