Serve small bodies beside callers that do not read

What callers saw: 503 for every request with a body, of ten bytes too, while four callers on the host did not read answers of 3.9 MB (budget of 10 MB); for 60 s, or longer if they read a little now and then.

Cause: small bodies may exceed the budget by 4 MB. Answers that wait for their callers exceed it by more, and took that room.

Change: small bodies are also taken while all that is held beside answers that wait for callers or other nodes is at most 4 MB.

Evidence: test_small_bodies_are_served_beside_callers_that_do_not_read fails without the change (503, 503, 503) and passes with it (200, 200, and 503 for the body above 16 KiB).

--- a/bamboocove/coordination/byte_budget.py
+++ b/bamboocove/coordination/byte_budget.py
@@ -48,6 +48,8 @@
         Bytes that are held.
     offered : int
         Those of them that wait until another node has room.
+    unread : int
+        Those of them that callers on this host have not read.
     on_release : list of callable
         Called without arguments when bytes were given back.
     """
@@ -55,6 +57,7 @@
     limit: int
     held: int = 0
     offered: int = 0
+    unread: int = 0
     on_release: list[Callable[[], None]] = field(factory=list)
 
     @property
--- a/bamboocove/coordination/request_bodies.py
+++ b/bamboocove/coordination/request_bodies.py
@@ -61,6 +61,9 @@
 def reserve_small(budget: ByteBudget, size: int) -> bool:
     """Reserve room beyond the budget, for a body that is small or here already.
 
+    Answers that wait for callers and other nodes may exceed the budget by far more, and
+    for long. They take no part of this room.
+
     Examples
     --------
     >>> budget = ByteBudget(limit=10_000_000, held=10_000_000)
@@ -69,7 +72,10 @@
     """
     if not size:
         return True
-    if budget.held + size > budget.limit + SMALL_ROOM_BYTES:
+    excess = min(
+        budget.held - budget.limit, budget.held - budget.offered - budget.unread
+    )
+    if excess + size > SMALL_ROOM_BYTES:
         return False
     budget.add(size)
     return True
--- a/bamboocove/sidecar/body_writer.py
+++ b/bamboocove/sidecar/body_writer.py
@@ -46,6 +46,7 @@
         self._is_ended = False
         self._timer: Any = None
         budget.add(len(body))
+        budget.unread += len(body)
 
     def start(self) -> None:
         """Write until the caller's connection takes no more, and go on later."""
@@ -98,6 +99,7 @@
             self._timer.cancel()
         size, self._body = len(self._body), b""
         self._exchange.on_closed = None
+        self._budget.unread -= size
         self._budget.release(size)
 
 
--- a/tests/sidecar/test_response_memory.py
+++ b/tests/sidecar/test_response_memory.py
@@ -311,3 +311,25 @@
     assert max(peaks) <= 4 * MAX_EXCESS_BYTES + 6 * PIECE_BYTES
     run_reactor_until(lambda: not any(h.node.body_budget.held for h in hosts))
     assert not any(h.node.body_budget.offered for h in hosts)
+
+
+def test_small_bodies_are_served_beside_callers_that_do_not_read(mesh):
+    """Guards against 503 for all bodies while a few callers hold the whole budget."""
+    front, target = mesh.add("front"), mesh.add("orders")
+    mesh.settle()
+    respond_large(target)
+    budget = front.node.body_budget
+    budget.limit = LIMIT
+    slow = []
+    while budget.held <= LIMIT + MAX_EXCESS_BYTES:
+        slow.append(open_slow_call(front, f"s{len(slow)}", 1500))
+        run_reactor_until(lambda: budget.unread == LARGE_BYTES * len(slow))
+    target.request_handler = target.respond
+    statuses = []
+    for size in (10, 10_000, 20_000):
+        call = format_call("/pay/1", "POST", bytes(size), 1500, f"p{size}")
+        statuses.append(read_response(front.open(call))[0])
+    assert statuses == [200, 200, 503]
+    for caller in slow:
+        caller.close()
+    run_reactor_until(lambda: budget.held == budget.unread == 0)
