Count no data that follows a released request body

Data of a body that was released would be counted again and never released. No path leads there now: the end of a request takes its callbacks off the connection, and bodies in chunks are not given up for others. Found by reading; the new test counted 50 bytes before.

Change: `RequestBodies.receive` ignores the data of a body that is not being received.

--- a/bamboocove/coordination/request_bodies.py
+++ b/bamboocove/coordination/request_bodies.py
@@ -156,13 +156,15 @@
         return body
 
     def receive(self, body: RequestBody, data: bytes) -> ErrorKind | None:
-        """Append data to a body.
+        """Append data to a body; one that was released stays empty.
 
         Returns
         -------
         error : ErrorKind or None
             ``TOO_LARGE`` or ``OVERLOADED``; the data was then not appended.
         """
+        if body not in self._incomplete:
+            return None
         size = len(body.data) + len(data)
         if size > MAX_FORWARDED_BODY_BYTES:
             return ErrorKind.TOO_LARGE
--- a/tests/coordination/test_request_bodies.py
+++ b/tests/coordination/test_request_bodies.py
@@ -117,6 +117,15 @@
     assert bodies.find_late(1.0) == [silent]
 
 
+@pytest.mark.parametrize("length", [100, UNKNOWN_LENGTH])
+def test_data_that_follows_a_released_body_holds_nothing(bodies, budget, length):
+    """Guards against bytes that are counted and never released."""
+    body = start(bodies, length)
+    bodies.release(body)
+    assert bodies.receive(body, bytes(50)) is None
+    assert budget.held == 0 and not body.data
+
+
 @pytest.mark.parametrize("seed", range(20))
 def test_all_bytes_are_released_on_each_end(bodies, budget, seed):
     """Guards against a budget that shrinks with each request."""
