Read a pipelined request to its end before reading pauses

Cause: behind a request in progress, reading paused as soon as the head of the next one was there. Its body stayed in the socket, so the request counted as read in part when the stop chose the last response, and was left out.

Evidence: connection.incomplete, reason 'connection: close', names it with received 0, 0.28 s after the caller had sent all of it.

Change: reading pauses once the last request is complete, or eight requests or 64 KiB are held. A request that the caller has not sent in full is still left out.

Test: request_that_was_sent_in_parts_is_answered_before_a_close failed before.

--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -33,6 +33,9 @@
 # Request body bytes that one connection buffers while the receiver is not ready;
 # beyond this it stops reading.
 MAX_HELD_BYTES = 64 * 1024
+# Requests that one connection buffers, with the one in progress, if the last one is
+# incomplete.
+MAX_HELD_REQUESTS = 8
 # Idle timeout unless a server sets another one. Longer than that of the client, so
 # that the client closes idle connections first.
 IDLE_TIMEOUT_S = 60.0
@@ -109,10 +112,20 @@
                 ErrorResult(ErrorKind.TOO_LARGE, "request head is too large")
             )
         self._process_queue()
-        queue = self._queue
-        if queue and (len(queue) > 1 or queue[0].held_bytes > MAX_HELD_BYTES):
+        if self._holds_enough():
             self.pause()
 
+    def _holds_enough(self) -> bool:
+        """Return whether to read no more until a request has ended or takes its body.
+
+        A pipelined request is read to its end: what is left unread when the server
+        wants to close the connection would have no answer.
+        """
+        queue = self._queue
+        if len(queue) > MAX_HELD_REQUESTS or len(queue) > 1 and queue[-1].is_complete:
+            return True
+        return sum(exchange.held_bytes for exchange in queue) > MAX_HELD_BYTES
+
     # Callbacks of the parser. They only store what was parsed; dataReceived acts
     # on errors that they detect, because the parser hides exceptions.
 
--- a/tests/transport/test_pipelined_close.py
+++ b/tests/transport/test_pipelined_close.py
@@ -1,6 +1,7 @@
 """Requests that were read behind one whose connection the server wants to close."""
 
 import pytest
+from twisted.internet import reactor
 
 from tests.callpath import run_reactor_until
 from tests.transport.closing import GET, Server, split_responses, wait
@@ -58,6 +59,37 @@
     assert len(server.exchanges) == 1
 
 
+@pytest.mark.parametrize("when", ["server stops", "handler"])
+def test_request_that_was_sent_in_parts_is_answered_before_a_close(server, when):
+    """Guards against a pause of reading in the middle of a pipelined request."""
+    caller = server.open(GET % 1 + PART)
+    server.wait_for_requests(1)
+    caller.send(b"llo")
+    wait(0.1)
+    stop(server, when)
+    respond(server.exchanges[0])
+    server.wait_for_requests(2)
+    respond(server.exchanges[1])
+    responses = read_all(caller)
+    assert [body for _, body in responses] == [b"/1", b"/9"]
+
+
+def test_reading_pauses_behind_a_request_in_progress(server):
+    """Guards against a caller that makes the server hold requests without end."""
+    block = GET % 2 * 100 + PART[:-1]
+    caller = server.open(GET % 1)
+    server.wait_for_requests(1)
+    for _ in range(100):
+        try:
+            caller.send(block)
+        except BlockingIOError:
+            break
+        caller.read_some(1)
+        reactor.iterate(0)
+    assert server.connection._is_paused
+    assert len(server.connection._queue) < 500
+
+
 def test_idle_connection_is_closed_when_the_server_stops(server):
     """Guards against a stop that waits for callers without a request."""
     caller = server.open(GET % 1)
