Take a large answer only if all of its parts have arrived

A caller could get 200 with a part of the body missing: a part that another node cannot decode is skipped, as any message of a newer release.

Change: the calling node compares the body with the size that was offered, and takes an answer of another size for lost.

Test: large_answer_without_one_of_its_parts_is_no_success failed before (200).

--- a/bamboocove/sidecar/attempts.py
+++ b/bamboocove/sidecar/attempts.py
@@ -47,8 +47,9 @@
         cannot have run the request.
     inbound_request : InboundRequest or None
         The request in the queue of this host's worker, if it was sent there.
-    has_reply : bool
-        Whether the host has offered its reply.
+    reply_size : int or None
+        Size of the body of the reply that the host has offered, in bytes; None if it
+        has offered none.
     reply_parts : list of bytes
         Parts of the body of a large reply, as far as they have arrived.
     """
@@ -58,7 +59,7 @@
     view: HostView
     is_offered: bool = False
     inbound_request: InboundRequest | None = None
-    has_reply: bool = False
+    reply_size: int | None = None
     reply_parts: list[bytes] = field(factory=list)
 
     @property
@@ -190,7 +191,7 @@
         if attempt is None:
             self.hub.send(host_id, Cancel(offer.stream))
             return
-        attempt.has_reply = True
+        attempt.reply_size = offer.size
         if self._replies.reserve(attempt, offer.size):
             self.hub.send(host_id, BodyGrant(offer.stream))
         else:
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -311,9 +311,12 @@
         attempt = self._attempts.get(reply.stream)
         if attempt is None:
             return
-        if attempt.reply_parts and reply.outcome == ANSWERED:
+        if attempt.reply_size is not None and reply.outcome == ANSWERED:
             parts, attempt.reply_parts = attempt.reply_parts, []
             reply = evolve(reply, body=b"".join([*parts, reply.body]))
+            if len(reply.body) != attempt.reply_size:
+                reason = b"a part of the answer is missing"
+                reply = evolve(reply, outcome=LOST, status=0, headers=[], body=reason)
         # Counted while the body passes from the attempt to the caller, so that no other
         # takes its room meanwhile.
         size = len(reply.body)
@@ -501,7 +504,7 @@
         """
         for attempt in self._attempts.find(host_id):
             request = attempt.request
-            is_unread = has_replied and not attempt.has_reply
+            is_unread = has_replied and attempt.reply_size is None
             if attempt.is_offered or is_unread and attempt is request.attempt:
                 self._withdraw(attempt, now)
                 continue
--- a/tests/sidecar/test_response_memory.py
+++ b/tests/sidecar/test_response_memory.py
@@ -11,6 +11,7 @@
 
 from bamboocove.coordination.body_queue import MAX_EXCESS_BYTES, PIECE_BYTES
 from bamboocove.sidecar import shutdown
+from bamboocove.sidecar.attempts import AttemptTable
 from bamboocove.transport.sending import count_unacknowledged
 from tests.callpath import Caller, run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, make_config, read_response
@@ -333,3 +334,25 @@
     for caller in slow:
         caller.close()
     run_reactor_until(lambda: budget.held == budget.unread == 0)
+
+
+def test_large_answer_without_one_of_its_parts_is_no_success(mesh, monkeypatch):
+    """Guards against a shorter answer that looks complete."""
+    front, target = mesh.add("front"), mesh.add("orders")
+    mesh.settle()
+    target.request_handler = lambda exchange: exchange.respond(
+        200,
+        [(b"x-attempt-id", b"a1"), (b"x-response-signature", b"s")],
+        LARGE_BODY[:300_000],
+    )
+    take_part, dropped = AttemptTable.take_reply_part, []
+
+    def drop_first(attempts, part):
+        if dropped:
+            take_part(attempts, part)
+        dropped.append(part)
+
+    monkeypatch.setattr(AttemptTable, "take_reply_part", drop_first)
+    status, _, body = front.call("/pay/1", "POST")
+    assert len(dropped) > 1
+    assert (status, b"missing" in body) == (502, True)
