Close no connection on which a request was received and not read yet

Cause: whether a response is the last one was decided from what had been read. The last reads of a stop help at its end only.

Change: a response does not announce a close, and an idle connection is not closed, while the kernel holds bytes of the caller; what they are is read first.

Tests: received_and_not_read_is_answered_before_a_close (both cases) and idle_connection_with_a_request_to_read_is_not_closed failed before.

--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -26,6 +26,7 @@
 from bamboocove.transport.sending import (
     DeliveryProgress,
     count_unacknowledged,
+    count_unread,
     count_unsent,
     write_immediately,
 )
@@ -217,7 +218,7 @@
                 if not exchange.is_keep_alive:
                     self._close("connection: close")
                     break
-                if self._closes_when_idle and not self._queue:
+                if self._closes_when_idle and self._is_idle():
                     self._close("server stops")
                     break
             if self._error is not None and not self._is_closing:
@@ -377,17 +378,25 @@
     def close_if_idle(self) -> None:
         """Close the connection now, or after the responses to requests read by then."""
         self._closes_when_idle = True
-        if not self._queue:
+        if self._is_idle():
             self._close("server stops")
 
+    def _is_idle(self) -> bool:
+        # Bytes that were received and not read may be a whole request.
+        return not self._queue and not count_unread(self.transport)
+
     def closes_after(self, exchange: Exchange) -> bool:
         """Return whether the response to a request is the last one.
 
         A request that was read in full is answered before a close. Of one that was
         read in part, the caller knows that it has not run.
         """
-        return self._closes_when_idle and not any(
-            other.is_complete for other in self._queue if other is not exchange
+        return (
+            self._closes_when_idle
+            and not any(
+                other.is_complete for other in self._queue if other is not exchange
+            )
+            and not count_unread(self.transport)
         )
 
     @property
--- a/bamboocove/transport/sending.py
+++ b/bamboocove/transport/sending.py
@@ -2,7 +2,7 @@
 
 import struct
 from fcntl import ioctl
-from termios import TIOCOUTQ
+from termios import FIONREAD, TIOCOUTQ
 from typing import Any
 
 _NO_COUNT = bytes(struct.calcsize("i"))
@@ -55,11 +55,23 @@
     It is 0 if the connection was lost, and for other transports than TCP. The end of
     a connection that was half closed counts as one byte.
     """
+    return _count_in_kernel(transport, TIOCOUTQ)
+
+
+def count_unread(transport: Any) -> int:
+    """Return the bytes that a TCP transport has received and not read yet.
+
+    It is 0 if the connection was lost, and for other transports than TCP.
+    """
+    return _count_in_kernel(transport, FIONREAD)
+
+
+def _count_in_kernel(transport: Any, request: int) -> int:
     socket = getattr(transport, "socket", None)
     if socket is None:
         return 0
     try:
-        return struct.unpack("i", ioctl(socket, TIOCOUTQ, _NO_COUNT))[0]
+        return struct.unpack("i", ioctl(socket, request, _NO_COUNT))[0]
     except OSError:
         return 0
 
--- a/tests/transport/test_pipelined_close.py
+++ b/tests/transport/test_pipelined_close.py
@@ -157,3 +157,33 @@
     ((head, _),) = read_all(caller)
     assert b"connection: close" in head
     assert len(server.exchanges) == 1
+
+
+@pytest.mark.parametrize("when", ["server stops", "handler"])
+def test_request_that_was_received_and_not_read_is_answered_before_a_close(
+    server, when
+):
+    """Guards against a close by a process that answers before it reads."""
+    caller = server.open(GET % 1)
+    server.wait_for_requests(1)
+    stop(server, when)
+    # The reactor does not run in between, as in a process that stood still.
+    caller.send(GET % 2)
+    respond(server.exchanges[0])
+    server.wait_for_requests(2)
+    respond(server.exchanges[1])
+    responses = read_all(caller)
+    assert [body for _, body in responses] == [b"/1", b"/2"]
+    assert b"connection: close" in responses[1][0]
+
+
+def test_idle_connection_with_a_request_to_read_is_not_closed(server):
+    caller = server.open(GET % 1)
+    server.wait_for_requests(1)
+    respond(server.exchanges[0])
+    caller.read_until(lambda data: b"/1" in data)
+    caller.send(GET % 2)
+    server.calls.close_idle()
+    server.wait_for_requests(2)
+    respond(server.exchanges[1])
+    assert [body for _, body in read_all(caller)] == [b"/1", b"/2"]
