Copy a request for its fingerprint only if its body is shortened

Each request copied its thirteen fields once it was written to the worker. No change of what is kept: the start of a body that is longer than what a fingerprint covers.

--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -390,9 +390,10 @@
             ),
             MAX_FORWARDED_BODY_BYTES,
         )
-        # What identifies the request if it crashes the worker.
-        start = bytes(forward.body[:FINGERPRINT_BODY_BYTES])
-        request.forward = evolve(forward, body=start)
+        if len(forward.body) > FINGERPRINT_BODY_BYTES:
+            # What identifies the request if it crashes the worker.
+            start = bytes(forward.body[:FINGERPRINT_BODY_BYTES])
+            request.forward = evolve(forward, body=start)
         self._release_written_body(request)
 
     def _release_written_body(self, request: InboundRequest) -> None:
