--- a/tests/transport/test_pipelined_close.py
+++ b/tests/transport/test_pipelined_close.py
@@ -187,3 +187,14 @@
     server.wait_for_requests(2)
     respond(server.exchanges[1])
     assert [body for _, body in read_all(caller)] == [b"/1", b"/2"]
+
+
+@pytest.mark.parametrize("pipelined", [0, 1])
+def test_caller_that_leaves_with_requests_pipelined_is_noticed(server, pipelined):
+    """Guards against a worker that is at work for a caller that has left."""
+    caller = server.open(GET % 1 + (GET % 2) * pipelined)
+    server.wait_for_requests(1)
+    errors = []
+    server.exchanges[0].on_closed = errors.append
+    caller.close()
+    run_reactor_until(lambda: errors, 1)
