--- a/tests/platform/test_held_up_stop.py
+++ b/tests/platform/test_held_up_stop.py
@@ -1,24 +1,18 @@
 """Planned stops of a node process that gets no processor for a time."""
 
 import signal
-from random import Random
 
 import pytest
 from twisted.internet import reactor
-from twisted.internet.process import reapAllProcesses
-from twisted.internet.task import LoopingCall
 
 from bamboocove.sidecar.shutdown import CALLER_DRAIN_S
-from soak.cluster import ROUTE_HOSTNAME, Cluster
-from soak.records import Journal
-from tests.callpath import run, run_reactor_until
-from tests.networks import find_free_network
+from soak.cluster import ROUTE_HOSTNAME
+from tests.callpath import run_reactor_until
 from tests.platform.test_planned_stop import (
     GRACE_S,
     TIMEOUT_S,
-    is_serving,
     open_call,
-    put_config,
+    run_host,
     wait_s,
 )
 from tests.sidecar.hosts import format_call, read_response
@@ -28,20 +22,8 @@
 
 @pytest.fixture
 def host(tmp_path):
-    cluster = Cluster(find_free_network(), tmp_path, Random(1), reactor, Journal(1))
-    # The reactor of the tests installs no signal handlers, so no SIGCHLD arrives.
-    reaper = LoopingCall(reapAllProcesses)
-    reaper.start(0.05)
-    cluster.start_store()
-    put_config(cluster.store)
-    host = cluster.start_host("orders")
-    host.worker.work_s = 0.02
-    run_reactor_until(lambda: is_serving(host), 20)
-    yield host
-    run(cluster.stop(), 10)
-    # The ports close in a later iteration of the reactor.
-    wait_s(0.1)
-    reaper.stop()
+    with run_host(tmp_path, 0.02) as host:
+        yield host
 
 
 def format_next_call(path, method):
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -2,6 +2,7 @@
 
 import json
 import signal
+from contextlib import contextmanager
 from random import Random
 from types import SimpleNamespace
 
@@ -42,16 +43,17 @@
     store.put("op", "config", json.dumps(config).encode())
 
 
-@pytest.fixture
-def host(tmp_path):
-    cluster = Cluster(find_free_network(), tmp_path, Random(1), reactor, Journal(1))
+@contextmanager
+def run_host(folder, work_s):
+    """Run a host that serves, whose worker takes ``work_s`` seconds for a request."""
+    cluster = Cluster(find_free_network(), folder, Random(1), reactor, Journal(1))
     # The reactor of the tests installs no signal handlers, so no SIGCHLD arrives.
     reaper = LoopingCall(reapAllProcesses)
     reaper.start(0.05)
     cluster.start_store()
     put_config(cluster.store)
     host = cluster.start_host("orders")
-    host.worker.work_s = 60.0
+    host.worker.work_s = work_s
     run_reactor_until(lambda: is_serving(host), 20)
     yield host
     run(cluster.stop(), 10)
@@ -60,6 +62,12 @@
     reaper.stop()
 
 
+@pytest.fixture
+def host(tmp_path):
+    with run_host(tmp_path, 60.0) as host:
+        yield host
+
+
 def wait_s(seconds):
     end_at = reactor.seconds() + seconds
     run_reactor_until(lambda: reactor.seconds() > end_at)
