Take the lag of the test process out of the tests of planned stops

The node's log shows why: no timer had run for 0.23 s before (lag_s 0.145), so the stop was dated back and callers were drained 0.376 s after drain(), before the test's timer. Both nodes run in the reactor of the tests, whose pauses between two steps they take for their own lag.

The fixture now fixes the lag at 0, so that all bounds hold without an allowance; the lag itself is tested with held-up processes (test_held_up_stop.py) and in the examples of drain_window.py.

--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -6,8 +6,10 @@
 from attrs import evolve
 from twisted.internet import reactor
 
+from bamboocove.coordination.drain_window import StopSchedule
 from bamboocove.protocol.mesh_messages import Forward, encode_mesh_message
 from bamboocove.sidecar import shutdown
+from bamboocove.sidecar.application import SidecarApplication
 from tests.callpath import run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, make_config, read_response
 
@@ -24,6 +26,10 @@
 def mesh(monkeypatch):
     monkeypatch.setattr(shutdown, "CALLER_DRAIN_S", 0.5)
     monkeypatch.setattr(shutdown, "WORKER_DRAIN_DELAY_S", 0.4)
+    # The nodes share the reactor of the tests, and take its pauses for their own lag.
+    monkeypatch.setattr(SidecarApplication, "get_lag", lambda node: 0.0)
+    get_end = StopSchedule.get_end
+    monkeypatch.setattr(StopSchedule, "get_end", lambda plan, lag_s: get_end(plan, 0.0))
     mesh = HostMesh()
     mesh.store.put_config(
         make_config(2, timeout_s=6.1, read={"orders": 1}, pay={"orders": 1})
