Wait until the readers watch before their store calls are counted

The test began to count as soon as the nodes had their duties. A node takes up its duty only 1.2 s after it has read the host records, then at the next of its polls, so the second reader could begin up to some 0.3 s after the first, while the six changes take 0.1 s or more. A reader that begins behind reads once before it watches, which was the plain read seen beside three watch calls.

Trace: in a run beside other work one watch call was open when the count began, the second reader had read version 1 of 2, and it made one watch call less.

The test now waits until both readers have an open watch call. It is stricter than before: readers may only watch, and the other nodes may neither watch nor read, which was not counted.

--- a/tests/sidecar/test_dissemination.py
+++ b/tests/sidecar/test_dissemination.py
@@ -35,6 +35,7 @@
 from bamboocove.state.mesh import HostRecord
 from tests.callpath import run, run_reactor_until
 from tests.sidecar.hosts import HostMesh, make_config, stop_at_once
+from tests.sidecar.store_calls import OperatorCalls
 
 
 @pytest.fixture
@@ -47,31 +48,6 @@
     mesh.close()
 
 
-def count_watch_calls(mesh):
-    """Return the watch calls by host; the counts are updated with each call."""
-    counts = {host.host_id: 0 for host in mesh.hosts}
-
-    def wrap(host):
-        watch = host.node.watch
-        watch_operator = watch._store.watch_operator
-
-        async def count(*args):
-            counts[host.host_id] += 1
-            return await watch_operator(*args)
-
-        class Store:
-            watch_operator = staticmethod(count)
-
-            def __getattr__(self, name):
-                return getattr(mesh.store, name)
-
-        watch._store = Store()
-
-    for host in mesh.hosts:
-        wrap(host)
-    return counts
-
-
 async def pause(seconds):
     await deferLater(reactor, seconds)
 
@@ -96,18 +72,21 @@
 
 def test_changes_reach_all_nodes_and_only_readers_call_the_store(mesh):
     """Guards against store calls that grow with the number of hosts."""
-    run_reactor_until(lambda: do_only_readers_watch(mesh))
-    change_config(mesh, 2)
-    run_reactor_until(lambda: mesh.get_versions() == [2] * 5)
-    counts = count_watch_calls(mesh)
-    for version in range(3, 9):
+    calls = OperatorCalls(mesh)
+    readers = choose_readers(list(calls.kinds_by_id))
+    # A node takes up its duty some time after its start, each at a time of its own.
+    run_reactor_until(
+        lambda: do_only_readers_watch(mesh) and calls.watching_ids == set(readers)
+    )
+    calls.clear()
+    for version in range(2, 9):
         change_config(mesh, version)
         run_reactor_until(
             lambda version=version: mesh.get_versions() == [version] * 5, 2
         )
-    readers = choose_readers(list(counts))
-    assert all(counts[i] for i in readers)
-    assert not any(counts[i] for i in counts if i not in readers)
+    for host_id, kinds in calls.kinds_by_id.items():
+        # Each change answers the open watch call of a reader, which needs no read.
+        assert set(kinds) == ({"watch"} if host_id in readers else set())
 
 
 def test_node_that_missed_a_change_gets_the_whole_configuration(mesh):
