Show the ends of the node logs when a test of node processes fails

The fixture of the three test modules, which each set up a cluster of their own, is now one; it prints the last lines of each node's log, which pytest shows for a failed test only. The test of many answers at once says what its callers have got.

The test of uploads had a fixed network of loopback addresses, so two checkouts could not run it at the same time; it now takes a free one like the others.

--- a/tests/callpath.py
+++ b/tests/callpath.py
@@ -94,13 +94,20 @@
     return results[0]
 
 
-def run_reactor_until(is_done: Callable[[], Any], wait_s: float = WAIT_S) -> None:
-    """Run the reactor until a condition holds; AssertionError after ``wait_s``."""
+def run_reactor_until(
+    is_done: Callable[[], Any],
+    wait_s: float = WAIT_S,
+    describe: Callable[[], str] = lambda: "",
+) -> None:
+    """Run the reactor until a condition holds; AssertionError after ``wait_s``.
+
+    The error contains the text that ``describe`` then returns.
+    """
     if not reactor.running:
         reactor.startRunning(installSignalHandlers=False)
     end = time.monotonic() + wait_s
     while not is_done():
-        assert time.monotonic() < end, "condition not met in time"
+        assert time.monotonic() < end, f"condition not met in time {describe()}"
         reactor.runUntilCurrent()
         reactor.doIteration(0.005)
 
--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -3,18 +3,14 @@
 import json
 import signal
 from contextlib import contextmanager
-from random import Random
 from types import SimpleNamespace
 
 import pytest
 from twisted.internet import reactor
-from twisted.internet.process import reapAllProcesses
-from twisted.internet.task import LoopingCall
 
-from soak.cluster import ROUTE_HOSTNAME, Cluster
-from soak.records import Journal
-from tests.callpath import Caller, run, run_reactor_until
-from tests.networks import find_free_network
+from soak.cluster import ROUTE_HOSTNAME
+from tests.callpath import Caller, run_reactor_until
+from tests.clusters import is_serving, run_cluster
 from tests.sidecar.hosts import format_call, read_response
 
 GRACE_S = 6.0
@@ -46,20 +42,12 @@
 @contextmanager
 def run_host(folder, work_s):
     """Run a host that serves, whose worker takes ``work_s`` seconds for a request."""
-    cluster = Cluster(find_free_network(), folder, Random(1), reactor, Journal(1))
-    # The reactor of the tests installs no signal handlers, so no SIGCHLD arrives.
-    reaper = LoopingCall(reapAllProcesses)
-    reaper.start(0.05)
-    cluster.start_store()
-    put_config(cluster.store)
-    host = cluster.start_host("orders")
-    host.worker.work_s = work_s
-    run_reactor_until(lambda: is_serving(host), 20)
-    yield host
-    run(cluster.stop(), 10)
-    # The ports close in a later iteration of the reactor.
-    wait_s(0.1)
-    reaper.stop()
+    with run_cluster(folder) as cluster:
+        put_config(cluster.store)
+        host = cluster.start_host("orders")
+        host.worker.work_s = work_s
+        run_reactor_until(lambda: is_serving(host), 20)
+        yield host
 
 
 @pytest.fixture
@@ -73,11 +61,6 @@
     run_reactor_until(lambda: reactor.seconds() > end_at)
 
 
-def is_serving(host):
-    log = host.node.log_path.read_text()
-    return '"event":"worker.state"' in log and '"event":"node.serving"' in log
-
-
 def open_call(host, path, method):
     caller = Caller(host.outbound_address[1], host.ip)
     data = format_call(path, method, b"", int(TIMEOUT_S * 1000), path)
--- a/tests/platform/test_response_memory.py
+++ b/tests/platform/test_response_memory.py
@@ -1,19 +1,14 @@
 """Memory of a node process whose worker sends large answers or never stops sending."""
 
 import json
-from random import Random
 
 import pytest
-from twisted.internet import reactor
 from twisted.internet.interfaces import IPullProducer
-from twisted.internet.process import reapAllProcesses
-from twisted.internet.task import LoopingCall
 from zope.interface import implementer
 
-from soak.cluster import ROUTE_HOSTNAME, SETTINGS_TEMPLATE, Cluster
-from soak.records import Journal
-from tests.callpath import Caller, run, run_reactor_until
-from tests.networks import find_free_network
+from soak.cluster import ROUTE_HOSTNAME, SETTINGS_TEMPLATE
+from tests.callpath import Caller, run_reactor_until
+from tests.clusters import describe_responses, is_serving, run_cluster
 from tests.sidecar.hosts import format_call, parse_head, read_response
 
 MEMORY_MB = 150
@@ -89,20 +84,9 @@
 def cluster(tmp_path, monkeypatch):
     limits = f"[self.limits]\nmemoryMb = {MEMORY_MB}\n"
     monkeypatch.setattr("soak.cluster.SETTINGS_TEMPLATE", SETTINGS_TEMPLATE + limits)
-    cluster = Cluster(find_free_network(), tmp_path, Random(1), reactor, Journal(1))
-    # The reactor of the tests installs no signal handlers, so no SIGCHLD arrives.
-    reaper = LoopingCall(reapAllProcesses)
-    reaper.start(0.05)
-    cluster.start_store()
-    put_config(cluster.store)
-    yield cluster
-    run(cluster.stop(), 10)
-    reaper.stop()
-
-
-def is_serving(host):
-    log = host.node.log_path.read_text()
-    return '"event":"worker.state"' in log and '"event":"node.serving"' in log
+    with run_cluster(tmp_path) as cluster:
+        put_config(cluster.store)
+        yield cluster
 
 
 def open_call(host, path, method):
@@ -167,6 +151,14 @@
     return [read(caller) for caller in callers]
 
 
+def wait_until_held(held, count, callers):
+    """Wait until the worker has got the requests of all callers."""
+    run_reactor_until(
+        lambda: len(held) == count,
+        describe=lambda: f"{len(held)} held, {describe_responses(callers)}",
+    )
+
+
 @pytest.mark.parametrize("count", [20, 60])
 @pytest.mark.parametrize("name", ANSWERS_BY_NAME)
 def test_answers_at_once_do_not_fill_the_memory(cluster, name, count):
@@ -178,7 +170,7 @@
     host, held = start_host(cluster, name, count)
     assert call_small(host, 0) == 200
     callers = [open_call(host, f"/pay/{number}", "POST") for number in range(count)]
-    run_reactor_until(lambda: len(held) == count)
+    wait_until_held(held, count, callers)
     # Requests of other callers are served meanwhile.
     assert [call_small(host, number) for number in range(1, 11)] == [200] * 10
     expected = {200} if name == "length" else {502, 504}
--- a/tests/platform/test_upload_memory.py
+++ b/tests/platform/test_upload_memory.py
@@ -1,12 +1,9 @@
 """Resident memory of a node process whose callers upload much at once."""
 
 import json
-from random import Random
 
 import pytest
 from twisted.internet import reactor
-from twisted.internet.process import reapAllProcesses
-from twisted.internet.task import LoopingCall
 
 from bamboocove.coordination.byte_budget import (
     BASE_MEMORY_BYTES,
@@ -14,11 +11,10 @@
     MIN_BUDGET_BYTES,
 )
 from bamboocove.protocol.mesh_messages import MAX_FORWARDED_BODY_BYTES
-from soak.cluster import ROUTE_HOSTNAME, Cluster
-from soak.records import Journal
-from tests.callpath import Caller, run, run_reactor_until
+from soak.cluster import ROUTE_HOSTNAME
+from tests.callpath import Caller, run_reactor_until
+from tests.clusters import is_serving, run_cluster
 
-NETWORK = 96
 UPLOADS = 40
 SECONDS = 3.0
 PIECE = bytes(64 * 1024)
@@ -45,23 +41,12 @@
 
 @pytest.fixture
 def hosts(tmp_path):
-    cluster = Cluster(NETWORK, tmp_path, Random(1), reactor, Journal(1))
-    # The reactor of the tests installs no signal handlers, so no SIGCHLD arrives.
-    reaper = LoopingCall(reapAllProcesses)
-    reaper.start(0.05)
-    cluster.start_store()
-    put_config(cluster.store)
-    hosts = [cluster.start_host(service) for service in ("front", "orders")]
-    hosts[1].worker.work_s = 0.3
-    run_reactor_until(lambda: all(is_serving(host) for host in hosts), 20)
-    yield hosts
-    run(cluster.stop(), 10)
-    reaper.stop()
-
-
-def is_serving(host):
-    log = host.node.log_path.read_text()
-    return '"event":"worker.state"' in log and '"event":"node.serving"' in log
+    with run_cluster(tmp_path) as cluster:
+        put_config(cluster.store)
+        hosts = [cluster.start_host(service) for service in ("front", "orders")]
+        hosts[1].worker.work_s = 0.3
+        run_reactor_until(lambda: all(is_serving(host) for host in hosts), 20)
+        yield hosts
 
 
 def upload(host, number):
