Let the worker stand-in and the fault proxies queue more connections

The process of the test is the callers, the fault proxy and the worker. While it opens calls, or gets no processor after them, it accepts nothing, and the node opens a connection for each of the 60 slots. The stand-ins listened with Twisted's backlog of 50: the kernel dropped the connections beyond 51, which are tried again after 1 s, later than the 0.5 s that the node waits. The node then marked the worker as down, as it should, and answered 8 or 9 requests with 503 "worker is unreachable"; the test waited for requests that never came.

Trace: the reactor of the test held up after the calls were opened.

Both stand-ins now listen with a backlog of 1024, like the nodes.

--- a/bamboocove/platform/standin_worker.py
+++ b/bamboocove/platform/standin_worker.py
@@ -25,6 +25,8 @@
 LONG_WORK_S = 3.8
 REPORT_INTERVAL_S = 1.0
 REPORT_TIMEOUT_S = 1.0
+# More than the slots of any worker: a node may open a connection for each at once.
+LISTEN_BACKLOG = 1024
 OVERLOAD_FIELDS = [(DIALECT.not_run, b"1")]
 REPEATED_REFUSAL = b"HTTP/1.1 503 X\r\n%b: 1\r\ncontent-length: 0\r\n\r\n" % (
     DIALECT.not_run
@@ -164,7 +166,7 @@
     def start(self) -> None:
         """Accept requests, and report to the node periodically."""
         host, port = self.address
-        self.port = self.clock.listenTCP(port, self.server, interface=host)
+        self.port = self.clock.listenTCP(port, self.server, LISTEN_BACKLOG, host)
         self._reporter.start(REPORT_INTERVAL_S)
 
     def stop(self) -> None:
--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -9,6 +9,8 @@
 from bamboocove.transport.clients import Address
 
 CONNECT_TIMEOUT_S = 2.0
+# As much as the nodes behind proxies have, see ``bamboocove.sidecar.application``.
+LISTEN_BACKLOG = 1024
 
 
 @define(eq=False, slots=False)
@@ -49,7 +51,7 @@
         factory.noisy = False
         factory.buildProtocol = lambda addr: _Endpoint(_ProxiedConnection(self))
         host, port = self.address
-        self.port = self.clock.listenTCP(port, factory, interface=host)
+        self.port = self.clock.listenTCP(port, factory, LISTEN_BACKLOG, host)
 
     def cut(self, inbound: bool = True, outbound: bool = True) -> None:
         """Hold back all bytes to the target, from it, or both."""
--- a/tests/platform/test_response_memory.py
+++ b/tests/platform/test_response_memory.py
@@ -1,11 +1,13 @@
 """Memory of a node process whose worker sends large answers or never stops sending."""
 
 import json
+import time
 
 import pytest
 from twisted.internet.interfaces import IPullProducer
 from zope.interface import implementer
 
+from bamboocove.sidecar.inbound import CONNECT_TIMEOUT_S
 from soak.cluster import ROUTE_HOSTNAME, SETTINGS_TEMPLATE
 from tests.callpath import Caller, run_reactor_until
 from tests.clusters import describe_responses, is_serving, run_cluster
@@ -179,3 +181,18 @@
         caller.close()
     host.node.record_peak_memory()
     assert host.node.is_alive and 0 < host.node.peak_kib * 1024 < MEMORY_MB * 1e6
+
+
+def test_requests_at_once_reach_a_worker_that_is_held_up(cluster):
+    """Guards against connections that the stand-ins drop while nothing accepts them.
+
+    The process of the tests accepts none while it opens calls or gets no processor. A
+    node that could not connect marked the worker as down and refused its requests.
+    """
+    count = 60
+    host, held = start_host(cluster, "length", count)
+    callers = [open_call(host, f"/pay/{number}", "POST") for number in range(count)]
+    time.sleep(CONNECT_TIMEOUT_S + 0.2)
+    wait_until_held(held, count, callers)
+    for caller in callers:
+        caller.close()
