Notice at once that a caller with requests pipelined has left

Cause: reading paused as soon as one complete request waited behind the one in progress, and the end of a connection that is not read is not seen.

Reading now goes on up to 8 requests or 64 KiB behind the one in progress.

A caller that half closes behind several requests, which got at least the first answer before, is cancelled as one with a single request: its FIN is the same as that of a caller that has left.

--- a/bamboocove/transport/calls.py
+++ b/bamboocove/transport/calls.py
@@ -22,21 +22,17 @@
 )
 from bamboocove.transport.exchanges import Exchange
 from bamboocove.transport.framing import MAX_HEAD_BYTES, Headers
+from bamboocove.transport.pipelining import holds_enough
 from bamboocove.transport.request_heads import check_head
 from bamboocove.transport.sending import (
     DeliveryProgress,
     count_unacknowledged,
     count_unread,
     count_unsent,
+    is_closed_by_peer,
     write_immediately,
 )
 
-# Request body bytes that one connection buffers while the receiver is not ready;
-# beyond this it stops reading.
-MAX_HELD_BYTES = 64 * 1024
-# Requests that one connection buffers, with the one in progress, if the last one is
-# incomplete.
-MAX_HELD_REQUESTS = 8
 # Idle timeout unless a server sets another one. Longer than that of the client, so
 # that the client closes idle connections first.
 IDLE_TIMEOUT_S = 60.0
@@ -51,7 +47,8 @@
 
     Requests are dispatched one at a time and in order. The connection is still
     read while a request is in progress, so that a disconnect of the caller is
-    detected; requests that are pipelined meanwhile are buffered up to a limit.
+    detected; requests that are pipelined meanwhile are buffered up to a limit, beyond
+    which ``sweep`` detects it.
 
     Parameters
     ----------
@@ -113,20 +110,9 @@
                 ErrorResult(ErrorKind.TOO_LARGE, "request head is too large")
             )
         self._process_queue()
-        if self._holds_enough():
+        if holds_enough(self._queue):
             self.pause()
 
-    def _holds_enough(self) -> bool:
-        """Return whether to read no more until a request has ended or takes its body.
-
-        A pipelined request is read to its end: what is left unread when the server
-        wants to close the connection would have no answer.
-        """
-        queue = self._queue
-        if len(queue) > MAX_HELD_REQUESTS or len(queue) > 1 and queue[-1].is_complete:
-            return True
-        return sum(exchange.held_bytes for exchange in queue) > MAX_HELD_BYTES
-
     # Callbacks of the parser. They only store what was parsed; dataReceived acts
     # on errors that they detect, because the parser hides exceptions.
 
@@ -350,7 +336,8 @@
         """Abort the connection if its idle or request head timeout has expired.
 
         They count from when the caller has received the previous response. A caller
-        that does not receive it is cut after ``STALL_TIMEOUT_S``.
+        that does not receive it is cut after ``STALL_TIMEOUT_S``. If a caller has left
+        while reading is paused, its requests are cancelled.
 
         Parameters
         ----------
@@ -359,7 +346,11 @@
         idle_timeout_s : float
             Time for which a connection may be idle, in seconds.
         """
-        if self._queue or self._is_closing:
+        if self._is_closing:
+            return
+        if self._queue:
+            if self._is_paused and is_closed_by_peer(self.transport):
+                self._end_unread()
             return
         if self._is_written:
             progress = self._progress
@@ -375,6 +366,23 @@
         if now - self.waiting_since > limit:
             self.abort("head timeout" if self._head_bytes else "idle timeout")
 
+    def _end_unread(self) -> None:
+        """Cancel the requests of a caller that has left, and discard what it sent."""
+        if self._queue[0].is_answered:
+            return
+        is_cut = self._is_response_incomplete()
+        self._cancel_requests()
+        if is_cut:
+            self.abort(CALLER_CLOSED)
+        else:
+            # The end that follows the unread data closes the connection. A close before
+            # would be a reset, which destroys the answers that are on their way.
+            self.resume()
+
+    def _is_response_incomplete(self) -> bool:
+        # The end of the connection may look like that of the response.
+        return any(e.is_response_started and not e.is_finished for e in self._queue)
+
     def close_if_idle(self) -> None:
         """Close the connection now, or after the responses to requests read by then."""
         self._closes_when_idle = True
@@ -449,10 +457,9 @@
             # No work depends on the rest of the response.
             self._queue[0].is_keep_alive = False
             return
-        is_cut = any(e.is_response_started and not e.is_finished for e in self._queue)
+        is_cut = self._is_response_incomplete()
         self._cancel_requests()
         if is_cut:
-            # The end of the connection may look like that of the response.
             self.abort(self._close_reason)
             return
         if not self.unsent_bytes:
--- a/bamboocove/transport/exchanges.py
+++ b/bamboocove/transport/exchanges.py
@@ -36,6 +36,8 @@
 
     Attributes
     ----------
+    head_bytes : int
+        Size of the target and the header fields.
     on_data, on_end : callable or None
         Called with each part of the body and at its end; set by ``receive``.
     is_answered : bool
@@ -48,6 +50,7 @@
 
     __slots__ = (
         "connection",
+        "head_bytes",
         "headers",
         "held",
         "held_bytes",
@@ -90,6 +93,7 @@
         self.length = length
         self.is_keep_alive = is_keep_alive
         self.is_http10 = is_http10
+        self.head_bytes = len(target) + sum(len(n) + len(v) for n, v in headers)
         self.needs_continue = False
         self.held: list[bytes] = []
         self.held_bytes = 0
--- a/bamboocove/transport/sending.py
+++ b/bamboocove/transport/sending.py
@@ -2,6 +2,7 @@
 
 import struct
 from fcntl import ioctl
+from select import POLLRDHUP, poll
 from termios import FIONREAD, TIOCOUTQ
 from typing import Any
 
@@ -66,6 +67,20 @@
     return _count_in_kernel(transport, FIONREAD)
 
 
+def is_closed_by_peer(transport: Any) -> bool:
+    """Return whether the peer has closed a TCP connection, or its sending half.
+
+    It is detected although the transport does not read, but only once the kernel has
+    received all that the peer has sent before. It is False for other transports.
+    """
+    socket = getattr(transport, "socket", None)
+    if socket is None or socket.fileno() < 0:
+        return False
+    poller = poll()
+    poller.register(socket, POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 def _count_in_kernel(transport: Any, request: int) -> int:
     socket = getattr(transport, "socket", None)
     if socket is None:
