Refuse or place again what a silent host has not run

Cause: when a host falls silent, its safe requests are offered to other hosts, and the request counts as one that may have run from then on. If the others refused it and the silent host then refused it, too (it was stopping, or its queue gave it up), or closed its link with the word that it had read nothing more, that was handled like a loss.

A refusal of the silent host, or the orderly end of its link, now says that it has not run the request. Unless the second host may have run it, it is placed on a host that has not been asked, or gets 503 with Retry-After. Requests that must not run twice are never offered to a second host and stay as they were.

Evidence: five of the six new cases in tests/sidecar/test_silent_hosts.py failed before with 502 in place of 503 or 200, among them a host that takes bytes and does not read them; the sixth guards 502 for a request that the second host may have run.

--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -6,7 +6,6 @@
 from attrs import evolve
 
 from bamboocove.coordination.byte_budget import ByteBudget
-from bamboocove.coordination.fingerprints import digest_body, make_fingerprint
 from bamboocove.coordination.placement import (
     HostView,
     QueueReport,
@@ -50,6 +49,7 @@
     DEADLINE_GRACE_S,
     OutboundRequest,
     RequestRouter,
+    identify_request,
 )
 from bamboocove.sidecar.rules import RuleTable
 from bamboocove.sidecar.settings import HostSettings
@@ -243,7 +243,7 @@
             self._refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, "no time is left")
             return
         if self.crashes.has_suspects(now):
-            request.fingerprint = self._make_fingerprint(request)
+            request.fingerprint = identify_request(request, self.settings.service)
             if self.crashes.is_blocked(request.fingerprint, now):
                 reason = "workers were lost while they ran this request"
                 self._refuse(request, ErrorKind.SUSPECT_REQUEST, reason)
@@ -362,6 +362,9 @@
         if reply.outcome == TIMED_OUT and request.attempt is None:
             self._fail(request, ErrorKind.DEADLINE_AFTER_DISPATCH, "no answer in time")
             return
+        if reply.outcome in (REFUSED, WRONG_WORKER, SHED):
+            self._on_earlier_refused(request, reply.body.decode("latin-1"), now)
+            return
         if reply.outcome != ANSWERED:
             self._on_earlier_lost(request)
             return
@@ -372,7 +375,21 @@
         request.view = attempt.view
         self._deliver(request, reply, now)
 
+    def _on_earlier_refused(
+        self, request: OutboundRequest, reason: str, now: float
+    ) -> None:
+        """Place a request again that a host, silent for some time, has not run."""
+        request.sent -= 1
+        request.last_reason = reason or "the worker did not take the request"
+        if request.attempt is not None:
+            return
+        if request.may_have_run:
+            self._fail(request, ErrorKind.UPSTREAM_LOST, request.last_reason)
+        else:
+            self._dispatch(request, now)
+
     def _on_earlier_lost(self, request: OutboundRequest) -> None:
+        request.may_have_run = True
         if request.attempt is None:
             reason = "the host was silent and did not answer"
             self._fail(request, ErrorKind.UPSTREAM_LOST, reason)
@@ -465,7 +482,7 @@
         request.may_have_run = True
         request.excluded_host_ids.add(request.host_id)
         if is_crash:
-            request.fingerprint = self._make_fingerprint(request)
+            request.fingerprint = identify_request(request, self.settings.service)
             self.crashes.record(request.fingerprint, request.host_id, now)
         if (
             request.route.is_idempotent
@@ -505,12 +522,14 @@
         for attempt in self._attempts.find(host_id):
             request = attempt.request
             is_unread = has_replied and attempt.reply_size is None
-            if attempt.is_offered or is_unread and attempt is request.attempt:
+            is_earlier = attempt is request.earlier_attempt
+            if attempt.is_offered or is_unread and not is_earlier:
                 self._withdraw(attempt, now)
                 continue
-            is_earlier = attempt is request.earlier_attempt
             self._attempts.close(attempt)
-            if is_earlier:
+            if is_earlier and is_unread:
+                self._on_earlier_refused(request, "the host stopped", now)
+            elif is_earlier:
                 self._on_earlier_lost(request)
             else:
                 request.sent += 1
@@ -536,7 +555,6 @@
                 request.earlier_attempt, request.attempt = attempt, None
                 request.excluded_host_ids.add(host_id)
                 request.hosts_tried = 1
-                request.may_have_run = True
                 log(
                     "request.repeated",
                     id=request.attempt_id,
@@ -552,12 +570,13 @@
         if request.is_ended:
             return
         is_offered = request.attempt is not None and request.attempt.is_offered
+        may_have_run = request.may_have_run or request.earlier_attempt is not None
         if request.received_at is None:
             reason = "its body did not arrive in time"
             self._refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, reason)
             return
         self._attempts.cancel_all(request)
-        if is_offered and not request.may_have_run:
+        if is_offered and not may_have_run:
             reason = "no room for its body in time"
             self._refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, reason)
             return
@@ -565,7 +584,7 @@
         self._fail(request, ErrorKind.DEADLINE_AFTER_DISPATCH, reason)
 
     def _refuse_unplaced(self, request: OutboundRequest, views: list[HostView]) -> None:
-        if request.may_have_run:
+        if self._may_be_sent(request):
             self._fail(request, ErrorKind.UPSTREAM_LOST, "no other worker is left")
             return
         kind = ErrorKind.OVERLOADED if views else ErrorKind.NO_UPSTREAM
@@ -633,14 +652,3 @@
         if timer is not None and timer.active():
             timer.cancel()
         request.exchange.on_data = request.exchange.on_end = None
-
-    def _make_fingerprint(self, request: OutboundRequest) -> str:
-        exchange = request.exchange
-        return make_fingerprint(
-            (
-                self.settings.service,
-                exchange.method,
-                exchange.target,
-                digest_body(request.body),
-            )
-        )
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -6,6 +6,7 @@
 from attrs import define, field
 
 from bamboocove.coordination.drain_window import NOT_DRAINING, SlowestResponses
+from bamboocove.coordination.fingerprints import digest_body, make_fingerprint
 from bamboocove.coordination.placement import HostView
 from bamboocove.coordination.request_bodies import RequestBody
 from bamboocove.coordination.retry_limits import CallerWaitEstimator
@@ -121,6 +122,15 @@
         return None if now is None else round(now - self.started_at, 4)
 
 
+def identify_request(request: OutboundRequest, caller_service: str) -> str:
+    """Return the fingerprint of a request, which equal requests share."""
+    exchange = request.exchange
+    body_digest = digest_body(request.body)
+    return make_fingerprint(
+        (caller_service, exchange.method, exchange.target, body_digest)
+    )
+
+
 class RequestRouter:
     """Validates requests of callers and selects their route and service.
 
--- a/tests/sidecar/test_silent_hosts.py
+++ b/tests/sidecar/test_silent_hosts.py
@@ -33,6 +33,31 @@
     return connection, silent, other
 
 
+def start_waiting_request(caller, targets):
+    """Start a request that waits in the queue of a host's worker.
+
+    Returns its connection, that host and the other one, which is leaving.
+    """
+    silent, other = targets
+    # Lets the queue take a request that has to wait.
+    silent.node.inbound.queue.service_times.record("read", 0.02)
+    silent.node.inbound.queue.slots = 0
+    other.node.inbound.is_draining = True
+    connection = caller.open(format_call("/read/1", "GET", left_ms=900))
+    run_reactor_until(lambda: silent.node.inbound.queue.waiting)
+    return connection, silent, other
+
+
+def refuse_waiting(caller, silent):
+    silent.node.inbound.refuse_waiting("the node is stopping")
+
+
+def end_links(caller, silent):
+    """Let the caller's host learn that the silent one stopped without reading more."""
+    outbound = caller.node.outbound
+    outbound.on_host_lost(silent.host_id, reactor.seconds(), has_replied=True)
+
+
 def suspect(caller, host):
     caller.node.outbound.on_host_suspect(host.host_id, reactor.seconds())
 
@@ -129,3 +154,73 @@
     silent.respond(silent.requests[0])
     assert read_response(connection)[0] == 200
     assert (len(silent.requests), len(other.requests)) == (1, 0)
+
+
+@pytest.mark.parametrize("refuse", [refuse_waiting, end_links])
+def test_request_that_the_silent_host_has_not_run_is_refused(mesh, refuse):
+    """Guards against 502 for a request that no worker has got.
+
+    Its caller could not tell that it may be sent again.
+    """
+    caller, *targets = make_hosts(mesh)
+    connection, silent, other = start_waiting_request(caller, targets)
+    suspect(caller, silent)
+    run_reactor_until(lambda: not caller.node.outbound._attempts.find(other.host_id))
+    refuse(caller, silent)
+    status, fields, _ = read_response(connection)
+    assert status == 503 and float(fields["retry-after"]) > 0
+    assert not silent.requests and not other.requests
+
+
+@pytest.mark.parametrize("refuse", [refuse_waiting, end_links])
+def test_request_that_the_silent_host_has_not_run_is_placed_elsewhere(mesh, refuse):
+    """Guards against a request that fails beside a host that came back meanwhile."""
+    caller, *targets = make_hosts(mesh)
+    connection, silent, other = start_waiting_request(caller, targets)
+    caller.node.fleet.views_by_id[other.host_id].suspended_until = float("inf")
+    suspect(caller, silent)
+    caller.node.fleet.views_by_id[other.host_id].suspended_until = 0.0
+    other.node.inbound.is_draining = False
+    other.request_handler = None
+    refuse(caller, silent)
+    status, fields, _ = read_response(connection)
+    assert (status, fields["x-host"]) == (200, other.host_id)
+
+
+def test_request_that_a_second_host_may_have_run_fails(mesh):
+    """Guards against 503 for a request that is lost at one of two hosts."""
+    caller, *targets = make_hosts(mesh)
+    connection, silent, other = start_waiting_request(caller, targets)
+    other.node.inbound.is_draining = False
+    suspect(caller, silent)
+    run_reactor_until(lambda: other.requests)
+    caller.node._on_down(other.host_id)
+    refuse_waiting(caller, silent)
+    assert read_response(connection)[0] == 502
+    assert len(other.requests) == 1
+
+
+def test_request_that_a_host_did_not_read_before_it_stopped_is_refused(mesh):
+    """Guards against 502 for a request that its host has not read when it stops.
+
+    The host stands still, and takes what is sent to it into its socket buffers.
+    """
+    caller, *targets = make_hosts(mesh)
+    silent, other = targets
+    other.node.inbound.is_draining = True
+    # The caller's host learns of the stop only from the link.
+    silent.node.hosts.broadcast = lambda message: None
+    silent.node.hosts.write_record = lambda: None
+    links = list(silent.node.hub._accepted)
+    for link in links:
+        link.transport.pauseProducing()
+    connection = caller.open(format_call("/read/1", "GET", left_ms=900))
+    peer = caller.node.hub.peers_by_id[silent.host_id]
+    run_reactor_until(lambda: peer.is_suspect)
+    now = reactor.seconds()
+    silent.node.inbound.drain_window = DrainWindow(now, now)
+    for link in links:
+        link.transport.resumeProducing()
+    status, fields, _ = read_response(connection)
+    assert status == 503 and float(fields["retry-after"]) > 0
+    assert not silent.requests and not other.requests
