Refuse no other requests after one that a stop leaves no time for

In a planned stop a worker's node refuses requests that may have no answer before it ends. Callers of others got 503 "no worker may be asked" meanwhile, although the worker, the only one of its service, would have answered them.

A refusal in a stop depends on the deadline and the route of that one request.

Such a refusal now only excludes the host for that request.

--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -41,7 +41,7 @@
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.error_responses import send_error
 from bamboocove.sidecar.fleet import Fleet
-from bamboocove.sidecar.inbound import InboundProxy
+from bamboocove.sidecar.inbound import STOPPING_REASON, InboundProxy
 from bamboocove.sidecar.links import LinkHub
 from bamboocove.sidecar.logs import log
 from bamboocove.sidecar.metrics import MeshMetrics
@@ -453,10 +453,11 @@
         request.last_reason = reply.body.decode("latin-1")
         request.may_return_soon = False
         request.excluded_host_ids.add(request.host_id)
-        if reply.outcome == REFUSED:
-            request.view.record_refusal(request.priority, now + REFUSAL_BACKOFF_S, now)
-        else:
+        if reply.outcome == WRONG_WORKER:
             self._fleet.suspend(request.host_id, now)
+        elif request.last_reason != STOPPING_REASON:
+            # A host that stops refuses requests for their deadlines, not for its load.
+            request.view.record_refusal(request.priority, now + REFUSAL_BACKOFF_S, now)
         self._dispatch(request, now)
 
     def _retry_shed(self, request: OutboundRequest, now: float) -> None:
