Take a reply beside request bodies that wait for other nodes

What callers saw: 504 for large answers between two hosts that also held uploads for each other. Three uploads of 1.45 MB in each direction, each answered with 3.9 MB, on budgets of 10 MB: nothing moved until the deadlines of 4 s; three of six got 504, the others 200 after 4.0 to 4.1 s.

Cause: one reply of another node may exceed the budget if what the node holds beside its own offered replies is at most 4 MB. Request bodies count in that, and are held until their replies have arrived, which the other node could not send either.

Change: that reply waits only for bytes that callers on this host have not read. Replies that pass to a caller count among them. All else may wait for another node. Error answers kept for a retry would have become unbounded by this, so they are kept only within the budget, else delivered at once.

test_large_answer_of_a_host_that_stops and the fixture "offered" of the tests of planned stops filled the budget with bytes of no kind, which no longer keep a reply waiting. They now count them as unread by callers; the assertions are unchanged.

--- a/bamboocove/coordination/body_queue.py
+++ b/bamboocove/coordination/body_queue.py
@@ -21,6 +21,15 @@
 MAX_EXCESS_BYTES = 4 * 1024 * 1024
 
 
+def may_keep(budget: ByteBudget, size: int) -> bool:
+    """Return whether a response may be kept until another attempt has ended.
+
+    Other nodes may have no room for that attempt, so it may not take room beyond the
+    budget.
+    """
+    return size <= max(PIECE_BYTES, budget.free)
+
+
 @define
 class _Body:
     received: int = 0
@@ -43,8 +52,10 @@
         Bodies that the node holds.
     comes_from_nodes : bool
         Whether the bodies come from other nodes. The one that may exceed the budget
-        then does not wait for bodies that other nodes have no room for: each of two
-        nodes might wait for the other.
+        then waits only for what callers on this host have not read. All else that the
+        node holds may wait for other nodes, directly or not: request bodies for their
+        responses, responses of the worker for replies that other nodes have no room
+        for. Each of two nodes might wait for the other.
     """
 
     budget: ByteBudget
@@ -110,7 +121,7 @@
                 self._favoured = key
             excess = self.budget.held - self.budget.limit
             if self.comes_from_nodes:
-                excess = min(excess, self.budget.held - self.budget.offered)
+                excess = min(excess, self.budget.unread)
             if self._favoured != key or excess > MAX_EXCESS_BYTES:
                 self._set_waiting(body, True)
                 return False
--- a/bamboocove/coordination/byte_budget.py
+++ b/bamboocove/coordination/byte_budget.py
@@ -49,7 +49,7 @@
     offered : int
         Those of them that wait until another node has room.
     unread : int
-        Those of them that callers on this host have not read.
+        Those of them that go to callers on this host, who have not read them.
     on_release : list of callable
         Called without arguments when bytes were given back.
     """
@@ -83,6 +83,16 @@
         """Count bytes that are held already, even beyond the limit."""
         self.held += size
 
+    def add_unread(self, size: int) -> None:
+        """Count bytes that go to a caller on this host, even beyond the limit."""
+        self.unread += size
+        self.add(size)
+
+    def release_unread(self, size: int) -> None:
+        """Give back bytes of a caller that has read them or has left."""
+        self.unread -= size
+        self.release(size)
+
     def release(self, size: int) -> None:
         """Give reserved bytes back."""
         self.held -= size
--- a/bamboocove/sidecar/attempts.py
+++ b/bamboocove/sidecar/attempts.py
@@ -2,13 +2,15 @@
 
 from collections.abc import Callable
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from bamboocove.coordination.body_grants import MIN_OFFERED_BYTES
 from bamboocove.coordination.body_queue import BodyQueue
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.placement import HostView
 from bamboocove.protocol.mesh_messages import (
+    ANSWERED,
+    LOST,
     BodyGrant,
     BodyOffer,
     Cancel,
@@ -74,6 +76,17 @@
             return self.inbound_request.is_sent
         return not self.is_offered
 
+    def join_parts(self, reply: Reply) -> Reply:
+        """Return the reply with its whole body; it is lost if a part is missing."""
+        if self.reply_size is None or reply.outcome != ANSWERED:
+            return reply
+        parts, self.reply_parts = self.reply_parts, []
+        reply = evolve(reply, body=b"".join([*parts, reply.body]))
+        if len(reply.body) != self.reply_size:
+            reason = b"a part of the answer is missing"
+            reply = evolve(reply, outcome=LOST, status=0, headers=[], body=reason)
+        return reply
+
 
 @define(eq=False)
 class AttemptTable:
--- a/bamboocove/sidecar/body_writer.py
+++ b/bamboocove/sidecar/body_writer.py
@@ -45,8 +45,7 @@
         self._is_paused = False
         self._is_ended = False
         self._timer: Any = None
-        budget.add(len(body))
-        budget.unread += len(body)
+        budget.add_unread(len(body))
 
     def start(self) -> None:
         """Write until the caller's connection takes no more, and go on later."""
@@ -99,8 +98,7 @@
             self._timer.cancel()
         size, self._body = len(self._body), b""
         self._exchange.on_closed = None
-        self._budget.unread -= size
-        self._budget.release(size)
+        self._budget.release_unread(size)
 
 
 def send_body(exchange: Exchange, body: bytes, budget: ByteBudget, clock: Any) -> None:
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -3,8 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import evolve
-
+from bamboocove.coordination.body_queue import may_keep
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.placement import (
     HostView,
@@ -311,20 +310,15 @@
         attempt = self._attempts.get(reply.stream)
         if attempt is None:
             return
-        if attempt.reply_size is not None and reply.outcome == ANSWERED:
-            parts, attempt.reply_parts = attempt.reply_parts, []
-            reply = evolve(reply, body=b"".join([*parts, reply.body]))
-            if len(reply.body) != attempt.reply_size:
-                reason = b"a part of the answer is missing"
-                reply = evolve(reply, outcome=LOST, status=0, headers=[], body=reason)
+        reply = attempt.join_parts(reply)
         # Counted while the body passes from the attempt to the caller, so that no other
         # takes its room meanwhile.
         size = len(reply.body)
-        self._budget.add(size)
+        self._budget.add_unread(size)
         try:
             self._handle_reply(attempt, reply)
         finally:
-            self._budget.release(size)
+            self._budget.release_unread(size)
 
     def _handle_reply(self, attempt: Attempt, reply: Reply) -> None:
         now = self._clock.seconds()
@@ -368,7 +362,11 @@
         if reply.outcome != ANSWERED:
             self._on_earlier_lost(request)
             return
-        if reply.status >= 500 and request.attempt is not None:
+        if (
+            reply.status >= 500
+            and request.attempt is not None
+            and may_keep(self._budget, len(reply.body))
+        ):
             self._keep_fallback(request, reply)
             return
         request.host_id = attempt.host_id
@@ -400,6 +398,7 @@
             reply.status >= 500
             and request.route.is_idempotent
             and self._may_retry(request, now)
+            and may_keep(self._budget, len(reply.body))
             and self.budgets.spend(request.service)
         ):
             log(
--- a/tests/coordination/test_body_queue.py
+++ b/tests/coordination/test_body_queue.py
@@ -1,5 +1,6 @@
 """Bodies that take bytes of a budget while they are received."""
 
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -75,3 +76,18 @@
     assert budget.held <= LIMIT + MAX_EXCESS_BYTES + MAX_BYTES
     budget.release(held)
     assert len(bodies.take_ready()) >= LIMIT // MAX_BYTES
+
+
+@pytest.mark.parametrize(("unread", "is_taken"), [(0, True), (5_000_000, False)])
+def test_reply_of_another_node_waits_only_for_callers_on_this_host(unread, is_taken):
+    """Guards against two nodes that wait for each other with bodies of any kind."""
+    budget = ByteBudget(LIMIT)
+    # Request bodies, responses of the worker in part, and replies for other nodes.
+    budget.add(6_000_000 + LIMIT)
+    budget.offered += 3_000_000
+    budget.add_unread(unread)
+    replies = BodyQueue(budget, comes_from_nodes=True)
+    assert replies.reserve("reply", 4_000_000) is is_taken
+    assert not replies.reserve("next", 4_000_000)
+    budget.release_unread(unread)
+    assert replies.take_ready() == ([] if is_taken else ["reply"])
--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -432,7 +432,7 @@
             [(b"x-attempt-id", b"a1"), (b"x-response-signature", b"s")],
             bytes(LARGE_BYTES),
         )
-    caller.node.body_budget.add(HELD_BYTES)
+    caller.node.body_budget.add_unread(HELD_BYTES)
     socket = open_call(caller, "/pay/1")
     run_reactor_until(lambda: others[0].requests or others[1].requests)
     target, other = others if others[0].requests else others[::-1]
@@ -446,7 +446,7 @@
     caller, target, other, socket = offered
     start_stop(target)
     wait_until(caller_drained_at(target) + 0.2)
-    caller.node.body_budget.release(HELD_BYTES)
+    caller.node.body_budget.release_unread(HELD_BYTES)
     status, _, body = read_response(socket)
     assert (status, len(body)) == (200, LARGE_BYTES)
     run_reactor_until(lambda: target.node.finished.called)
--- a/tests/sidecar/test_response_memory.py
+++ b/tests/sidecar/test_response_memory.py
@@ -236,7 +236,7 @@
         target.node.settings = evolve(target.node.settings, bounds=bounds)
     budget = front.node.body_budget
     taken = budget.limit + MAX_EXCESS_BYTES + 1
-    budget.add(taken)
+    budget.add_unread(taken)
     (caller,) = open_calls(front, 1, left_ms=2000)
     run_reactor_until(lambda: any(t.node.forwarding.replies.count for t in targets))
     (stopping,) = [target for target in targets if target.requests]
@@ -244,7 +244,7 @@
     until = reactor.seconds() + 0.8
     run_reactor_until(lambda: reactor.seconds() > until)
     if is_released:
-        budget.release(taken)
+        budget.release_unread(taken)
     assert read_response(caller)[0] == expected
     run_reactor_until(lambda: stopping.node.finished.called)
     assert sum(len(target.requests) for target in targets) == 1
--- a/tests/sidecar/test_upload_memory.py
+++ b/tests/sidecar/test_upload_memory.py
@@ -33,13 +33,22 @@
 class Upload:
     """A request whose body is sent as far as the node reads it."""
 
-    def __init__(self, host, length, sent=None, attempt="a1", left_ms=5000, fields=""):
+    def __init__(
+        self,
+        host,
+        length,
+        sent=None,
+        attempt="a1",
+        left_ms=5000,
+        fields="",
+        path="/pay/1",
+    ):
         self.length = length
         framing = (
             f"Content-Length: {length}" if length >= 0 else "Transfer-Encoding: chunked"
         )
         head = (
-            f"POST /pay/1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {attempt}\r\n"
+            f"POST {path} HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: {attempt}\r\n"
             f"X-Deadline-Ms: {left_ms}\r\n{fields}{framing}\r\n\r\n"
         )
         self.caller = host.open(head.encode())
