Look at the sockets before a connection attempt to a worker times out

Callers of a host whose node had got no processor for more than half a second were answered 503 "worker is unreachable" and "no worker may be asked", although the worker was well. A process that stood still runs its timers before it looks at its sockets. The timer of the connection attempt was due and ended it, while the connection had been established long before or the attempt had not begun. One such attempt marks the worker as down, which refuses what waits and all that arrives until a probe has succeeded.

Evidence: test_answers_at_once_do_not_fill_the_memory[length-60] at a load of 44 on 8 cores. 19 of 60 requests reached the worker, 3 were refused as "unreachable" 0.67 s after they had arrived and 38 because no worker was left; the log has no line in the 0.68 s before.

When the time limit has passed, the reactor now looks at its sockets once before the attempt is given up.

--- a/bamboocove/transport/clients.py
+++ b/bamboocove/transport/clients.py
@@ -9,9 +9,10 @@
 from attrs import define, field
 from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 from twisted.internet.error import ConnectionDone
-from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
+from twisted.internet.protocol import Protocol, connectionDone
 
 from bamboocove.errors import ErrorResult
+from bamboocove.transport.connecting import open_connection
 from bamboocove.transport.framing import (
     MAX_HEAD_BYTES,
     Headers,
@@ -325,22 +326,6 @@
             self.on_closed(self)
 
 
-class _ConnectFactory(ClientFactory):
-    noisy = False
-
-    def __init__(self, on_connected: Callable, on_failed: Callable):
-        self._on_connected = on_connected
-        self._on_failed = on_failed
-
-    def buildProtocol(self, addr: Any) -> ClientConnection:
-        connection = ClientConnection()
-        connection.on_connected = self._on_connected
-        return connection
-
-    def clientConnectionFailed(self, connector: Any, reason: Any) -> None:
-        self._on_failed(reason.getErrorMessage())
-
-
 @define
 class ConnectionPool:
     """Pool of idle client connections, by address.
@@ -416,9 +401,14 @@
                 handle.setsockopt(SOL_SOCKET, SO_RCVBUF, size)
             on_connected(connection)
 
-        host, port = address
-        factory = _ConnectFactory(handle_connected, on_failed)
-        return self.clock.connectTCP(host, port, factory, self.connect_timeout_s)
+        def make_connection() -> ClientConnection:
+            connection = ClientConnection()
+            connection.on_connected = handle_connected
+            return connection
+
+        return open_connection(
+            self.clock, address, make_connection, on_failed, self.connect_timeout_s
+        )
 
     def sweep(self, now: float) -> None:
         """Abort connections whose idle timeout has expired."""
