Let callers return soon to a node that has just started

A node that had a configuration and no links yet refused requests with "no worker may be asked" and a Retry-After of a third of the caller's time, 0.7 to 1.3 s of 4 s, while workers with free slots were up.

Its clients connect without asking whether the node is ready.

For as long as the node may be unready for want of links, it now answers not_ready with the Retry-After of that kind, 0.15 to 0.45 s.

--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -75,9 +75,6 @@
 # watch call may hang without an error; a peer then offers the configuration before
 # the time by which it must be in force.
 EXCHANGE_INTERVAL_S = 0.5
-# Time after the first configuration at which a node reports ready even if some
-# service has no reachable worker.
-READINESS_TIMEOUT_S = 1.5
 METRICS_PORT = 9464
 
 
@@ -230,7 +227,6 @@
         self._next_exchange_at = 0.0
         self._was_reading = False
         self._next_config_request_at = 0.0
-        self._configured_at = 0.0
 
     async def start(self) -> ErrorResult | None:
         """Open all ports, start the tasks and begin to fetch a configuration.
@@ -430,7 +426,7 @@
             source=source,
         )
         if not before.version:
-            self._configured_at = self.clock.seconds()
+            self.outbound.router.configured_at = self.clock.seconds()
         self.config = config
         for server in self.servers:
             # Callers reuse connections for as long as the configuration says.
@@ -495,7 +491,7 @@
         """Return whether callers on this host may send requests to this node."""
         if not self.config.version or self.is_draining:
             return False
-        if self.clock.seconds() - self._configured_at > READINESS_TIMEOUT_S:
+        if not self.outbound.router.is_starting(self.clock.seconds()):
             return True
         return all(
             self.fleet.has_reachable_worker(service)
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -49,6 +49,7 @@
     OutboundRequest,
     RequestRouter,
     identify_request,
+    log_repeated,
 )
 from bamboocove.sidecar.rules import RuleTable
 from bamboocove.sidecar.settings import HostSettings
@@ -401,12 +402,7 @@
             and may_keep(self._budget, len(reply.body))
             and self.budgets.spend(request.service)
         ):
-            log(
-                "request.repeated",
-                id=request.attempt_id,
-                host=request.host_id,
-                status=reply.status,
-            )
+            log_repeated(request, request.host_id, status=reply.status)
             request.excluded_host_ids.add(request.host_id)
             # Delivered if no further attempt succeeds.
             self._keep_fallback(request, reply)
@@ -490,12 +486,7 @@
             and self._may_retry(request, now)
             and self.budgets.spend(request.service)
         ):
-            log(
-                "request.repeated",
-                id=request.attempt_id,
-                host=request.host_id,
-                lost=reason,
-            )
+            log_repeated(request, request.host_id, lost=reason)
             request.hosts_tried = 1
             self._dispatch(request, now)
             return
@@ -555,12 +546,7 @@
                 request.earlier_attempt, request.attempt = attempt, None
                 request.excluded_host_ids.add(host_id)
                 request.hosts_tried = 1
-                log(
-                    "request.repeated",
-                    id=request.attempt_id,
-                    host=host_id,
-                    lost="silent",
-                )
+                log_repeated(request, host_id, lost="silent")
                 self._dispatch(request, now)
             else:
                 request.sent -= 1
@@ -587,6 +573,10 @@
         if self._may_be_sent(request):
             self._fail(request, ErrorKind.UPSTREAM_LOST, "no other worker is left")
             return
+        if not views and self.router.is_starting(self._clock.seconds()):
+            error = ErrorResult(ErrorKind.NOT_READY, "no worker is reached yet")
+            self._respond_with_error(request, error, self._get_retry_after(error))
+            return
         kind = ErrorKind.OVERLOADED if views else ErrorKind.NO_UPSTREAM
         reason = request.last_reason or "no worker may be asked"
         self._refuse(request, kind, reason)
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -20,6 +20,7 @@
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.protocol.mesh_messages import Reply
 from bamboocove.sidecar.dialect import Dialect
+from bamboocove.sidecar.logs import log
 from bamboocove.state.mesh import HostRoute, MeshConfig
 from bamboocove.transport.exchanges import Exchange
 from bamboocove.transport.framing import get_header, strip_hop_by_hop_headers
@@ -27,6 +28,9 @@
 # The worker's node reports a time-out at the deadline; a node waits this much longer
 # for that reply, in seconds.
 DEADLINE_GRACE_S = 0.12
+# Time after the first configuration at which a node reports ready even if some
+# service has no reachable worker.
+READINESS_TIMEOUT_S = 1.5
 
 
 @define(eq=False)
@@ -131,6 +135,11 @@
     )
 
 
+def log_repeated(request: OutboundRequest, host_id: str, **reason: Any) -> None:
+    """Log that a request is sent to a further host."""
+    log("request.repeated", id=request.attempt_id, host=host_id, **reason)
+
+
 class RequestRouter:
     """Validates requests of callers and selects their route and service.
 
@@ -148,6 +157,8 @@
     ----------
     config : MeshConfig
         Configuration in force.
+    configured_at : float
+        When the first one came into force, in seconds of the local clock.
     drain_window : DrainWindow
         Bounds on new requests while the node drains; else ``NOT_DRAINING``.
     slowest : SlowestResponses
@@ -166,6 +177,7 @@
         self._shares = WeightedRoundRobin(random)
         self._caller_waits = CallerWaitEstimator()
         self.config = MeshConfig()
+        self.configured_at = 0.0
         self.drain_window = NOT_DRAINING
         self.slowest = SlowestResponses()
 
@@ -185,6 +197,10 @@
         self._table = table
         return None
 
+    def is_starting(self, now: float) -> bool:
+        """Return whether the node may not have reached the other hosts yet."""
+        return now - self.configured_at <= READINESS_TIMEOUT_S
+
     def accept(self, exchange: Exchange, now: float) -> OutboundRequest | ErrorResult:
         """Route a request.
 
