End a request whose submission raises an exception

A program error while a request was put into the queue of the worker, or sent to it, left the request there: its bytes stayed counted in the budget of bodies and the request in in_flight, so that the node refused bodies in the end and waited in vain in a stop. A request whose connection could not be used for it got 503 after 0.94 s, at its deadline, and those that waited behind it were started only by later events.

Cause: InboundProxy.submit counted the request before the steps that may raise, and only its callers caught the exception. Each step is now taken by InboundProxy._attempt, which ends the request as lost: bytes, slot and connection are given back, and the caller gets 502 at once.

--- a/bamboocove/sidecar/forwarding.py
+++ b/bamboocove/sidecar/forwarding.py
@@ -1,7 +1,6 @@
 """Requests that other nodes forward to the worker on this host."""
 
 from functools import partial
-from traceback import format_exc
 from typing import Any
 
 from attrs import define, field, frozen
@@ -20,7 +19,7 @@
     encode_mesh_message,
 )
 from bamboocove.sidecar.inbound import InboundProxy, InboundRequest
-from bamboocove.sidecar.logs import MAX_TEXT_LENGTH, log
+from bamboocove.sidecar.logs import log_program_error
 from bamboocove.sidecar.reply_offers import ReplyOffers
 
 # Time after the deadline of a request for which its reply is held for the node of its
@@ -185,12 +184,8 @@
             try:
                 self._submit(link, forward)
             except Exception:
-                log(
-                    "node.message-failed",
-                    message=type(forward).__name__,
-                    # The last lines say where.
-                    traceback=format_exc()[-MAX_TEXT_LENGTH:],
-                )
+                message_name = type(forward).__name__
+                log_program_error("node.message-failed", message=message_name)
                 load = self.inbound.make_load()
                 # The worker may have got it.
                 reply = Reply(stream, LOST, 0, [], b"program error", 0, load)
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -35,8 +35,9 @@
     InboundRequest,
     attribute_response,
     format_worker_request,
+    log_refusal,
 )
-from bamboocove.sidecar.logs import log
+from bamboocove.sidecar.logs import log, log_program_error
 from bamboocove.sidecar.settings import Address
 from bamboocove.sidecar.worker_watch import WorkerWatch
 from bamboocove.state.mesh import MeshWorker
@@ -223,12 +224,30 @@
             held_bytes=held_bytes,
         )
         self._requests.add(request)
+        self._attempt(request, self._enqueue, now)
+        return request
+
+    def _attempt(self, request: InboundRequest, step: Callable, *args: Any) -> None:
+        """Take a step of a request, which is ended if the step raises an exception.
+
+        It would hold its bytes and its slot of the worker until its deadline or longer.
+        """
+        try:
+            step(request, *args)
+        except Exception:
+            attempt_id = get_header(request.forward.headers, self._dialect.attempt_id)
+            log_program_error("request.handler-failed", id=attempt_id)
+            # The worker may have got it.
+            self._end(request, LOST, reason="program error")
+
+    def _enqueue(self, request: InboundRequest, now: float) -> None:
+        forward = request.forward
         if not self._may_run(forward):
             self._end(request, WRONG_WORKER, reason="worker is not ready for this")
-            return request
+            return
         if not self._can_end(forward.route, request.deadline, now):
             self._end(request, REFUSED, reason=STOPPING_REASON)
-            return request
+            return
         entry = QueuedRequest(
             forward.route,
             forward.priority,
@@ -242,11 +261,10 @@
             self._end(
                 evicted_entry.payload, REFUSED, reason="gave way to an urgent request"
             )
-        if not is_admitted:
+        if is_admitted:
+            self._start_next(now)
+        else:
             self._end(request, REFUSED, reason="queue is full")
-            return request
-        self._start_next(now)
-        return request
 
     def _may_run(self, forward: Forward | BodyOffer) -> bool:
         worker = self.worker
@@ -309,7 +327,9 @@
             attempt_id = message.attempt_id
         else:
             attempt_id = get_header(message.headers, self._dialect.attempt_id)
-        self._log_refusal(attempt_id, message, message.left_ms / 1000, reason)
+        left_s = message.left_ms / 1000
+        now = self._clock.seconds()
+        log_refusal(attempt_id, message, left_s, reason, self.queue, self.worker, now)
         load = self.make_load()
         return Reply(message.stream, outcome, 0, [], reason.encode(), 0, load)
 
@@ -322,7 +342,7 @@
             if entry is None:
                 self._wait_for_limit(now)
                 return
-            self._connect(entry.payload)
+            self._attempt(entry.payload, self._connect)
 
     def _wait_for_limit(self, now: float) -> None:
         """Start the next request as soon as the worker's limit lets it."""
@@ -357,7 +377,7 @@
         # TCP keepalive detects that an idle connection has died before the
         # connection is reused.
         enable_keepalive(connection.transport)
-        self._send(request, connection)
+        self._attempt(request, self._send, connection)
 
     def _on_unreachable(self, request: InboundRequest, reason: str) -> None:
         request.connector = None
@@ -562,11 +582,14 @@
             self._slowest.record(request.forward.route, service_s, now)
             self._record_outcome(request, outcome, is_failure, service_s)
         if outcome in (REFUSED, WRONG_WORKER, SHED, TIMED_OUT):
-            self._log_refusal(
+            log_refusal(
                 get_header(request.forward.headers, self._dialect.attempt_id),
                 request.forward,
                 request.deadline - now,
                 reason or "the worker did not run it",
+                self.queue,
+                self.worker,
+                now,
             )
         headers: Headers = []
         body = reason.encode()
@@ -589,30 +612,6 @@
         if entry is not None:
             self._start_next(now)
 
-    def _log_refusal(
-        self,
-        attempt_id: bytes | None,
-        forward: Forward | BodyOffer,
-        left_s: float,
-        reason: str,
-    ) -> None:
-        worker = self.worker
-        log(
-            "request.turned-away",
-            id=attempt_id,
-            reason=reason,
-            rank=forward.priority,
-            left_s=round(left_s, 3),
-            wait_s=round(
-                self.queue.predict_wait(forward.priority, self._clock.seconds()), 3
-            ),
-            service_s=round(self.queue.service_times.get(forward.route), 3),
-            running=len(self.queue.running),
-            waiting=len(self.queue.waiting),
-            worker=worker.worker_id if worker else "",
-            state=worker.state if worker else "",
-        )
-
     def _record_outcome(
         self, request: InboundRequest, outcome: int, is_failure: bool, seconds: float
     ) -> None:
--- a/bamboocove/sidecar/inbound_request.py
+++ b/bamboocove/sidecar/inbound_request.py
@@ -6,9 +6,10 @@
 from attrs import define, field
 
 from bamboocove.coordination.body_queue import PIECE_BYTES
-from bamboocove.coordination.worker_queue import QueuedRequest
-from bamboocove.protocol.mesh_messages import Forward, Reply
+from bamboocove.coordination.worker_queue import QueuedRequest, WorkerQueue
+from bamboocove.protocol.mesh_messages import BodyOffer, Forward, Reply
 from bamboocove.sidecar.dialect import Dialect
+from bamboocove.sidecar.logs import log
 from bamboocove.state.mesh import MeshWorker
 from bamboocove.transport.clients import Attribution, ClientConnection
 from bamboocove.transport.framing import Headers, format_fields, get_header
@@ -163,3 +164,42 @@
     if attempt_id is None or echoed == attempt_id:
         return Attribution.OWN
     return Attribution.OTHER
+
+
+def log_refusal(
+    attempt_id: bytes | None,
+    forward: Forward | BodyOffer,
+    left_s: float,
+    reason: str,
+    queue: WorkerQueue,
+    worker: MeshWorker | None,
+    now: float,
+) -> None:
+    """Log the refusal of a request, with the state of the worker and its queue.
+
+    Parameters
+    ----------
+    attempt_id : bytes or None
+        Identifier of the attempt, if its caller sent one.
+    forward : Forward or BodyOffer
+        The request.
+    left_s, now : float
+        Time until its deadline and time of the local clock, in seconds.
+    reason : str
+        Why it was refused.
+    queue, worker
+        Queue of the worker on this host, and its last known state.
+    """
+    log(
+        "request.turned-away",
+        id=attempt_id,
+        reason=reason,
+        rank=forward.priority,
+        left_s=round(left_s, 3),
+        wait_s=round(queue.predict_wait(forward.priority, now), 3),
+        service_s=round(queue.service_times.get(forward.route), 3),
+        running=len(queue.running),
+        waiting=len(queue.waiting),
+        worker=worker.worker_id if worker else "",
+        state=worker.state if worker else "",
+    )
--- a/bamboocove/sidecar/links.py
+++ b/bamboocove/sidecar/links.py
@@ -1,7 +1,6 @@
 """Links to all other nodes, with reconnection and failure detection by pings."""
 
 from collections.abc import Callable, Mapping
-from traceback import format_exc
 from typing import Any
 
 from attrs import define, frozen
@@ -14,7 +13,7 @@
     decode_mesh_message,
     encode_mesh_message,
 )
-from bamboocove.sidecar.logs import MAX_TEXT_LENGTH, log
+from bamboocove.sidecar.logs import log, log_program_error
 from bamboocove.transport.fetching import enable_keepalive
 from bamboocove.transport.peers import LinkHandlers, PeerLink, PeerNetwork
 
@@ -400,10 +399,6 @@
             self._handlers.on_message(link, host_id, message)
         except Exception:
             link.has_lost_message = True
-            log(
-                "node.message-failed",
-                host=host_id,
-                message=type(message).__name__,
-                # The last lines say where.
-                traceback=format_exc()[-MAX_TEXT_LENGTH:],
+            log_program_error(
+                "node.message-failed", host=host_id, message=type(message).__name__
             )
--- a/bamboocove/sidecar/logs.py
+++ b/bamboocove/sidecar/logs.py
@@ -4,6 +4,7 @@
 import os
 import time
 from collections.abc import Callable
+from traceback import format_exc
 from typing import Any
 
 from attrs import define, field
@@ -107,3 +108,9 @@
 def log(event: str, **fields: Any) -> None:
     """Log an event of the catalogue (docs/OPERATIONS.md) with its fields."""
     WRITER.log(event, fields)
+
+
+def log_program_error(event: str, **fields: Any) -> None:
+    """Log an event with the traceback of the exception that is being handled."""
+    # The last lines say where.
+    log(event, **fields, traceback=format_exc()[-MAX_TEXT_LENGTH:])
--- a/tests/sidecar/test_program_errors.py
+++ b/tests/sidecar/test_program_errors.py
@@ -1,6 +1,7 @@
 """Program errors while a node handles requests and messages of other nodes."""
 
 import pytest
+from twisted.internet import reactor
 
 from tests.callpath import run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, make_config, read_response
@@ -95,3 +96,48 @@
     host.requests[0].respond(200, fields, b"1234")
     assert read_response(caller)[0] == 504
     assert host.node.body_budget.held == 0
+
+
+@pytest.mark.parametrize("is_local", [True, False])
+@pytest.mark.parametrize("name", ["_may_run", "_start_next", "_connect", "_send"])
+def test_request_that_fails_in_the_queue_gives_its_room_back(mesh, name, is_local):
+    """Guards against bytes and requests that stay counted after a program error.
+
+    A node that counts them refuses bodies in the end, and waits for them in a stop.
+    """
+    target, front = mesh.add("orders"), mesh.add("front")
+    mesh.settle()
+    inbound = target.node.inbound
+    fail_once(inbound, name)
+    origin = target if is_local else front
+    started_at = reactor.seconds()
+    call = format_call("/pay/1", "POST", bytes(1000), 900)
+    caller = origin.open(call)
+    assert read_response(caller)[0] == 502
+    assert reactor.seconds() - started_at < 0.5
+    assert not inbound.in_flight and not inbound.queue.running
+    assert [host.node.body_budget.held for host in (target, front)] == [0, 0]
+    assert origin.call("/pay/2", "POST", attempt="a2")[0] == 200
+    assert len(target.requests) == 1
+    caller.close()
+
+
+def test_requests_that_wait_behind_one_that_fails_are_run(mesh):
+    """Guards against a worker that idles because a request could not be started."""
+    host = mesh.add()
+    mesh.settle()
+    host.request_handler = lambda exchange: None
+    inbound = host.node.inbound
+    inbound.queue.slots = 1
+    # So short that others are let wait behind them.
+    inbound.queue.service_times.mean_s = 0.01
+    calls = [format_call("/pay/1", "POST", b"", 900, f"a{n}") for n in range(3)]
+    callers = [host.open(call) for call in calls]
+    run_reactor_until(lambda: len(inbound.queue.waiting) == 2 and host.requests)
+    fail_once(inbound, "_connect")
+    host.request_handler = None
+    host.respond(host.requests[0])
+    assert sorted(read_response(c)[0] for c in callers) == [200, 200, 502]
+    assert not inbound.in_flight
+    for caller in callers:
+        caller.close()
