Keep no bytes of offers that a node repeats

A node that sent ReplyTerms again on a link, offered a second body on a stream in use, or made this node hold two replies for one stream left the bytes of the first counted in the budget, and those of replies also among the offered ones, until the process ended.

Cause: the later entry took the place of the earlier one in the tables by link and stream without giving its bytes back. Terms that are repeated now change nothing, and an offer or reply ends the one before it.

Nodes of this release use a stream once and send their terms once for each link, so that only a faulty node or another release can cause it. Bodies of callers (body_receiver) have no such case: each request starts its body once and gives it back when it ends. A second ReplyOffer for an attempt has one entry in its BodyQueue, which is given back whole.

--- a/bamboocove/sidecar/forwarding.py
+++ b/bamboocove/sidecar/forwarding.py
@@ -132,6 +132,8 @@
             self._pending_by_key[key] = None
 
     def _take_offer(self, link: Any, offer: BodyOffer) -> None:
+        # Takes the place of one on the same stream.
+        self._end_offer(link, offer.stream)
         now = self.clock.seconds()
 
         def predict_delay(priority: float) -> float:
--- a/bamboocove/sidecar/reply_offers.py
+++ b/bamboocove/sidecar/reply_offers.py
@@ -45,12 +45,14 @@
 
         Peers of earlier releases get each reply as one message.
         """
-        self._replies_by_link[link] = {}
+        self._replies_by_link.setdefault(link, {})
         link.on_drained = lambda: self._send_parts(link)
 
     def send(self, link: Any, reply: Reply, deadline: float) -> None:
         """Send a small reply; offer a large one.
 
+        It takes the place of one that is held for the same stream.
+
         Parameters
         ----------
         link : PeerLink
@@ -64,6 +66,7 @@
         if replies is None or len(reply.body) <= PIECE_BYTES:
             link.send_encoded(encode_mesh_message(reply))
             return
+        self.remove(link, reply.stream)
         replies[reply.stream] = _HeldReply(reply, deadline)
         self.budget.add(len(reply.body))
         self.budget.offered += len(reply.body)
--- a/tests/sidecar/test_forwarding.py
+++ b/tests/sidecar/test_forwarding.py
@@ -5,14 +5,24 @@
 
 from bamboocove.coordination.body_grants import BodyGrants
 from bamboocove.coordination.byte_budget import ByteBudget
-from bamboocove.protocol.mesh_messages import BodyOffer, Cancel, Forward
+from bamboocove.protocol.mesh_messages import (
+    ANSWERED,
+    BodyOffer,
+    Cancel,
+    Forward,
+    Reply,
+)
 from bamboocove.sidecar.forwarding import Forwarding
 from bamboocove.sidecar.reply_offers import ReplyOffers
 
+LARGE_BYTES = 300_000
+
 
 class FakeLink:
     """A link that discards messages."""
 
+    is_paused = False
+
     def send_encoded(self, data):
         return True
 
@@ -111,3 +121,58 @@
     forwarding.take(link, Cancel(1))
     forwarding.take(link, None)
     assert inbound.budget.held == 0
+
+
+def make_reply(stream):
+    return Reply(stream, ANSWERED, 200, [], bytes(LARGE_BYTES), 0, [0, 4, 0, 0])
+
+
+@pytest.mark.parametrize("end", ["link", "deadline"])
+def test_repeated_terms_of_a_peer_forget_no_reply(end):
+    """Guards against bytes that stay counted after a peer repeats a message."""
+    budget = ByteBudget(10 * LARGE_BYTES)
+    replies, link = ReplyOffers(budget), FakeLink()
+    replies.add_link(link)
+    replies.send(link, make_reply(1), 9.0)
+    replies.add_link(link)
+    assert replies.count == 1 and budget.held == LARGE_BYTES
+    if end == "link":
+        replies.remove_link(link)
+    else:
+        replies.tick(9.0)
+    assert budget.held == budget.offered == 0
+
+
+def test_second_reply_on_a_stream_takes_the_place_of_the_first():
+    """Guards against bytes that stay counted after a peer has used a stream twice."""
+    budget = ByteBudget(10 * LARGE_BYTES)
+    replies, link = ReplyOffers(budget), FakeLink()
+    replies.add_link(link)
+    replies.send(link, make_reply(1), 9.0)
+    replies.send(link, make_reply(1), 9.0)
+    assert budget.held == budget.offered == LARGE_BYTES
+    replies.remove(link, 1)
+    assert budget.held == budget.offered == 0
+
+
+@pytest.mark.parametrize("is_granted", [True, False])
+def test_second_offer_on_a_stream_takes_the_place_of_the_first(
+    inbound, clock, is_granted
+):
+    """Guards against bytes that stay counted after a peer has used a stream twice."""
+    inbound.budget = ByteBudget(100 * LARGE_BYTES)
+    inbound.assess_offer = lambda offer, predict_delay, now: 0.0
+    grants = BodyGrants(0 if is_granted else 1)
+    forwarding = Forwarding(inbound, clock, grants, ReplyOffers(inbound.budget))
+    link = FakeLink()
+    sizes = [50_000, LARGE_BYTES, 2 * LARGE_BYTES]
+    for stream, size in enumerate(sizes, 1):
+        for _ in range(2):
+            forwarding.take(
+                link,
+                BodyOffer(stream, "read", "s", "v1", 900, 300, 1, size, b"a1"),
+            )
+    assert inbound.budget.held == sum(sizes)
+    forwarding.take(link, None)
+    assert inbound.budget.held == 0
+    assert grants.predict_wait(9) == 0
