Disconnect callers that read a large answer too slowly

A caller that read a little now and then held the bytes of its answer in the budget without end. Bodies above 16 KiB got 503 meanwhile, and large answers of other hosts waited.

Cause: the timer of BodyWriter bounded only the time without any progress, 60 s, and each part that the connection took set it back.

A caller must now read 64 KiB/s on average, after 10 s in which it may read nothing, so the largest answer is held for 72 s at most.

test_body_writer: on the code before, a caller that reads 20 KB a second is still connected and served after 40 s, and a node that stood still for 100 s cuts a caller. Callers that read 100 KB a second, or only after 8 s, get their answers before and after.

--- a/bamboocove/sidecar/body_writer.py
+++ b/bamboocove/sidecar/body_writer.py
@@ -9,12 +9,16 @@
 from bamboocove.coordination.body_queue import PIECE_BYTES
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.errors import ErrorResult
-from bamboocove.transport.calls import IDLE_TIMEOUT_S
 from bamboocove.transport.exchanges import Exchange
 
 # Kernel's buffer of a connection whose caller gets a large body. Left to the kernel it
 # grows to some megabytes while the caller reads slowly. Callers are on the same host.
 SEND_BUFFER_BYTES = 128 * 1024
+# Rate in bytes per second at which a caller must read a large body on average, after a
+# time in seconds in which it may read nothing.
+MIN_BYTES_PER_S = 64 * 1024
+READ_GRACE_S = 10.0
+CHECK_INTERVAL_S = 1.0
 
 
 @implementer(IPushProducer)
@@ -22,7 +26,8 @@
     """Source of a response body, which keeps no second copy of it in a buffer.
 
     Its bytes count against the budget until the caller has read them or has left. A
-    caller that reads nothing for ``IDLE_TIMEOUT_S`` is disconnected.
+    caller is disconnected if it has read less than ``MIN_BYTES_PER_S`` times the time
+    that it had beyond ``READ_GRACE_S``.
 
     Parameters
     ----------
@@ -44,6 +49,7 @@
         self._offset = 0
         self._is_paused = False
         self._is_ended = False
+        self._waited_s = 0.0
         self._timer: Any = None
         budget.add_unread(len(body))
 
@@ -51,7 +57,7 @@
         """Write until the caller's connection takes no more, and go on later."""
         self._exchange.on_closed = self._on_closed
         self._exchange.is_answered = True
-        self._timer = self._clock.callLater(IDLE_TIMEOUT_S, self._on_stalled)
+        self._timer = self._clock.callLater(CHECK_INTERVAL_S, self._check_rate)
         connection = self._exchange.connection
         handle = connection.transport.getHandle()
         handle.setsockopt(SOL_SOCKET, SO_SNDBUF, SEND_BUFFER_BYTES)
@@ -63,7 +69,6 @@
         if self._is_ended:
             return
         self._is_paused = False
-        self._timer.reset(IDLE_TIMEOUT_S)
         while not self._is_paused and not self._is_ended:
             part = self._body[self._offset : self._offset + PIECE_BYTES]
             self._offset += len(part)
@@ -86,9 +91,14 @@
     def _on_closed(self, error: ErrorResult) -> None:
         self._end()
 
-    def _on_stalled(self) -> None:
-        self._end()
-        self._exchange.abort()
+    def _check_rate(self) -> None:
+        # Counts checks, so that time for which this process stood still is left out.
+        self._waited_s += CHECK_INTERVAL_S
+        if self._offset < (self._waited_s - READ_GRACE_S) * MIN_BYTES_PER_S:
+            self._end()
+            self._exchange.abort()
+        else:
+            self._timer = self._clock.callLater(CHECK_INTERVAL_S, self._check_rate)
 
     def _end(self) -> None:
         if self._is_ended:
