Tell the caller of a body without room when there will be some

What callers saw: an upload that was refused for memory got a Retry-After of 18 to 33 % of the caller's time, whatever the node released meanwhile: 0.9 to 1.65 s of 5 s beside uploads that took 0.1 s each.

Change: the delay is the number of missing bytes, at least the body's own, divided by the rate at which bytes have left the node in the last 2 s, plus at most a quarter at random. Bodies that were refused and have not returned go first. It is bounded by the longest delay that callers honour, which is also used if nothing was released lately. Bytes that pass from one holder to the next in the node no longer look like released ones.

Refusals by the host beside the worker keep the longest delay: the node of the caller doesn't know the rate of another one.

--- a/bamboocove/coordination/byte_budget.py
+++ b/bamboocove/coordination/byte_budget.py
@@ -50,6 +50,8 @@
         Those of them that wait until another node has room.
     unread : int
         Those of them that go to callers on this host, who have not read them.
+    drained : int
+        Bytes that were released since the start and not passed on in the node.
     on_release : list of callable
         Called without arguments when bytes were given back.
     """
@@ -58,6 +60,7 @@
     held: int = 0
     offered: int = 0
     unread: int = 0
+    drained: int = 0
     on_release: list[Callable[[], None]] = field(factory=list)
 
     @property
@@ -83,10 +86,15 @@
         """Count bytes that are held already, even beyond the limit."""
         self.held += size
 
+    def pass_on(self, size: int) -> None:
+        """Count bytes that another holder has counted and will release."""
+        self.held += size
+        self.drained -= size
+
     def add_unread(self, size: int) -> None:
-        """Count bytes that go to a caller on this host, even beyond the limit."""
+        """Count bytes that pass to a caller on this host."""
         self.unread += size
-        self.add(size)
+        self.pass_on(size)
 
     def release_unread(self, size: int) -> None:
         """Give back bytes of a caller that has read them or has left."""
@@ -96,5 +104,6 @@
     def release(self, size: int) -> None:
         """Give reserved bytes back."""
         self.held -= size
+        self.drained += size
         for notify in self.on_release:
             notify()
--- a/bamboocove/coordination/request_bodies.py
+++ b/bamboocove/coordination/request_bodies.py
@@ -58,6 +58,32 @@
     return more + RESPONSE_ROOM_BYTES <= budget.free and budget.reserve(more)
 
 
+def count_missing(budget: ByteBudget, size: int, reserved: int = 0) -> int:
+    """Return by how many bytes the room for a body is too small.
+
+    Parameters
+    ----------
+    budget, size, reserved
+        See ``reserve_body``.
+
+    Examples
+    --------
+    >>> budget = ByteBudget(limit=10_000_000, held=8_000_000)
+    >>> count_missing(budget, 1_000_000), count_missing(budget, 1000)
+    (3063232, 0)
+    """
+    more = size - reserved
+    if size <= SMALL_BODY_BYTES:
+        missing = _count_excess(budget) + more - SMALL_ROOM_BYTES
+    else:
+        missing = more + RESPONSE_ROOM_BYTES + budget.held - budget.limit
+    return max(0, missing)
+
+
+def _count_excess(budget: ByteBudget) -> int:
+    return min(budget.held - budget.limit, budget.held - budget.offered - budget.unread)
+
+
 def reserve_small(budget: ByteBudget, size: int) -> bool:
     """Reserve room beyond the budget, for a body that is small or here already.
 
@@ -72,10 +98,7 @@
     """
     if not size:
         return True
-    excess = min(
-        budget.held - budget.limit, budget.held - budget.offered - budget.unread
-    )
-    if excess + size > SMALL_ROOM_BYTES:
+    if _count_excess(budget) + size > SMALL_ROOM_BYTES:
         return False
     budget.add(size)
     return True
--- a/bamboocove/sidecar/body_receiver.py
+++ b/bamboocove/sidecar/body_receiver.py
@@ -7,8 +7,10 @@
 from attrs import define, field
 
 from bamboocove.coordination.byte_budget import ByteBudget
-from bamboocove.coordination.request_bodies import RequestBodies
-from bamboocove.errors import ErrorKind
+from bamboocove.coordination.placement import compute_retry_after
+from bamboocove.coordination.request_bodies import RequestBodies, count_missing
+from bamboocove.coordination.room_forecast import RoomForecast
+from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.protocol.mesh_messages import MAX_FORWARDED_BODY_BYTES
 from bamboocove.sidecar.outbound_request import OutboundRequest
 
@@ -26,17 +28,26 @@
     on_received : callable
         Called with a request whose body has arrived whole.
     refuse : callable
-        Called with a request that was not passed on, an ErrorKind and a reason.
+        Called with a request that was not passed on, an ErrorResult and the delay
+        after which its caller should return, in seconds; 0 if it should not.
+    random : callable
+        Returns a float from 0 to 1.
     """
 
     budget: ByteBudget
     clock: Any
     on_received: Callable[[OutboundRequest], None]
-    refuse: Callable[[OutboundRequest, ErrorKind, str], None]
+    refuse: Callable[[OutboundRequest, ErrorResult, float], None]
+    random: Callable[[], float]
     _bodies: RequestBodies = field(init=False)
+    _forecast: RoomForecast = field(factory=RoomForecast)
 
     def __attrs_post_init__(self) -> None:
         self._bodies = RequestBodies(self.budget)
+        self.budget.on_release.append(self._record_release)
+
+    def _record_release(self) -> None:
+        self._forecast.record(self.budget.drained, self.clock.seconds())
 
     def receive(self, request: OutboundRequest) -> None:
         """Start to receive the body of a request, or refuse it before it is read."""
@@ -45,7 +56,7 @@
             lambda now: self._bodies.start(request, length, now, request.deadline)
         )
         if isinstance(body, ErrorKind):
-            self._refuse(request, body)
+            self._refuse(request, body, max(0, length))
             return
         request.received_body = body
         request.exchange.receive(
@@ -61,7 +72,7 @@
         body = request.received_body
         error = self._reserve(lambda now: self._bodies.receive(body, data))
         if error is not None:
-            self._refuse(request, error)
+            self._refuse(request, error, len(body.data) + len(data), body.reserved)
 
     def _on_end(self, request: OutboundRequest) -> None:
         self._bodies.complete(request.received_body)
@@ -76,12 +87,27 @@
         late = self._bodies.find_late(now)
         for body in late:
             reason = "its body arrives too slowly for its deadline"
-            self.refuse(body.owner, ErrorKind.OVERLOADED, reason)
+            error = ErrorResult(ErrorKind.OVERLOADED, reason)
+            self.refuse(body.owner, error, self._get_longest_delay(body.owner, now))
         return attempt(now) if late else result
 
-    def _refuse(self, request: OutboundRequest, kind: ErrorKind) -> None:
+    def _get_longest_delay(self, request: OutboundRequest, now: float) -> float:
+        return compute_retry_after(request.caller_deadline - now, self.random)
+
+    def _refuse(
+        self, request: OutboundRequest, kind: ErrorKind, size: int, reserved: int = 0
+    ) -> None:
         if kind is ErrorKind.TOO_LARGE:
             reason = f"its body exceeds {MAX_FORWARDED_BODY_BYTES} bytes"
-        else:
-            reason = "no memory is left for its body"
-        self.refuse(request, kind, reason)
+            self.refuse(request, ErrorResult(kind, reason), 0.0)
+            return
+        now = self.clock.seconds()
+        delay_s = self._forecast.schedule_return(
+            size,
+            count_missing(self.budget, size, reserved),
+            self._get_longest_delay(request, now),
+            self.random,
+            now,
+        )
+        error = ErrorResult(kind, "no memory is left for its body")
+        self.refuse(request, error, delay_s)
--- a/bamboocove/sidecar/forwarding.py
+++ b/bamboocove/sidecar/forwarding.py
@@ -112,7 +112,7 @@
         budget = self.inbound.budget
         size = len(forward.body)
         if is_offered:
-            budget.add(size)
+            budget.pass_on(size)
         elif not reserve_small(budget, size):
             reply = self.inbound.refuse(forward, REFUSED, NO_MEMORY)
             link.send_encoded(encode_mesh_message(reply))
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -120,7 +120,7 @@
         self._random = random
         self._budget = budget
         self._body_receiver = BodyReceiver(
-            budget, clock, self._place, self._refuse_body
+            budget, clock, self._place, self._respond_with_error, random
         )
         self.router = RequestRouter(dialect, inbound.is_running, random)
         self._candidates = CandidateSelector(fleet, rules, random)
@@ -200,14 +200,6 @@
             return UNAVAILABLE_RETRY_AFTER_S * (0.5 + self._random())
         return 0.0
 
-    def _refuse_body(
-        self, request: OutboundRequest, kind: ErrorKind, reason: str
-    ) -> None:
-        if kind is ErrorKind.TOO_LARGE:
-            self._respond_with_error(request, ErrorResult(kind, reason))
-        else:
-            self._refuse(request, kind, reason)
-
     def _on_closed(self, request: OutboundRequest, error: ErrorResult) -> None:
         """Cancel a request that its connection has ended."""
         if request.is_ended:
@@ -419,7 +411,7 @@
     def _keep_fallback(self, request: OutboundRequest, reply: Reply) -> None:
         if request.fallback_reply is not None:
             self._budget.release(len(request.fallback_reply.body))
-        self._budget.add(len(reply.body))
+        self._budget.pass_on(len(reply.body))
         request.fallback_reply = reply
 
     def _deliver(self, request: OutboundRequest, reply: Reply, now: float) -> None:
--- a/bamboocove/sidecar/reply_offers.py
+++ b/bamboocove/sidecar/reply_offers.py
@@ -68,7 +68,7 @@
             return
         self.remove(link, reply.stream)
         replies[reply.stream] = _HeldReply(reply, deadline)
-        self.budget.add(len(reply.body))
+        self.budget.pass_on(len(reply.body))
         self.budget.offered += len(reply.body)
         offer = ReplyOffer(reply.stream, len(reply.body))
         link.send_encoded(encode_mesh_message(offer))
--- a/tests/sidecar/test_upload_memory.py
+++ b/tests/sidecar/test_upload_memory.py
@@ -196,6 +196,32 @@
     assert host.node.body_budget.held == 0
 
 
+def test_caller_without_room_is_told_when_there_will_be_some(host):
+    """Guards against a Retry-After that has nothing to do with the room."""
+    host.request_handler = accept_later
+    for number in range(3):
+        upload = Upload(host, len(LARGE), attempt=f"a{number}")
+        send_until([upload], lambda upload=upload: upload.status)
+    budget = host.node.body_budget
+    assert budget.drained == 3 * len(LARGE)
+    uploads = [Upload(host, len(LARGE), attempt=f"b{n}") for n in range(4)]
+    run_reactor_until(lambda: any(upload.status for upload in uploads))
+    (refused,) = [upload for upload in uploads if upload.status]
+    assert refused.status == 503
+    delay_s = float(refused.fields["retry-after"])
+    # The others take 0.1 s; a third of the 5 s that are left would be far too long.
+    assert delay_s < 0.8
+    uploads.remove(refused)
+    returns = 0
+    while refused.status == 503 and returns < 3:
+        until = reactor.seconds() + float(refused.fields["retry-after"])
+        send_until(uploads, lambda until=until: reactor.seconds() > until)
+        returns += 1
+        refused = Upload(host, len(LARGE), attempt=f"c{returns}")
+        send_until([*uploads, refused], lambda upload=refused: upload.status)
+    assert refused.status == 200
+
+
 def test_small_request_is_served_beside_uploads(host):
     """Guards against small requests that wait or are refused because of uploads."""
     uploads = [Upload(host, len(LARGE), 0, attempt=f"a{n}") for n in range(6)]
