Wait for large replies on slow links at the end of a stop

What callers saw: 502 "the host was lost" for an answer of 1.5 MB that a stopping host had sent on a link of some 1 MB/s, after 0.6 s of 6 s, with over 3 s of the grace period left.

Cause: a reply whose last part was passed to the link counts as sent, but up to megabytes of it wait in the buffers of the link. Links were aborted 0.3 s after their orderly close had begun, which discards them.

Change: the node waits while the other end of a link acknowledges bytes, or 0.3 s have not passed since, until 0.1 s before the end of the grace period. The time-out of a link that is being closed (2 s) starts again, too, if it has passed bytes on.

--- a/bamboocove/link_table.py
+++ b/bamboocove/link_table.py
@@ -21,7 +21,7 @@
     encode_message,
 )
 from bamboocove.state.members import MEMBER_STATES
-from bamboocove.transport.peers import LinkHandlers
+from bamboocove.transport.link_handlers import LinkHandlers
 
 # After a mass restart thousands of nodes dial each seed, and the Hello and the
 # repair of the member table take a few milliseconds for each of them.
--- a/bamboocove/sidecar/links.py
+++ b/bamboocove/sidecar/links.py
@@ -15,7 +15,8 @@
 )
 from bamboocove.sidecar.logs import log, log_program_error
 from bamboocove.transport.fetching import enable_keepalive
-from bamboocove.transport.peers import LinkHandlers, PeerLink, PeerNetwork
+from bamboocove.transport.link_handlers import LinkHandlers
+from bamboocove.transport.peers import PeerLink, PeerNetwork
 
 Address = tuple[str, int]
 
@@ -184,14 +185,11 @@
         """
         self._is_stopped = True
         await self._network.stop()
-        for link in self._get_links():
+        for link in self.get_links():
             link.close_after_all("node stops")
 
-    def has_links(self) -> bool:
-        """Return whether a link is open or being closed."""
-        return bool(self._get_links())
-
-    def _get_links(self) -> list[PeerLink]:
+    def get_links(self) -> list[PeerLink]:
+        """Return the links that are open, being dialled or being closed."""
         dialled = [p.link for p in self.peers_by_id.values() if p.link is not None]
         return [*dialled, *self._accepted]
 
@@ -199,7 +197,7 @@
         """Close all links at once; messages already sent may be lost."""
         self._is_stopped = True
         await self._network.stop()
-        for link in self._get_links():
+        for link in self.get_links():
             link.drop("node stops")
 
     def has_stopped(self, host_id: str) -> bool:
--- a/bamboocove/sidecar/shutdown.py
+++ b/bamboocove/sidecar/shutdown.py
@@ -1,11 +1,14 @@
 """Graceful shutdown of a node, which lets requests in flight complete."""
 
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.task import deferLater
 
 from bamboocove.coordination.drain_window import DrainWindow, StopSchedule
+from bamboocove.sidecar.links import LinkHub
 from bamboocove.sidecar.logs import log
+from bamboocove.transport.peers import PeerLink
 
 # Interval at which the drain checks for requests in flight, in seconds.
 POLL_INTERVAL_S = 0.05
@@ -16,8 +19,8 @@
 # requests for its worker, in seconds. Requests that are then running complete
 # while callers are still being drained.
 WORKER_DRAIN_DELAY_S = 1.9
-# Time for which a stopping node waits until peers have closed its links, too, in
-# seconds. A peer may be out of reach.
+# Time for which a stopping node waits for a peer to close its link, too, while nothing
+# is received there, in seconds. A peer may be out of reach.
 LINKS_CLOSE_S = 0.3
 # Iterations of the reactor in which a node that will end reads what callers have sent:
 # one accepts connections, the next reads from them. A process that stood still runs its
@@ -99,13 +102,31 @@
     application.close_ports()
     application.watch.stop()
     await application.hub.close_links()
-    links_closed_by = min(clock.seconds() + LINKS_CLOSE_S, schedule.flushed_by)
-    while (
-        application.has_callers()
-        and clock.seconds() < schedule.flushed_by
-        or application.hub.has_links()
-        and clock.seconds() < links_closed_by
+    are_links_moving = _watch_links(application.hub)
+    while (now := clock.seconds()) < schedule.flushed_by and (
+        are_links_moving(now) or application.has_callers()
     ):
         await deferLater(clock, POLL_INTERVAL_S)
     await application.hub.stop()
     application.finish()
+
+
+def _watch_links(hub: LinkHub) -> Callable[[float], bool]:
+    """Return a function that tells whether peers still receive what was sent to them.
+
+    Large replies may be in the buffers of slow links. The function takes the time in
+    seconds of the local clock.
+    """
+    pending_by_link: dict[PeerLink, int] = {}
+    moved_at_by_link: dict[PeerLink, float] = {}
+
+    def are_moving(now: float) -> bool:
+        links = hub.get_links()
+        for link in links:
+            pending = link.pending_bytes
+            if pending != pending_by_link.get(link):
+                pending_by_link[link] = pending
+                moved_at_by_link[link] = now
+        return any(now < moved_at_by_link[link] + LINKS_CLOSE_S for link in links)
+
+    return are_moving
--- a/bamboocove/transport/peers.py
+++ b/bamboocove/transport/peers.py
@@ -8,7 +8,6 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import frozen
 from automat import TypeMachineBuilder
 from twisted.internet.error import CannotListenError
 from twisted.internet.interfaces import IPushProducer
@@ -23,6 +22,8 @@
 from zope.interface import implementer
 
 from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.transport.link_handlers import LinkHandlers
+from bamboocove.transport.sending import count_unacknowledged, count_unsent
 
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 # Room for one message of the maximum size and 1 MiB of small ones. The link to a
@@ -31,6 +32,7 @@
 MAX_BUFFERED_BYTES = MAX_MESSAGE_BYTES + 1024 * 1024
 CONNECT_TIMEOUT_S = 3.0
 HANDSHAKE_TIMEOUT_S = 5.0
+# Time for which a link that is being closed may pass no bytes on, in seconds.
 CLOSE_TIMEOUT_S = 2.0
 # Limit of consecutive messages that cannot be decoded. A node of a newer release may
 # send a few; a link on which nothing can be decoded is closed.
@@ -38,36 +40,6 @@
 LINK_PATH = "/peer"
 
 
-def _decode_message(data: bytes) -> Any:
-    # Imported on first use: nodes that supply their own decoder start faster
-    # without the import of the message classes.
-    from bamboocove.protocol.messages import decode_message
-
-    return decode_message(data)
-
-
-@frozen
-class LinkHandlers:
-    """Callbacks of a link.
-
-    Parameters
-    ----------
-    on_open : callable
-        Called with the link when it opens and messages can be sent.
-    on_message : callable
-        Called with the link and each received message.
-    on_closed : callable
-        Called exactly once with the link and the reason, even if it never opened.
-    decode : callable
-        Decodes the payload of a frame to a message or an ErrorResult.
-    """
-
-    on_open: Callable[[Any], None]
-    on_message: Callable[[Any, Any], None]
-    on_closed: Callable[[Any, str], None]
-    decode: Callable[[bytes], Any] = _decode_message
-
-
 class _LinkInputs(typing.Protocol):
     """Inputs of the state machine of a link."""
 
@@ -167,6 +139,14 @@
         self._notifications: deque[tuple[Callable[..., None], Any]] = deque()
         self._buffer: list[bytes] = []
         self._buffered_bytes = 0
+        self._closing_bytes = 0
+
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes that the peer's host has not acknowledged."""
+        in_transport = count_unsent(self.transport)
+        in_transport += count_unacknowledged(self.transport)
+        return self._buffered_bytes + in_transport
 
     def send(self, message: Any) -> bool:
         """Send a message; False if the link is not open or was just closed."""
@@ -276,6 +256,7 @@
         elif state == "closing":
             self._set_timer(CLOSE_TIMEOUT_S)
             self._start_close()
+            self._closing_bytes = self.pending_bytes
         elif state == "closed":
             self._buffer = []
             self._queue_notification(self._handlers.on_closed, self, self._reason)
@@ -319,6 +300,10 @@
             self._timer = self._clock.callLater(delay_s, self._handle_timeout)
 
     def _handle_timeout(self) -> None:
+        if self.state == "closing" and self.pending_bytes < self._closing_bytes:
+            self._closing_bytes = self.pending_bytes
+            self._set_timer(CLOSE_TIMEOUT_S)
+            return
         self._drop(f"timeout while {self.state}")
 
     def _handle_event(self, event: Any) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -12,7 +12,7 @@
 from bamboocove.settings import check_settings
 from bamboocove.state.config import Config, Service
 from bamboocove.state.members import Member, MemberTable, WorkerRecord
-from bamboocove.transport.peers import LinkHandlers
+from bamboocove.transport.link_handlers import LinkHandlers
 from tests.fake_links import FakeHub, FakeNetwork
 
 WORKER = WorkerRecord("orders", "v1", "127.0.0.1", 9000, 12, 120)
