Apply maxBodyBytes of the configuration to request bodies

What callers saw: 200 for bodies that the operators' limit does not permit. Only what a link carries, 4,063,232 bytes, was a limit.

Change: the limit is read with the configuration, goes with it between nodes, and a body above it gets 413 at its head, without 100 Continue, or as soon as it exceeds the limit if it comes in chunks. A configuration without the limit, or a change of one from a node of an earlier release, has none.

Evidence: test_configured_maximum_of_a_body_is_applied fails if the limit is decoded and not applied: the caller is asked for a body of 1,001 bytes, with a limit of 1,000, or gets no answer. It passes with the change.

maxHeaderBytes and headerTimeoutS are still not applied: the limits of heads are constants (32 KiB, 10 s).

--- a/bamboocove/coordination/config_changes.py
+++ b/bamboocove/coordination/config_changes.py
@@ -21,6 +21,9 @@
         All services of the new version.
     idle_timeout_s : float
         Time in seconds after which callers close an idle connection.
+    max_body_bytes : int or None
+        Maximum size of the body of a request, in bytes; None if none is set, or if the
+        change comes from a node of an earlier release.
     """
 
     base_version: int
@@ -29,6 +32,7 @@
     removed: tuple[str, ...]
     services: tuple[MeshService, ...]
     idle_timeout_s: float
+    max_body_bytes: int | None = None
 
 
 def compute_change(old: MeshConfig, new: MeshConfig) -> ConfigChange:
@@ -45,6 +49,7 @@
         tuple(name for name in old_routes_by_name if name not in new.routes_by_name),
         tuple(new.services_by_name.values()),
         new.idle_timeout_s,
+        new.max_body_bytes,
     )
 
 
@@ -53,7 +58,7 @@
 
     Examples
     --------
-    >>> old, new = MeshConfig(3), MeshConfig(5, idle_timeout_s=9.0)
+    >>> old, new = MeshConfig(3), MeshConfig(5, idle_timeout_s=9.0, max_body_bytes=8)
     >>> apply_change(old, compute_change(old, new)) == new
     True
     >>> apply_change(new, compute_change(old, new)) is None
@@ -71,4 +76,5 @@
         routes_by_name=routes,
         services_by_name={service.name: service for service in change.services},
         idle_timeout_s=change.idle_timeout_s,
+        max_body_bytes=change.max_body_bytes,
     )
--- a/bamboocove/coordination/request_bodies.py
+++ b/bamboocove/coordination/request_bodies.py
@@ -34,6 +34,20 @@
 UNKNOWN_LENGTH = -1
 
 
+def limit_body(max_bytes: int | None) -> int:
+    """Return the maximum size of a body in bytes.
+
+    Parameters
+    ----------
+    max_bytes : int or None
+        Maximum that the configuration sets; None if it sets none. A link carries no
+        more than ``MAX_FORWARDED_BODY_BYTES``.
+    """
+    if max_bytes is None:
+        return MAX_FORWARDED_BODY_BYTES
+    return min(max_bytes, MAX_FORWARDED_BODY_BYTES)
+
+
 def reserve_body(budget: ByteBudget, size: int, reserved: int = 0) -> bool:
     """Reserve room for a request body; return whether there was room.
 
@@ -116,6 +130,8 @@
         Declared length in bytes; ``UNKNOWN_LENGTH`` for a body in chunks.
     started_at, deadline : float
         Arrival and deadline of the request, in seconds of the local clock.
+    max_bytes : int
+        Maximum size in bytes.
     data : bytes or bytearray
         What has arrived.
     reserved : int
@@ -126,6 +142,7 @@
     length: int
     started_at: float
     deadline: float
+    max_bytes: int = MAX_FORWARDED_BODY_BYTES
     data: bytes | bytearray = b""
     reserved: int = 0
 
@@ -134,7 +151,7 @@
 
         Examples
         --------
-        >>> body = RequestBody(None, 1000, 0.0, 4.0, bytes(250))
+        >>> body = RequestBody(None, 1000, 0.0, 4.0, data=bytes(250))
         >>> body.is_late(0.9), body.is_late(1.1)
         (False, True)
         """
@@ -158,19 +175,34 @@
     _incomplete: set[RequestBody] = field(factory=set)
 
     def start(
-        self, owner: Any, length: int, now: float, deadline: float
+        self,
+        owner: Any,
+        length: int,
+        now: float,
+        deadline: float,
+        max_bytes: int | None = None,
     ) -> RequestBody | ErrorKind:
         """Reserve room for a body before it is read.
 
+        Parameters
+        ----------
+        owner, length, deadline
+            See ``RequestBody``.
+        now : float
+            Seconds of the local clock.
+        max_bytes : int, optional
+            Maximum size that the configuration sets, in bytes.
+
         Returns
         -------
         body : RequestBody or ErrorKind
             ``TOO_LARGE`` if it can never be served, ``OVERLOADED`` if there is no
             room at present.
         """
-        if length > MAX_FORWARDED_BODY_BYTES:
+        max_bytes = limit_body(max_bytes)
+        if length > max_bytes:
             return ErrorKind.TOO_LARGE
-        body = RequestBody(owner, length, now, deadline)
+        body = RequestBody(owner, length, now, deadline, max_bytes)
         if length != UNKNOWN_LENGTH:
             if not reserve_body(self.budget, length):
                 return ErrorKind.OVERLOADED
@@ -189,7 +221,7 @@
         if body not in self._incomplete:
             return None
         size = len(body.data) + len(data)
-        if size > MAX_FORWARDED_BODY_BYTES:
+        if size > body.max_bytes:
             return ErrorKind.TOO_LARGE
         if size > body.reserved:
             if not reserve_body(self.budget, size, body.reserved):
--- a/bamboocove/platform/documents.py
+++ b/bamboocove/platform/documents.py
@@ -48,6 +48,15 @@
     return number
 
 
+def _read_size(value: Any) -> int | None:
+    if value is None:
+        return None
+    number = _read_number(value)
+    if number < 0.0:
+        raise ValueError(f"not a size: {value!r}")
+    return int(number)
+
+
 def _read_string(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError(f"not a text: {value!r}")
@@ -80,6 +89,7 @@
                 for name, service in document["services"].items()
             },
             idle_timeout_s=_read_number(limits.get("idleTimeoutS", 60)),
+            max_body_bytes=_read_size(limits.get("maxBodyBytes")),
         )
     except _INVALID as error:
         reason = f"configuration: {type(error).__name__}: {error}"
--- a/bamboocove/sidecar/body_receiver.py
+++ b/bamboocove/sidecar/body_receiver.py
@@ -8,10 +8,13 @@
 
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.placement import compute_retry_after
-from bamboocove.coordination.request_bodies import RequestBodies, count_missing
+from bamboocove.coordination.request_bodies import (
+    RequestBodies,
+    count_missing,
+    limit_body,
+)
 from bamboocove.coordination.room_forecast import RoomForecast
 from bamboocove.errors import ErrorKind, ErrorResult
-from bamboocove.protocol.mesh_messages import MAX_FORWARDED_BODY_BYTES
 from bamboocove.sidecar.outbound_request import OutboundRequest
 
 
@@ -32,6 +35,9 @@
         after which its caller should return, in seconds; 0 if it should not.
     random : callable
         Returns a float from 0 to 1.
+    get_max_bytes : callable
+        Returns the maximum size of a body that the configuration sets, in bytes, or
+        None.
     """
 
     budget: ByteBudget
@@ -39,6 +45,7 @@
     on_received: Callable[[OutboundRequest], None]
     refuse: Callable[[OutboundRequest, ErrorResult, float], None]
     random: Callable[[], float]
+    get_max_bytes: Callable[[], int | None]
     _bodies: RequestBodies = field(init=False)
     _forecast: RoomForecast = field(factory=RoomForecast)
 
@@ -53,7 +60,9 @@
         """Start to receive the body of a request, or refuse it before it is read."""
         length = request.exchange.length
         body = self._reserve(
-            lambda now: self._bodies.start(request, length, now, request.deadline)
+            lambda now: self._bodies.start(
+                request, length, now, request.deadline, self.get_max_bytes()
+            )
         )
         if isinstance(body, ErrorKind):
             self._refuse(request, body, max(0, length))
@@ -98,7 +107,7 @@
         self, request: OutboundRequest, kind: ErrorKind, size: int, reserved: int = 0
     ) -> None:
         if kind is ErrorKind.TOO_LARGE:
-            reason = f"its body exceeds {MAX_FORWARDED_BODY_BYTES} bytes"
+            reason = f"its body exceeds {limit_body(self.get_max_bytes())} bytes"
             self.refuse(request, ErrorResult(kind, reason), 0.0)
             return
         now = self.clock.seconds()
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -120,7 +120,12 @@
         self._random = random
         self._budget = budget
         self._body_receiver = BodyReceiver(
-            budget, clock, self._place, self._respond_with_error, random
+            budget,
+            clock,
+            self._place,
+            self._respond_with_error,
+            random,
+            lambda: self.router.config.max_body_bytes,
         )
         self.router = RequestRouter(dialect, inbound.is_running, random)
         self._candidates = CandidateSelector(fleet, rules, random)
--- a/bamboocove/state/mesh.py
+++ b/bamboocove/state/mesh.py
@@ -109,12 +109,15 @@
         All services.
     idle_timeout_s : float
         Maximum time that callers keep an idle connection open, in seconds.
+    max_body_bytes : int or None
+        Maximum size of the body of a request, in bytes; None if none is set.
     """
 
     version: int = 0
     routes_by_name: Mapping[str, HostRoute] = field(factory=dict)
     services_by_name: Mapping[str, MeshService] = field(factory=dict)
     idle_timeout_s: float = 60.0
+    max_body_bytes: int | None = None
 
 
 @frozen
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -41,7 +41,7 @@
         "a": {"healthPath": "/healthz", "maxConnections": 120},
         "b": {"healthPath": "/healthz", "maxConnections": 120},
     },
-    "limits": {"idleTimeoutS": 15},
+    "limits": {"idleTimeoutS": 15, "maxBodyBytes": 65536},
 }
 REPORT = {
     "address": "10.1.0.8:8301",
@@ -63,6 +63,7 @@
     config = decode_config(encode(CONFIG))
     assert config.version == 7
     assert config.idle_timeout_s == 15
+    assert config.max_body_bytes == 65536
     first, second = config.routes_by_name["r1"], config.routes_by_name["r2"]
     assert first.host == "jepu9.example"
     assert first.shares == (ServiceShare("a", 90), ServiceShare("b", 10))
@@ -89,6 +90,8 @@
         encode_changed(CONFIG, version=float("inf")),
         encode_changed(CONFIG, version=10**400),
         encode_changed(CONFIG, limits={"idleTimeoutS": float("nan")}),
+        encode_changed(CONFIG, limits={"maxBodyBytes": -1}),
+        encode_changed(CONFIG, limits={"maxBodyBytes": "64 KiB"}),
         encode_changed(CONFIG, routes=change_route(timeoutS=-1)),
         encode_changed(CONFIG, routes=change_route(timeoutS=0)),
         encode_changed(CONFIG, routes=change_route(attempts=float("inf"))),
--- a/tests/sidecar/test_upload_memory.py
+++ b/tests/sidecar/test_upload_memory.py
@@ -142,6 +142,28 @@
     assert host.node.body_budget.held == 0
 
 
+EXPECT = "Expect: 100-continue\r\n"
+
+
+@pytest.mark.parametrize(
+    ("length", "fields"), [(1001, ""), (1001, EXPECT), (100_000, EXPECT), (-1, "")]
+)
+def test_configured_maximum_of_a_body_is_applied(mesh, host, length, fields):
+    """Guards against bodies that the operators' limit does not permit."""
+    config = evolve(mesh.store.config, version=9, max_body_bytes=1000)
+    mesh.store.put_config(config)
+    run_reactor_until(lambda: mesh.get_versions() == [9])
+    upload = Upload(host, length, 1001 if length < 0 else 0, fields=fields)
+    send_until([upload], lambda: upload.status, 2)
+    assert upload.status == 413
+    assert b"100 Continue" not in upload.caller.data
+    upload = Upload(host, 1000, attempt="a2")
+    send_until([upload], lambda: upload.status)
+    assert upload.status == 200
+    assert len(host.requests) == 1
+    assert host.node.body_budget.held == 0
+
+
 def test_expected_body_that_fits_is_asked_for(host):
     upload = Upload(host, 1000, 0, fields="Expect: 100-continue\r\n")
     run_reactor_until(lambda: upload.status, 1)
