Judge errors of a new version by a sequential test beside the margins

Cause: a failure rate of up to twice the old version's plus 0.04 (FAILURE_MARGIN) is never a regression. BAD_CALLS_ENOUGH and the last chance count only beyond that limit.

Change: each node counts the answers with a server error other than 503 and 504, and `error_evidence.py` compares those of both versions on each route, half second by half second, with the conditional test of long moves (odds ratio 1.5 against 5, 20, 100). The product is an e-process, so the bound holds however often a node looks: alpha 0.01 for a move over all routes, 0.2 for the evidence from which on no step is taken and the last chance rolls back. One window counts for at most a third of the proof. The margins stay as they were. Reports carry one more number for each route; a node of an earlier release does not accept it.

`find_regression` takes the verdicts of both.

--- a/bamboocove/coordination/outcome_batches.py
+++ b/bamboocove/coordination/outcome_batches.py
@@ -22,16 +22,24 @@
 def get_tallies(outcomes: OutcomeReport) -> dict[str, Tally]:
     """Return the outcomes of a report by route."""
     return {
-        route: Tally(calls, failed, total_ms / 1000, list(buckets), *outliers)
-        for route, calls, failed, total_ms, buckets, *outliers in outcomes.tallies
+        route: Tally(calls, failed, total_ms / 1000, list(buckets), *counts)
+        for route, calls, failed, total_ms, buckets, *counts in outcomes.tallies
     }
 
 
 def format_tallies(tallies_by_route: Mapping[str, Tally]) -> list[list]:
     """Return outcomes by route in the form of ``OutcomeReport.tallies``."""
     return [
-        [route, t.calls, t.failed, round(t.total_s * 1000), t.buckets, t.outliers]
-        for route, t in tallies_by_route.items()
+        [
+            route,
+            tally.calls,
+            tally.failed,
+            round(tally.total_s * 1000),
+            tally.buckets,
+            tally.outliers,
+            tally.errors,
+        ]
+        for route, tally in tallies_by_route.items()
     ]
 
 
--- a/bamboocove/coordination/sequential.py
+++ b/bamboocove/coordination/sequential.py
@@ -114,7 +114,12 @@
 
 
 def compare_windows(
-    new_calls: int, new_bad: int, old_calls: int, old_bad: int
+    new_calls: int,
+    new_bad: int,
+    old_calls: int,
+    old_bad: int,
+    odds_ratios: Sequence[float] = ODDS_RATIOS,
+    null_odds_ratio: float = NULL_ODDS_RATIO,
 ) -> tuple[float, ...]:
     """Return log e-values for "the new version has more bad calls than the old one".
 
@@ -126,8 +131,8 @@
 
     Returns
     -------
-    log_factors : tuple of float, one for each of ``ODDS_RATIOS``
-        Log likelihood ratios against ``NULL_ODDS_RATIO``. The ratio increases
+    log_factors : tuple of float, one for each of ``odds_ratios``
+        Log likelihood ratios against ``null_odds_ratio``. The ratio increases
         with ``new_bad``, so it is an e-value for every smaller odds ratio too.
 
     Examples
@@ -139,13 +144,13 @@
     """
     bad = new_bad + old_bad
     if not (bad and new_calls and old_calls) or bad == new_calls + old_calls:
-        return (0.0,) * len(ODDS_RATIOS)
-    null = _compute_log_normaliser(new_calls, old_calls, bad, NULL_ODDS_RATIO)
+        return (0.0,) * len(odds_ratios)
+    null = _compute_log_normaliser(new_calls, old_calls, bad, null_odds_ratio)
     return tuple(
-        new_bad * math.log(ratio / NULL_ODDS_RATIO)
+        new_bad * math.log(ratio / null_odds_ratio)
         + null
         - _compute_log_normaliser(new_calls, old_calls, bad, ratio)
-        for ratio in ODDS_RATIOS
+        for ratio in odds_ratios
     )
 
 
--- a/bamboocove/coordination/version_comparison.py
+++ b/bamboocove/coordination/version_comparison.py
@@ -12,6 +12,8 @@
 
 from attrs import define, field, frozen
 
+from bamboocove.coordination.error_evidence import ErrorVerdict
+
 # Width of the confidence bounds in standard deviations.
 CONFIDENCE_SIGMAS = 3.0
 # Highest rate of failed or slow requests at which the new version is not bad:
@@ -37,6 +39,10 @@
 BAD_CALLS_ENOUGH = 30
 # Successful requests to the old version from which on latencies are compared.
 OLD_CALLS_MIN = 20
+# Status codes of failures that tell little of the version: a worker that is overloaded,
+# and one that reaches the deadline of a request, as each one on a slow host does.
+FIRST_SERVER_ERROR = 500
+LOAD_ERROR_STATUSES = (503, 504)
 # Upper bounds of the latency buckets, each 1.5 times the one before.
 BUCKET_BOUNDS_S = tuple(0.004 * 1.5**index for index in range(18))
 # A version is shown harmless if the rate of its failed or slow requests exceeds the
@@ -61,6 +67,9 @@
         Histogram of these latencies; the last bucket has no upper bound.
     outliers : int
         Successful requests that took far longer than most of those before them.
+    errors : int
+        Requests that a worker answered with a server error other than 503 and 504.
+        Failed requests without an answer are not among them.
     """
 
     calls: int = 0
@@ -68,15 +77,18 @@
     total_s: float = 0.0
     buckets: list[int] = field(factory=lambda: [0] * (len(BUCKET_BOUNDS_S) + 1))
     outliers: int = 0
+    errors: int = 0
     _recent_s: deque[float] = field(
         factory=lambda: deque(maxlen=OUTLIER_WINDOW), init=False, eq=False
     )
 
-    def record(self, is_failure: bool, seconds: float) -> None:
-        """Count one outcome with its latency in seconds."""
+    def record(self, is_failure: bool, seconds: float, status: int = 0) -> None:
+        """Count one outcome with its latency in seconds and the worker's status."""
         self.calls += 1
         if is_failure:
             self.failed += 1
+            is_error = status >= FIRST_SERVER_ERROR
+            self.errors += is_error and status not in LOAD_ERROR_STATUSES
             return
         self.total_s += seconds
         if len(self._recent_s) == OUTLIER_WINDOW:
@@ -94,6 +106,7 @@
         self.failed += other.failed
         self.total_s += other.total_s
         self.outliers += other.outliers
+        self.errors += other.errors
         for index, count in enumerate(other.buckets):
             self.buckets[index] += count
 
@@ -241,7 +254,7 @@
 
 
 def find_regression(
-    comparisons: Iterable[Comparison], age_s: float, duration_s: float
+    findings: Iterable[Comparison | ErrorVerdict], age_s: float, duration_s: float
 ) -> str:
     """Return why a new version is bad, or an empty string if it is not.
 
@@ -249,16 +262,16 @@
 
     Parameters
     ----------
-    comparisons : iterable of Comparison
-        The new version compared with the old one.
+    findings : iterable of Comparison or ErrorVerdict
+        The new version compared with the old one, and the evidence of its errors.
     age_s, duration_s : float
         Time since the move was ordered, and from the order to the deadline, in
         seconds.
     """
     is_last_chance = age_s >= LAST_CHANCE_FRACTION * duration_s
-    for comparison in comparisons:
-        if comparison.is_regression or (is_last_chance and comparison.is_suspicious):
-            return comparison.text
+    for finding in findings:
+        if finding.is_regression or (is_last_chance and finding.is_suspicious):
+            return finding.text
     return ""
 
 
--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -228,7 +228,7 @@
         Revision of the move order that the counts belong to.
     tallies : list
         For each route: its name, calls, failed calls, total time in ms, latency
-        histogram buckets, and outliers.
+        histogram buckets, outliers, and server errors.
     """
 
     source_id: str
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -620,7 +620,7 @@
         )
         if outcome != SHED:
             tally = self.tallies_by_route.setdefault(request.forward.route, Tally())
-            tally.record(is_failure, seconds)
+            tally.record(is_failure, seconds, request.status)
 
     def make_load(self) -> list[int]:
         """Return the load of the worker in the form of ``Reply.load``."""
--- a/bamboocove/sidecar/moves.py
+++ b/bamboocove/sidecar/moves.py
@@ -10,6 +10,7 @@
 
 from attrs import evolve
 
+from bamboocove.coordination.error_evidence import ErrorEvidence
 from bamboocove.coordination.outcome_batches import (
     format_tallies,
     get_tallies,
@@ -101,6 +102,7 @@
         self._host_id = host_id
         self._incarnation = incarnation
         self._outcomes: dict[tuple[str, str, str], OutcomeReport] = {}
+        self._error_evidence_by_service: dict[str, ErrorEvidence] = {}
         self._started_at_by_service: dict[str, float] = {}
         self._decided_at_by_service: dict[str, float] = {}
         self._services_being_written: set[str] = set()
@@ -147,6 +149,7 @@
 
     def _reset_move(self, service: str, now: float) -> None:
         self.rule_table.progress_by_service[service] = MoveProgress()
+        self._error_evidence_by_service[service] = ErrorEvidence()
         self._started_at_by_service[service] = now
         self._decided_at_by_service[service] = now
         self._reported_calls_by_route = {}
@@ -279,6 +282,10 @@
         new = self._sum_tallies(service, lambda version: version == rule.to_version)
         old = self._sum_tallies(service, lambda version: version != rule.to_version)
         comparisons = compare_versions(old, new)
+        evidence = self._error_evidence_by_service.setdefault(service, ErrorEvidence())
+        reports = [o for o in self._outcomes.values() if o.service == service]
+        evidence.update(reports, rule.to_version, now)
+        findings = [*comparisons, *evidence.make_verdicts()]
         views = self._fleet.get_views(service)
         versions = {view.version for view in views}
         observation = MoveObservation(
@@ -288,11 +295,11 @@
             sum(tally.calls for tally in new.values()),
             self._fleet.count_ready(service, {rule.to_version}),
             self._fleet.count_ready(service, versions - {rule.to_version}),
-            any(comparison.is_suspicious for comparison in comparisons),
+            any(finding.is_suspicious for finding in findings),
             is_shown_harmless(comparisons),
         )
         progress = self.rule_table.progress_by_service.get(service, MoveProgress())
-        regression = find_regression(comparisons, observation.age_s, order.duration_s)
+        regression = find_regression(findings, observation.age_s, order.duration_s)
         if regression:
             self._decide(rule, "rolled_back", regression, now)
             return
