--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -60,12 +60,8 @@
 from bamboocove.sidecar.watch import StoreWatch
 from bamboocove.state.codec import to_plain
 from bamboocove.state.mesh import HostRecord, MeshConfig
-from bamboocove.transport.calls import (
-    IDLE_TIMEOUT_S,
-    SWEEP_INTERVAL_S,
-    CallServer,
-    ServerConnection,
-)
+from bamboocove.transport.calls import SWEEP_INTERVAL_S, CallServer
+from bamboocove.transport.server_connection import IDLE_TIMEOUT_S, ServerConnection
 
 VERSION = "0.2"
 TICK_S = 0.1
--- a/bamboocove/transport/closing.py
+++ b/bamboocove/transport/closing.py
@@ -48,6 +48,33 @@
     is_head_incomplete: bool
 
 
+def describe_incomplete(
+    reason: str,
+    dropped: list[Exchange],
+    unsent_bytes: int,
+    unacknowledged_bytes: int,
+    is_head_incomplete: bool,
+) -> IncompleteClose | None:
+    """Return what was left to do on a connection that has ended; None for nothing.
+
+    Parameters
+    ----------
+    reason, unsent_bytes, unacknowledged_bytes, is_head_incomplete
+        See ``IncompleteClose``.
+    dropped : list of Exchange
+        Requests that were open when it ended.
+    """
+    unanswered = tuple(e for e in dropped if e.is_cut or not e.is_finished)
+    if reason == CALLER_CLOSED:
+        # The handler of a request that was started has its on_closed callback.
+        unanswered = tuple(e for e in unanswered if not e.is_started)
+    if not (unanswered or unsent_bytes or unacknowledged_bytes or is_head_incomplete):
+        return None
+    return IncompleteClose(
+        reason, unanswered, unsent_bytes, unacknowledged_bytes, is_head_incomplete
+    )
+
+
 class LingeringClose:
     """Closes a connection some time after the peer's host has received everything.
 
--- a/tests/test_calls.py
+++ b/tests/test_calls.py
@@ -6,14 +6,14 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from bamboocove.errors import ErrorKind
-from bamboocove.transport.calls import (
+from bamboocove.transport.closing import LINGER_TIME_S, MAX_LINGER_TIME_S
+from bamboocove.transport.framing import MAX_HEAD_BYTES
+from bamboocove.transport.pipelining import MAX_HELD_BYTES, MAX_HELD_REQUESTS
+from bamboocove.transport.server_connection import (
     HEAD_TIMEOUT_S,
     IDLE_TIMEOUT_S,
     ServerConnection,
 )
-from bamboocove.transport.closing import LINGER_TIME_S, MAX_LINGER_TIME_S
-from bamboocove.transport.framing import MAX_HEAD_BYTES
-from bamboocove.transport.pipelining import MAX_HELD_BYTES, MAX_HELD_REQUESTS
 
 MAX_BODY = 1000
 
--- a/tests/transport/test_answers.py
+++ b/tests/transport/test_answers.py
@@ -4,7 +4,7 @@
 from hypothesis import strategies as st
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
-from bamboocove.transport.calls import ServerConnection
+from bamboocove.transport.server_connection import ServerConnection
 
 REQUESTS = [
     b"GET /%d HTTP/1.1\r\nHost: h\r\n\r\n",
--- a/tests/transport/test_lingering_close.py
+++ b/tests/transport/test_lingering_close.py
@@ -4,7 +4,7 @@
 from twisted.internet import reactor
 
 from bamboocove.transport import closing
-from bamboocove.transport.calls import HEAD_TIMEOUT_S, IDLE_TIMEOUT_S
+from bamboocove.transport.server_connection import HEAD_TIMEOUT_S, IDLE_TIMEOUT_S
 from tests.callpath import run_reactor_until
 from tests.transport.closing import (
     GET,
