Accept outcome reports with more counts than this release knows

The count of errors made reports longer by one number, which a node of the release before cannot read: get_tallies raises a TypeError, so that it judges no move while the nodes are upgraded. That can't be changed any more; the next such number would do the same. Counts beyond the known ones are now ignored. The case with a further count fails before with the TypeError.

--- a/bamboocove/coordination/outcome_batches.py
+++ b/bamboocove/coordination/outcome_batches.py
@@ -20,9 +20,13 @@
 
 
 def get_tallies(outcomes: OutcomeReport) -> dict[str, Tally]:
-    """Return the outcomes of a report by route."""
+    """Return the outcomes of a report by route.
+
+    Reports of earlier releases end before the last counts, and those of later ones may
+    go on after them.
+    """
     return {
-        route: Tally(calls, failed, total_ms / 1000, list(buckets), *counts)
+        route: Tally(calls, failed, total_ms / 1000, list(buckets), *counts[:2])
         for route, calls, failed, total_ms, buckets, *counts in outcomes.tallies
     }
 
--- a/tests/coordination/test_error_evidence.py
+++ b/tests/coordination/test_error_evidence.py
@@ -320,9 +320,11 @@
     assert all(math.isfinite(verdict.log_value) for verdict in verdicts)
 
 
-def test_reports_without_the_count_of_errors_are_accepted():
-    """Guards against a node that fails on reports of another release."""
-    report = OutcomeReport("a", 0, "orders", "v2", 1, [["r", 10, 5, 0, [], 0]])
+@pytest.mark.parametrize("counts", [[], [0], [0, 0, 7]])
+def test_reports_of_other_releases_are_accepted(counts):
+    """Guards against a node that fails on reports with fewer or more counts."""
+    tallies = [["r", 10, 5, 0, [], *counts]]
+    report = OutcomeReport("a", 0, "orders", "v2", 1, tallies)
     evidence = ErrorEvidence()
     evidence.update([report], "v2", 0.0)
     assert not any(verdict.is_suspicious for verdict in evidence.make_verdicts())
