--- a/bamboocove/coordination/worker_queue.py
+++ b/bamboocove/coordination/worker_queue.py
@@ -25,10 +25,6 @@
 # cold worker's queue fills up after a restart of all workers, and the queued
 # requests are answered late.
 INITIAL_SERVICE_S = 0.2
-# Mean service times below this count as this, in seconds.
-MIN_SERVICE_S = 0.0001
-# A run that has taken this many times the mean is not expected to end soon.
-LONG_RUN_FACTOR = 2.0
 # Added to the priority of a late request, one that can no longer meet its
 # objective. Higher values are less urgent.
 LATE_PRIORITY_OFFSET = 100
@@ -149,25 +145,10 @@
     def _predict_wait_at(self, ahead: int, now: float) -> float:
         position = ahead + 1
         beyond_slots = position - (self.slots - len(self.running))
-        slot_wait_s = 0.0
-        if beyond_slots > 0:
-            slot_wait_s = beyond_slots * self._estimate_slot_interval(now)
-        return max(slot_wait_s, self.limiter.predict_wait(position, now))
-
-    def _estimate_slot_interval(self, now: float) -> float:
-        """Return the mean time between two slots that become free, in seconds.
-
-        Quick requests end and long ones stay, so the slots of a busy worker hold runs
-        that take much longer than the mean. Such a run is expected to go on for as
-        long as it has taken.
-        """
-        mean_s = max(MIN_SERVICE_S, self.service_times.mean_s)
-        ends_per_mean = float(max(0, self.slots - len(self.running)))
-        for request in self.running:
-            age_s = now - request.started_at
-            is_long = age_s > LONG_RUN_FACTOR * mean_s
-            ends_per_mean += mean_s / age_s if is_long else 1.0
-        return mean_s / (ends_per_mean or 1.0)
+        slot_wait_s = max(0, beyond_slots) * self.service_times.mean_s
+        return max(
+            slot_wait_s / max(1, self.slots), self.limiter.predict_wait(position, now)
+        )
 
     def predict_reported_wait(self, priority: float, now: float) -> float:
         """Return the queueing time of a new request that other nodes are to expect."""
