Count a request that a silent host's worker has shed as an attempt

A request that one of two workers had shed was sent to a third one, beyond the attempts of its route and without a token of the retry budget, if the first worker shed it, too, after its host had been silent for some time (found in review). Cause: handled that answer like a refusal by the host, which no worker has seen.

It is now a retry like any other, and a refusal with Retry-After without one left. The test fails before: the third worker gets the request.

--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -360,7 +360,8 @@
             self._fail(request, ErrorKind.DEADLINE_AFTER_DISPATCH, "no answer in time")
             return
         if reply.outcome in (REFUSED, WRONG_WORKER, SHED):
-            self._on_earlier_refused(request, reply.body.decode("latin-1"), now)
+            reason = reply.body.decode("latin-1")
+            self._on_earlier_refused(request, reason, now, reply.outcome == SHED)
             return
         if reply.outcome != ANSWERED:
             self._on_earlier_lost(request)
@@ -377,17 +378,26 @@
         self._deliver(request, reply, now)
 
     def _on_earlier_refused(
-        self, request: OutboundRequest, reason: str, now: float
+        self, request: OutboundRequest, reason: str, now: float, is_shed: bool = False
     ) -> None:
-        """Place a request again that a host, silent for some time, has not run."""
-        request.sent -= 1
+        """Place a request again that a host, silent for some time, has not run.
+
+        One that its worker has shed is placed again as a retry.
+        """
+        if not is_shed:
+            request.sent -= 1
         request.last_reason = reason or "the worker did not take the request"
         if request.attempt is not None:
             return
         if request.may_have_run:
             self._fail(request, ErrorKind.UPSTREAM_LOST, request.last_reason)
-        else:
+        elif not is_shed:
             self._dispatch(request, now)
+        elif self._may_retry(request, now) and self.budgets.spend(request.service):
+            request.hosts_tried = 1
+            self._dispatch(request, now)
+        else:
+            self._refuse_unplaced(request, self._candidates.select(request))
 
     def _on_earlier_lost(self, request: OutboundRequest) -> None:
         request.may_have_run = True
--- a/tests/sidecar/test_silent_hosts.py
+++ b/tests/sidecar/test_silent_hosts.py
@@ -224,3 +224,36 @@
     status, fields, _ = read_response(connection)
     assert status == 503 and float(fields["retry-after"]) > 0
     assert not silent.requests and not other.requests
+
+
+def shed(host):
+    """Let the worker of a host say that it has not executed its request."""
+    (exchange,) = host.requests
+    attempt_id = dict(exchange.headers)[b"x-attempt-id"]
+    exchange.respond(
+        503, [(b"x-attempt-id", attempt_id), (b"x-not-executed", b"1")], b""
+    )
+
+
+def test_request_that_two_workers_have_shed_reaches_no_third_one(mesh):
+    """Guards against more attempts than the route has, and retries beyond the budget.
+
+    The first worker sheds after its host was silent for some time.
+    """
+    caller, *targets = make_hosts(mesh)
+    targets.append(mesh.add("orders"))
+    mesh.settle()
+    for host in targets:
+        host.request_handler = lambda exchange: None
+    connection = caller.open(format_call("/read/1", "GET", left_ms=900))
+    run_reactor_until(lambda: any(host.requests for host in targets))
+    silent = next(host for host in targets if host.requests)
+    suspect(caller, silent)
+    run_reactor_until(lambda: sum(len(host.requests) for host in targets) == 2)
+    other = next(h for h in targets if h.requests and h is not silent)
+    shed(other)
+    run_reactor_until(lambda: not caller.node.outbound._attempts.find(other.host_id))
+    shed(silent)
+    status, fields, _ = read_response(connection)
+    assert status == 503 and float(fields["retry-after"]) > 0
+    assert sum(len(host.requests) for host in targets) == 2
