Forget refused bodies whose callers were to return, without a rate, too

While nothing was released the node kept an entry for each body that it refused, 20,000 after 20,000 refusals (found in review): predict_wait returned before it removed those that are over. The test fails before with 1,000 entries.

--- a/bamboocove/coordination/room_forecast.py
+++ b/bamboocove/coordination/room_forecast.py
@@ -84,10 +84,10 @@
         wait_s : float
             Infinite if no bytes were released lately.
         """
+        self._returns = [item for item in self._returns if item[0] > now]
         rate = self.compute_rate(now)
         if not rate:
             return float("inf")
-        self._returns = [item for item in self._returns if item[0] > now]
         return (missing + sum(size for _, size in self._returns)) / rate
 
     def schedule_return(
--- a/tests/coordination/test_room_forecast.py
+++ b/tests/coordination/test_room_forecast.py
@@ -112,3 +112,11 @@
     budget.release(1000)
     budget.release_unread(1000)
     assert (budget.held, budget.drained) == (0, 1000)
+
+
+def test_refused_bodies_are_forgotten_while_nothing_is_released():
+    """Guards against memory that grows with the refusals of a node that is stuck."""
+    forecast = RoomForecast()
+    for number in range(1000):
+        forecast.schedule_return(1, 1, LONGEST_S, lambda: 0.0, float(number))
+    assert len(forecast._returns) <= LONGEST_S + 1
