Leave routes without a count of errors out of the sequential test

What callers saw: a move of a good version is rolled back while nodes are upgraded, if the hosts of the old version run an earlier release and those of the new version this one, and both versions fail at the same rate.

Cause: reports of earlier releases end before the count of server errors, and count_errors and get_tallies took the missing count for 0. The old version seemed to have no errors, and sums of a zone with such a host were too low.

Change: an unknown count stays unknown. A tally without it has errors None, so has any sum that contains it, and format_tallies ends before the count then. A window in which a source does not count the errors of a route, at its start or end, is no evidence on that route; the margins still judge it.

Not solved: once a zone's sum lacks the count, the route is judged by the margins only for the rest of that move, as outcomes of earlier processes stay in the sums.

--- a/bamboocove/coordination/error_evidence.py
+++ b/bamboocove/coordination/error_evidence.py
@@ -146,17 +146,24 @@
 
 def count_errors(
     reports: Iterable[OutcomeReport], new_version: str
-) -> dict[tuple[str, str], Counts]:
-    """Return the requests and errors of both versions by route and source."""
-    counts_by_key: dict[tuple[str, str], Counts] = {}
+) -> dict[tuple[str, str], Counts | None]:
+    """Return the requests and errors of both versions by route and source.
+
+    They are None if a report of the source does not count the errors of the route.
+    """
+    counts_by_key: dict[tuple[str, str], Counts | None] = {}
     for report in reports:
+        is_new = report.version == new_version
         for route, calls, _, _, _, *rest in report.tallies:
-            # Reports may end before the count of errors.
-            errors = rest[1] if len(rest) > 1 else 0
-            is_new = report.version == new_version
-            counts = Counts(0, 0, calls, errors) if is_new else Counts(calls, errors)
+            # Reports of earlier releases end before the count of errors.
+            errors = rest[1] if len(rest) > 1 else None
             key = (route, report.source_id)
-            counts_by_key[key] = counts_by_key.get(key, Counts()).plus(counts)
+            known = counts_by_key.get(key, Counts())
+            if known is None or errors is None:
+                counts_by_key[key] = None
+                continue
+            counts = Counts(0, 0, calls, errors) if is_new else Counts(calls, errors)
+            counts_by_key[key] = known.plus(counts)
     return counts_by_key
 
 
@@ -167,12 +174,13 @@
     The e-process of all routes together uses half of the error probability; the j-th
     route with errors uses the portion ``1 / (2 * j * (j + 1))``. Windows end by time,
     and windows without errors are no evidence, so neither depends on the version that
-    errors occur on.
+    errors occur on. A window is no evidence on a route whose errors a source does not
+    count at its start or end.
     """
 
     _test_of_all: ErrorTest = field(factory=lambda: ErrorTest(0.5), init=False)
     _tests_by_route: dict[str, ErrorTest] = field(factory=dict, init=False)
-    _known: dict[tuple[str, str], Counts] = field(factory=dict, init=False)
+    _known: dict[tuple[str, str], Counts | None] = field(factory=dict, init=False)
     _window_ends_at: float = field(default=-math.inf, init=False)
 
     def update(
@@ -194,12 +202,19 @@
         self._window_ends_at = now + WINDOW_S
         counts_by_key = count_errors(reports, new_version)
         window: dict[str, Counts] = {}
+        uncounted_routes = set()
         for key, counts in counts_by_key.items():
-            change = counts.minus(self._known.get(key, Counts()))
+            known = self._known.get(key, Counts())
+            if counts is None or known is None:
+                uncounted_routes.add(key[0])
+                continue
+            change = counts.minus(known)
             # Another node may collect the outcomes of the zone, of fewer processes.
             if change.is_consistent:
                 window[key[0]] = window.get(key[0], Counts()).plus(change)
         self._known = counts_by_key
+        for route in uncounted_routes:
+            window.pop(route, None)
         self._add_window(window)
 
     def _add_window(self, window: Mapping[str, Counts]) -> None:
--- a/bamboocove/coordination/outcome_batches.py
+++ b/bamboocove/coordination/outcome_batches.py
@@ -6,7 +6,8 @@
 occupy its link, and every node would process thousands of counts a second.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
+from typing import Any
 
 from attrs import astuple, define, evolve, field
 
@@ -23,16 +24,28 @@
     """Return the outcomes of a report by route.
 
     Reports of earlier releases end before the last counts, and those of later ones may
-    go on after them.
+    go on after them. A count of errors that is not in the report is None.
     """
-    return {
-        route: Tally(calls, failed, total_ms / 1000, list(buckets), *counts[:2])
-        for route, calls, failed, total_ms, buckets, *counts in outcomes.tallies
-    }
+    return {route: _make_tally(*counts) for route, *counts in outcomes.tallies}
+
+
+def _make_tally(
+    calls: int,
+    failed: int,
+    total_ms: int,
+    buckets: Iterable[int],
+    outliers: int = 0,
+    errors: int | None = None,
+    *_: Any,
+) -> Tally:
+    return Tally(calls, failed, total_ms / 1000, list(buckets), outliers, errors)
 
 
 def format_tallies(tallies_by_route: Mapping[str, Tally]) -> list[list]:
-    """Return outcomes by route in the form of ``OutcomeReport.tallies``."""
+    """Return outcomes by route in the form of ``OutcomeReport.tallies``.
+
+    The tally of a route ends before the count of errors if that is unknown.
+    """
     return [
         [
             route,
@@ -41,7 +54,7 @@
             round(tally.total_s * 1000),
             tally.buckets,
             tally.outliers,
-            tally.errors,
+            *([] if tally.errors is None else [tally.errors]),
         ]
         for route, tally in tallies_by_route.items()
     ]
--- a/bamboocove/coordination/version_comparison.py
+++ b/bamboocove/coordination/version_comparison.py
@@ -67,9 +67,10 @@
         Histogram of these latencies; the last bucket has no upper bound.
     outliers : int
         Successful requests that took far longer than most of those before them.
-    errors : int
+    errors : int, optional
         Requests that a worker answered with a server error other than 503 and 504.
-        Failed requests without an answer are not among them.
+        Failed requests without an answer are not among them. None if unknown, since a
+        host of an earlier release does not count them.
     """
 
     calls: int = 0
@@ -77,7 +78,7 @@
     total_s: float = 0.0
     buckets: list[int] = field(factory=lambda: [0] * (len(BUCKET_BOUNDS_S) + 1))
     outliers: int = 0
-    errors: int = 0
+    errors: int | None = 0
     _recent_s: deque[float] = field(
         factory=lambda: deque(maxlen=OUTLIER_WINDOW), init=False, eq=False
     )
@@ -101,12 +102,18 @@
         self.buckets[index] += 1
 
     def add(self, other: "Tally") -> None:
-        """Add the outcomes of another host."""
+        """Add the outcomes of another host.
+
+        The sum of the errors is unknown if those of either are.
+        """
         self.calls += other.calls
         self.failed += other.failed
         self.total_s += other.total_s
         self.outliers += other.outliers
-        self.errors += other.errors
+        if self.errors is None or other.errors is None:
+            self.errors = None
+        else:
+            self.errors += other.errors
         for index, count in enumerate(other.buckets):
             self.buckets[index] += count
 
--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -228,7 +228,8 @@
         Revision of the move order that the counts belong to.
     tallies : list
         For each route: its name, calls, failed calls, total time in ms, latency
-        histogram buckets, outliers, and server errors.
+        histogram buckets, outliers, and server errors. The last is left out if
+        unknown.
     """
 
     source_id: str
--- a/tests/coordination/test_outcome_batches.py
+++ b/tests/coordination/test_outcome_batches.py
@@ -91,6 +91,16 @@
     assert take_counts(batches, 10.0) == {"read": (6, 2, 0.1, 4)}
 
 
+def test_sum_has_no_count_of_errors_if_a_host_does_not_count_them():
+    """Guards against an unknown number of errors that is taken for none."""
+    batches = OutcomeBatches("z")
+    batches.add(evolve(FIRST, tallies=[["read", 5, 1, 100, [4], 2, 1]]))
+    batches.add(evolve(FIRST, source_id="h2", tallies=[["read", 5, 1, 100, [4], 2]]))
+    ((*_, tallies),) = batches.take(10.0)
+    ((route, calls, failed, total_ms, _, *counts),) = tallies
+    assert (route, calls, failed, total_ms, counts) == ("read", 10, 2, 200, [4])
+
+
 def test_sum_starts_again_with_a_new_order():
     """Guards against judging a move by the failures of an earlier one."""
     batches = OutcomeBatches("z")
