Let earlier releases discard outcome reports with a count of errors

What callers saw: while nodes are upgraded during a move, a node of the release before takes no further step and rolls nothing back, and leaves out the rest of its tick as well.

Cause: it accepts a batch of reports with the count of server errors, since the message has the same fields as before, but its get_tallies raises a TypeError on the longer tallies each time it looks at its moves.

Change: the message has a further field, has_errors, as has_outliers did for the count before. Releases that do not expect it discard the message. Batches of earlier releases are still accepted.

No process of an earlier release was run.

Not solved: the hosts of a zone whose collecting node runs the earlier release have no say in a move once they are upgraded, until that node is upgraded, too.

--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -279,11 +279,14 @@
     has_outliers : bool
         Always true. Releases that do not expect outliers discard a message that
         has this field.
+    has_errors : bool
+        The same for the count of server errors.
     """
 
     items: list[list[Any]]
     is_sign: bool = False
     has_outliers: bool = True
+    has_errors: bool = True
 
 
 @frozen
