Let the tests of the catalogue and of traces know two changes of the node

test_each_event_in_the_code_is_in_the_catalogue looked for calls of log() alone. Program errors are logged by log_program_error() since, so node.message-failed was no longer found. It now takes the calls of both.

test_trace_command_names_the_cause_of_a_failed_request[cause_draining_worker] asks a node that has just started, whose refusal is not_ready since. Its node now counts as running for some time; the expected cause is unchanged.

--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -9,11 +9,13 @@
 from bamboocove.cli import main
 from bamboocove.sidecar.catalogue import EVENTS_BY_NAME, format_events_table
 from bamboocove.sidecar.logs import MAX_LINES_PER_EVENT_PER_S, WRITER, LogWriter
+from bamboocove.sidecar.outbound_request import READINESS_TIMEOUT_S
 from bamboocove.tracing import explain_request, parse_log, trace_request
 from tests.callpath import run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, make_config
 
 ROOT = Path(__file__).parent.parent
+LOG_CALL = re.compile(r'\blog(?:_program_error)?\(\s*"([a-z.-]+)"')
 
 
 def make_line(time, event, **fields):
@@ -91,7 +93,7 @@
     for folder in ("sidecar", "platform"):
         for path in (ROOT / "bamboocove" / folder).glob("*.py"):
             text = path.read_text(encoding="utf-8")
-            names.update(re.findall(r'\blog\(\s*"([a-z.-]+)"', text))
+            names.update(LOG_CALL.findall(text))
     assert names | {"log.left-out"} == set(EVENTS_BY_NAME)
 
 
@@ -119,6 +121,8 @@
 
 
 def cause_draining_worker(mesh, caller, target):
+    # Its node has been running for some time.
+    caller.node.outbound.router.configured_at -= READINESS_TIMEOUT_S
     target.report("draining")
     run_reactor_until(lambda: not caller.node.fleet.get_views("orders"))
     caller.call(attempt="asked")
