Go on with the clean-up of a request whose reply raises an exception

What callers saw: if the reply to one request raised an exception, requests that were to be refused with it got no reply until their deadlines (504, although none had run), and the next request was not started. The bytes of the response stayed counted, so that the node would in the end refuse bodies.

Cause: `InboundProxy._end` released the response and started the next request after the reply, and its loops over waiting requests had emptied the queue.

Evidence: with `ReplyOffers.send` raising once, `refuse_waiting` and `tick` raised and left the other requests open; an answer of 200 kB left its caller with 504 and the waiting one with 503 (three new tests, failing before).

Change: `InboundRequest.send_reply` logs the exception and replies once more without a response: LOST for an answer, and otherwise the same outcome, which still proves that the worker has not got the request. Callers now get 503, and 502 for the lost answer, at once; the next request is run.

--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -195,7 +195,7 @@
     ) -> InboundRequest:
         """Queue a request for the worker, or refuse it.
 
-        ``reply`` is called once with the Reply, possibly before this returns.
+        ``reply`` is called with the Reply, possibly before this returns.
         ``held_bytes`` of the budget are released as soon as the request no longer
         needs its body.
         """
@@ -371,7 +371,7 @@
         if outcome in (REFUSED, WRONG_WORKER, SHED, TIMED_OUT):
             text = reason or "the worker did not run it"
             self._log_refusal(request.forward, request.deadline - now, text, now)
-        request.reply(request.make_reply(outcome, reason, service_s, self.make_load()))
+        request.send_reply(outcome, reason, service_s, self.make_load(), self._dialect)
         self._responses.remove(request)
         if entry is not None:
             self._start_next(now)
--- a/bamboocove/sidecar/inbound_request.py
+++ b/bamboocove/sidecar/inbound_request.py
@@ -7,8 +7,15 @@
 
 from bamboocove.coordination.body_queue import PIECE_BYTES
 from bamboocove.coordination.worker_queue import QueuedRequest
-from bamboocove.protocol.mesh_messages import ANSWERED, BodyOffer, Forward, Reply
+from bamboocove.protocol.mesh_messages import (
+    ANSWERED,
+    LOST,
+    BodyOffer,
+    Forward,
+    Reply,
+)
 from bamboocove.sidecar.dialect import Dialect
+from bamboocove.sidecar.logs import log_program_error
 from bamboocove.state.mesh import MeshWorker
 from bamboocove.transport.clients import Attribution, ClientConnection
 from bamboocove.transport.framing import (
@@ -32,7 +39,7 @@
     forward : Forward
         The request as the sending node forwarded it.
     reply : callable
-        Called exactly once with the Reply.
+        Called with the Reply; once more if that raises an exception.
     submitted_at, deadline : float
         When it arrived, and its deadline, in seconds of the local clock.
     entry : QueuedRequest or None
@@ -114,6 +121,36 @@
         if connection is not None:
             connection.abort()
 
+    def send_reply(
+        self,
+        outcome: int,
+        reason: str,
+        service_s: float,
+        load: list[int],
+        dialect: Dialect,
+    ) -> None:
+        """Reply to a request that has ended; an exception is logged, not raised.
+
+        It would keep the bytes and the slot of this request, and those that wait behind
+        it. A reply without a response is then tried, so that the caller need not wait
+        until its deadline. The parameters are those of ``make_reply``.
+        """
+        try:
+            self.reply(self.make_reply(outcome, reason, service_s, load))
+            return
+        except Exception:
+            self._log_failed_reply(dialect)
+        # Still proves that the worker has not got it, if the first one did.
+        outcome = LOST if outcome == ANSWERED else outcome
+        try:
+            self.reply(self.make_reply(outcome, "program error", service_s, load))
+        except Exception:
+            self._log_failed_reply(dialect)
+
+    def _log_failed_reply(self, dialect: Dialect) -> None:
+        attempt_id = get_header(self.forward.headers, dialect.attempt_id)
+        log_program_error("request.handler-failed", id=attempt_id)
+
     def make_reply(
         self, outcome: int, reason: str, service_s: float, load: list[int]
     ) -> Reply:
--- a/tests/sidecar/test_program_errors.py
+++ b/tests/sidecar/test_program_errors.py
@@ -34,6 +34,17 @@
     raise ValueError("odd")
 
 
+def fail_next(monkeypatch, owner, name):
+    """Let the next call of a method raise an error, also if its class has slots."""
+    method = getattr(type(owner), name)
+
+    def call(*args):
+        monkeypatch.setattr(type(owner), name, method)
+        raise_error()
+
+    monkeypatch.setattr(type(owner), name, call)
+
+
 @pytest.mark.parametrize(
     "name",
     ["router.accept", "_place", "_dispatch", "_handle_reply", "_deliver", "_finish"],
@@ -168,3 +179,63 @@
     assert not inbound.in_flight
     for caller in callers:
         caller.close()
+
+
+def open_waiting(mesh, origin, target, count):
+    """Let calls wait in the queue of a worker; return their connections."""
+    inbound = target.node.inbound
+    inbound.queue.slots = 0
+    # So short that others are let wait behind them.
+    inbound.queue.service_times.mean_s = 0.01
+    calls = [format_call("/pay/1", "POST", b"", 900, f"a{n}") for n in range(count)]
+    callers = [origin.open(call) for call in calls]
+    run_reactor_until(lambda: len(inbound.queue.waiting) == count)
+    return callers
+
+
+@pytest.mark.parametrize("is_ended_by", ["refuse_waiting", "tick"])
+def test_reply_that_fails_does_not_keep_others_from_theirs(
+    mesh, monkeypatch, capfd, is_ended_by
+):
+    """Guards against refused requests whose callers are left to their deadlines."""
+    front, target = mesh.add("front"), mesh.add("orders")
+    mesh.settle()
+    callers = open_waiting(mesh, front, target, 3)
+    inbound = target.node.inbound
+    fail_next(monkeypatch, target.node.forwarding.replies, "send")
+    started_at = reactor.seconds()
+    if is_ended_by == "tick":
+        inbound.tick(started_at + 10.0)
+    else:
+        inbound.refuse_waiting("worker was replaced")
+    assert not inbound.in_flight and not inbound.queue.waiting
+    # None has run, as the second reply to the first one says, too.
+    assert [read_response(caller)[0] for caller in callers] == [503] * 3
+    assert reactor.seconds() - started_at < 0.5
+    assert '"request.handler-failed","id":"a0"' in capfd.readouterr().out
+    for caller in callers:
+        caller.close()
+
+
+def test_answer_whose_reply_fails_gives_room_and_slot_back(mesh, monkeypatch, capfd):
+    """Guards against bytes that stay counted, and a worker that idles."""
+    front, target = mesh.add("front"), mesh.add("orders")
+    mesh.settle()
+    target.request_handler = lambda exchange: None
+    inbound = target.node.inbound
+    inbound.queue.slots = 1
+    inbound.queue.service_times.mean_s = 0.01
+    calls = [format_call("/pay/1", "POST", b"", 900, f"a{n}") for n in range(2)]
+    callers = [front.open(call) for call in calls]
+    run_reactor_until(lambda: inbound.queue.waiting and target.requests)
+    fail_next(monkeypatch, target.node.forwarding.replies, "send")
+    target.request_handler = None
+    started_at = reactor.seconds()
+    fields = [(b"x-attempt-id", b"a0"), (b"x-response-signature", b"s")]
+    target.requests[0].respond(200, fields, bytes(200_000))
+    assert [read_response(caller)[0] for caller in callers] == [502, 200]
+    assert reactor.seconds() - started_at < 0.5
+    assert not inbound.in_flight and target.node.body_budget.held == 0
+    assert '"request.handler-failed","id":"a0"' in capfd.readouterr().out
+    for caller in callers:
+        caller.close()
--- a/tests/sidecar/test_program_errors_at_stop.py
+++ b/tests/sidecar/test_program_errors_at_stop.py
@@ -16,7 +16,7 @@
     open_call,
     start_stop,
 )
-from tests.sidecar.test_program_errors import raise_error
+from tests.sidecar.test_program_errors import fail_next
 
 # Leaves some tenths of a second for pauses of the tests.
 STOP_S = 2.0
@@ -40,17 +40,6 @@
     mesh.close()
 
 
-def fail_next(monkeypatch, owner, name):
-    """Let the next call of a method raise an error, also if its class has slots."""
-    method = getattr(type(owner), name)
-
-    def call(*args):
-        monkeypatch.setattr(type(owner), name, method)
-        raise_error()
-
-    monkeypatch.setattr(type(owner), name, call)
-
-
 def stop(host):
     """Stop the node of a host; return the time until it has ended, in seconds."""
     started_at = reactor.seconds()
