End a request at once if its new connection cannot be set up

What callers saw: an exception in `enable_keepalive` on a new connection to the worker left the request to its deadline, then 503.

Cause: `WorkerSender._on_connected` took only its last step by `attempt`, which ends a request whose step raises an exception.

Evidence: a call with 900 ms left was answered after 0.94 s (new test, failing before).

Change: `_on_connected` as a whole is taken by `attempt`; the caller gets 502 within 0.5 s, like after an error in the other steps of sending.

--- a/bamboocove/sidecar/worker_sender.py
+++ b/bamboocove/sidecar/worker_sender.py
@@ -84,7 +84,7 @@
             return
         request.connector = self.pool.connect(
             self.address,
-            lambda connection: self._on_connected(request, connection),
+            lambda connection: self.attempt(request, self._on_connected, connection),
             lambda reason: self._on_unreachable(request, reason),
         )
 
@@ -94,7 +94,7 @@
         # TCP keepalive detects that an idle connection has died before the
         # connection is reused.
         enable_keepalive(connection.transport)
-        self.attempt(request, self._send, connection)
+        self._send(request, connection)
 
     def _on_unreachable(self, request: InboundRequest, reason: str) -> None:
         request.connector = None
--- a/tests/sidecar/test_program_errors.py
+++ b/tests/sidecar/test_program_errors.py
@@ -3,6 +3,7 @@
 import pytest
 from twisted.internet import reactor
 
+from bamboocove.sidecar import worker_sender
 from bamboocove.sidecar.body_writer import BodyWriter
 from tests.callpath import run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, make_config, read_response
@@ -239,3 +240,21 @@
     assert '"request.handler-failed","id":"a0"' in capfd.readouterr().out
     for caller in callers:
         caller.close()
+
+
+def test_request_whose_new_connection_fails_is_answered(mesh, monkeypatch, capfd):
+    """Guards against requests left to their deadlines after a program error."""
+    host = mesh.add()
+    mesh.settle()
+
+    def enable_keepalive(transport):
+        monkeypatch.undo()
+        raise_error()
+
+    monkeypatch.setattr(worker_sender, "enable_keepalive", enable_keepalive)
+    started_at = reactor.seconds()
+    status = host.call("/pay/1", "POST")[0]
+    assert (status, len(host.requests)) == (502, 0)
+    assert reactor.seconds() - started_at < 0.5
+    assert not host.node.inbound.in_flight
+    assert '"request.handler-failed","id":"a1"' in capfd.readouterr().out
