Subtract the lag of timers from the time in which a stop waits for callers

What was seen: a stopping node whose timers are 0.2 s late, and which waits for callers or links that still receive, ended only after its grace period, when the process may be killed.

Cause: `StopSchedule.flushed_by` did not allow for the lag, unlike `get_end`.

Change: `get_flushed_by` takes the lag measured so far. It is never earlier than the time at which open requests are ended; the test of the order of these times now checks that, too.

--- a/bamboocove/coordination/drain_window.py
+++ b/bamboocove/coordination/drain_window.py
@@ -74,11 +74,6 @@
         """When what no worker has got is refused, and nothing is started any more."""
         return self.started_at + (1 - RESERVED_FRACTION) * self.grace_s
 
-    @property
-    def flushed_by(self) -> float:
-        """When the node no longer waits for callers to read their answers."""
-        return self.started_at + self.grace_s - EXIT_S
-
     def get_end(self, lag_s: float) -> float:
         """Return when the requests at whose worker is still at work are ended.
 
@@ -88,8 +83,20 @@
             Time by which the node's timers are late, in seconds: its last steps will
             take longer by as much.
         """
-        end_at = self.started_at + self.grace_s - FINISH_S - lag_s
-        return max(self.last_answer_at, end_at)
+        return self._get_last(FINISH_S + lag_s)
+
+    def get_flushed_by(self, lag_s: float) -> float:
+        """Return when the node no longer waits for callers to read their answers.
+
+        Parameters
+        ----------
+        lag_s : float
+            Time by which the node's timers are late, in seconds.
+        """
+        return self._get_last(EXIT_S + lag_s)
+
+    def _get_last(self, reserve_s: float) -> float:
+        return max(self.last_answer_at, self.started_at + self.grace_s - reserve_s)
 
 
 def estimate_lag(now: float, ticks: tuple[float, float], interval_s: float) -> float:
--- a/bamboocove/sidecar/shutdown.py
+++ b/bamboocove/sidecar/shutdown.py
@@ -111,7 +111,7 @@
     await _take_step(application.close_ports)
     await _take_step(application.watch.stop)
     await _take_step(application.hub.close_links)
-    await _take_step(_flush, application, schedule.flushed_by)
+    await _take_step(_flush, application, schedule.get_flushed_by(lag_s))
     await _take_step(application.hub.stop)
 
 
--- a/tests/coordination/test_drain_window.py
+++ b/tests/coordination/test_drain_window.py
@@ -26,7 +26,7 @@
     end_at = schedule.get_end(lag_s)
     killed_at = started_at + grace_s
     assert started_at < schedule.last_answer_at <= end_at < killed_at
-    assert schedule.flushed_by < killed_at
+    assert end_at <= schedule.get_flushed_by(lag_s) < killed_at
 
 
 def test_node_that_runs_on_time_ends_requests_late_in_the_grace_period():
@@ -35,6 +35,9 @@
     assert schedule.get_end(0.0) == pytest.approx(15.76)
     assert schedule.get_end(0.1) == pytest.approx(15.66)
     assert schedule.get_end(3.0) == schedule.last_answer_at == pytest.approx(15.4)
+    assert schedule.get_flushed_by(0.0) == pytest.approx(15.9)
+    assert schedule.get_flushed_by(0.2) == pytest.approx(15.7)
+    assert schedule.get_flushed_by(3.0) == schedule.last_answer_at
 
 
 @pytest.mark.parametrize(
