Take the lag of the test process out of the end of planned stops, too

In these tests the node shares the reactor of the tests, whose pauses it takes for its own lag; the bounds are unchanged.

--- a/tests/sidecar/test_planned_stop.py
+++ b/tests/sidecar/test_planned_stop.py
@@ -28,8 +28,11 @@
     monkeypatch.setattr(shutdown, "WORKER_DRAIN_DELAY_S", 0.4)
     # The nodes share the reactor of the tests, and take its pauses for their own lag.
     monkeypatch.setattr(SidecarApplication, "get_lag", lambda node: 0.0)
-    get_end = StopSchedule.get_end
-    monkeypatch.setattr(StopSchedule, "get_end", lambda plan, lag_s: get_end(plan, 0.0))
+    for name in ("get_end", "get_flushed_by"):
+        method = getattr(StopSchedule, name)
+        monkeypatch.setattr(
+            StopSchedule, name, lambda plan, lag_s, method=method: method(plan, 0.0)
+        )
     mesh = HostMesh()
     mesh.store.put_config(
         make_config(2, timeout_s=6.1, read={"orders": 1}, pay={"orders": 1})
