--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -34,13 +34,10 @@
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.dissemination import Dissemination
 from bamboocove.sidecar.endpoints import (
-    MAX_REPORT_BYTES,
-    DecodeWorker,
     log_failed_handler,
     log_incomplete_close,
     make_metrics_handler,
     make_readiness_handler,
-    make_report_handler,
 )
 from bamboocove.sidecar.fleet import Fleet
 from bamboocove.sidecar.forwarding import Forwarding
@@ -58,6 +55,11 @@
 from bamboocove.sidecar.shutdown import drain
 from bamboocove.sidecar.store import OperatorUpdate, Store
 from bamboocove.sidecar.watch import StoreWatch
+from bamboocove.sidecar.worker_reports import (
+    MAX_REPORT_BYTES,
+    DecodeWorker,
+    make_report_handler,
+)
 from bamboocove.state.codec import to_plain
 from bamboocove.state.mesh import HostRecord, MeshConfig
 from bamboocove.transport.calls import SWEEP_INTERVAL_S, CallServer
@@ -243,7 +245,7 @@
             readiness = make_readiness_handler(self.dialect, self.is_ready)
             self._listen(settings.readiness_address, readiness, 0)
             reports = make_report_handler(
-                self.dialect, self.inbound, self.decode_worker
+                self.dialect, self.inbound, self.decode_worker, self.clock
             )
             self._listen(settings.heartbeat_address, reports, MAX_REPORT_BYTES)
             metrics = make_metrics_handler(self.dialect, self.metrics)
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -11,7 +11,8 @@
     ----------
     number : int
         Stable number; 81x node, 82x configuration, 83x hosts and workers, 84x
-        requests, 85x moves, 86x store, 87x memory, 89x the log itself.
+        requests, 85x moves, 86x store, 87x memory, 88x reports of workers, 89x the log
+        itself.
     name : str
         Name in the log line.
     meaning : str
@@ -210,6 +211,14 @@
         "large answer later",
         "if it repeats, look for callers that read slowly",
     ),
+    MeshEvent(
+        881,
+        "worker.report",
+        "a worker said that it leaves, or a report was not applied; with what was "
+        "known of it, what was done, whether it was acknowledged, and the age of the "
+        "process",
+        "if requests reach a worker that has signed off, look here for its identifier",
+    ),
     MeshEvent(
         891,
         "log.left-out",
--- a/bamboocove/sidecar/endpoints.py
+++ b/bamboocove/sidecar/endpoints.py
@@ -1,21 +1,14 @@
-"""HTTP endpoints of a node: readiness, metrics, and reports of its worker."""
+"""HTTP endpoints of a node: readiness and metrics."""
 
 from collections.abc import Callable
 
-from bamboocove.errors import ErrorResult
 from bamboocove.sidecar.dialect import Dialect
-from bamboocove.sidecar.inbound import InboundProxy
 from bamboocove.sidecar.logs import MAX_TEXT_LENGTH, log
 from bamboocove.sidecar.metrics import MeshMetrics
-from bamboocove.state.mesh import MeshWorker
 from bamboocove.transport.closing import IncompleteClose
 from bamboocove.transport.exchanges import Exchange
 from bamboocove.transport.framing import get_header
 
-# Worker reports are small.
-MAX_REPORT_BYTES = 64 * 1024
-
-DecodeWorker = Callable[[str, bytes], MeshWorker | ErrorResult]
 Handler = Callable[[Exchange], None]
 
 
@@ -73,44 +66,3 @@
         exchange.respond(200, headers, metrics.format())
 
     return handle
-
-
-def make_report_handler(
-    dialect: Dialect, inbound: InboundProxy, decode_worker: DecodeWorker
-) -> Handler:
-    """Return the handler of status reports and deregistrations of the worker.
-
-    A report takes effect before it is acknowledged, so that a draining worker
-    receives no new requests after the acknowledgement.
-    """
-
-    def handle(exchange: Exchange) -> None:
-        path = exchange.target.partition(b"?")[0]
-        prefix = dialect.worker_path
-        worker_id = path[len(prefix) :].decode("latin-1")
-        if not path.startswith(prefix) or not worker_id:
-            exchange.respond(404, [])
-        elif exchange.method == b"DELETE":
-            inbound.deregister(worker_id)
-            acknowledge(exchange)
-        elif exchange.method == b"PUT":
-            parts: list[bytes] = []
-            exchange.receive(
-                parts.append, lambda: apply_report(exchange, worker_id, b"".join(parts))
-            )
-        else:
-            exchange.respond(405, [])
-
-    def apply_report(exchange: Exchange, worker_id: str, data: bytes) -> None:
-        worker = decode_worker(worker_id, data)
-        if isinstance(worker, ErrorResult):
-            log("worker.report-refused", worker=worker_id, reason=worker.reason)
-            exchange.respond(400, [], worker.reason.encode())
-            return
-        inbound.update_worker(worker)
-        acknowledge(exchange)
-
-    def acknowledge(exchange: Exchange) -> None:
-        exchange.respond(200, [(b"content-type", b"application/json")], b"{}")
-
-    return handle
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -36,7 +36,7 @@
 from bamboocove.sidecar.settings import Address
 from bamboocove.sidecar.worker_responses import WorkerResponses
 from bamboocove.sidecar.worker_sender import WorkerSender
-from bamboocove.sidecar.worker_watch import WorkerWatch
+from bamboocove.sidecar.worker_watch import ReportResult, WorkerWatch
 from bamboocove.state.mesh import MeshWorker
 from bamboocove.transport.clients import ConnectionPool
 
@@ -135,13 +135,13 @@
         """Last known state of the worker on this host; None if there is none."""
         return self.watch.worker
 
-    def update_worker(self, worker: MeshWorker) -> None:
+    def update_worker(self, worker: MeshWorker) -> ReportResult:
         """Apply a report of the worker unless it is outdated."""
-        self.watch.update(worker)
+        return self.watch.update(worker)
 
-    def deregister(self, worker_id: str) -> None:
+    def deregister(self, worker_id: str) -> ReportResult:
         """Mark the worker as gone after it has deregistered itself."""
-        self.watch.deregister(worker_id)
+        return self.watch.deregister(worker_id)
 
     def _on_worker_state(self, worker: MeshWorker) -> None:
         self.queue.slots = worker.slots
--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -1,6 +1,7 @@
 """State of the worker on this host, from its reports and from health checks."""
 
 from collections.abc import Callable
+from enum import Enum
 from typing import Any
 
 from attrs import define, evolve
@@ -26,6 +27,18 @@
 LIMIT_TOLERANCE = 0.2
 
 
+class ReportResult(Enum):
+    """What a node did with a report or a sign-off of a worker."""
+
+    APPLIED = "applied"
+    # A later report of the same start of the worker was applied before.
+    OUTDATED = "outdated"
+    # A worker that was started later is known on this host.
+    EARLIER_START = "earlier start"
+    # The worker that signs off is not the known one.
+    UNKNOWN_WORKER = "unknown worker"
+
+
 @define(eq=False)
 class WorkerWatch:
     """Keeps the latest report of the worker, and probes a worker that is down.
@@ -68,12 +81,13 @@
     _published_limit_per_s: float = 0.0
     _limit_published_at: float = float("-inf")
 
-    def update(self, worker: MeshWorker) -> None:
+    def update(self, worker: MeshWorker) -> ReportResult:
         """Apply a report of the worker unless it is outdated."""
         held = self.worker
-        if held is not None and not self._is_superseded(held, worker):
-            return
         if held is not None:
+            result = self._compare(held, worker)
+            if result is not ReportResult.APPLIED:
+                return result
             if held.incarnation != worker.incarnation:
                 self.on_replaced()
             else:
@@ -84,19 +98,23 @@
         self.worker = worker
         if held is None or _get_published_state(held) != _get_published_state(worker):
             self._publish_state()
+        return ReportResult.APPLIED
 
-    def _is_superseded(self, held: MeshWorker, worker: MeshWorker) -> bool:
+    def _compare(self, held: MeshWorker, worker: MeshWorker) -> ReportResult:
         if held.incarnation == worker.incarnation:
-            return worker.sequence > held.sequence and held.state != "gone"
+            is_newer = worker.sequence > held.sequence and held.state != "gone"
+            return ReportResult.APPLIED if is_newer else ReportResult.OUTDATED
         if worker.born_ms < held.born_ms:
             log("worker.old-report", worker=worker.worker_id, held=held.worker_id)
-            return False
-        return True
+            return ReportResult.EARLIER_START
+        return ReportResult.APPLIED
 
-    def deregister(self, worker_id: str) -> None:
+    def deregister(self, worker_id: str) -> ReportResult:
         """Mark the worker as gone after it has deregistered itself."""
-        if self.worker is not None and self.worker.worker_id == worker_id:
-            self.set_state("gone")
+        if self.worker is None or self.worker.worker_id != worker_id:
+            return ReportResult.UNKNOWN_WORKER
+        self.set_state("gone")
+        return ReportResult.APPLIED
 
     def end_incarnation(self, worker: MeshWorker) -> None:
         """Apply that a start of the worker is draining or gone, if it is the known one.
