--- a/bamboocove/coordination/departures.py
+++ b/bamboocove/coordination/departures.py
@@ -1,17 +1,63 @@
-"""Records of hosts that have left, and when to remove them from the store.
+"""Workers that have left, and hosts that have left and are removed from the store.
 
 A report of a worker may arrive long after the worker has deregistered. The record of
 its host is what tells the next process there that this start of the worker is over, so
 it outlives the process by far longer than a report can be late.
 """
 
+from collections.abc import Mapping
+
 from attrs import define, field
 
-from bamboocove.state.mesh import HostRecord
+from bamboocove.state.mesh import HostRecord, MeshWorker
 
 # Time for which a record stays after its host has left, in seconds. Reports are at
 # most some seconds late.
 KEEP_S = 60.0
+# Departed workers that a host remembers, the latest ones.
+MAX_DEPARTED_WORKERS = 16
+
+
+@define
+class DepartedStarts:
+    """Starts of the workers of one host that have announced that they leave.
+
+    A sign-off names the worker but not its start. If the worker is not known, all
+    starts up to the sign-off are over; a later one holds a new worker.
+
+    Parameters
+    ----------
+    last_born_by_id : dict of str to int
+        Unix time of the last start that is over, in milliseconds, by worker.
+    """
+
+    last_born_by_id: dict[str, int] = field(factory=dict)
+
+    def add(self, worker_id: str, born_ms: int) -> bool:
+        """Remember that the starts up to a time are over; return whether it is new.
+
+        Examples
+        --------
+        >>> departed = DepartedStarts()
+        >>> departed.add("i-1", 5), departed.add("i-1", 4), departed.add("i-1", 6)
+        (True, False, True)
+        """
+        if born_ms <= self.last_born_by_id.get(worker_id, -1):
+            return False
+        self.last_born_by_id.pop(worker_id, None)
+        self.last_born_by_id[worker_id] = born_ms
+        if len(self.last_born_by_id) > MAX_DEPARTED_WORKERS:
+            del self.last_born_by_id[next(iter(self.last_born_by_id))]
+        return True
+
+    def merge(self, last_born_by_id: Mapping[str, int]) -> bool:
+        """Add what another process has remembered; return whether any of it is new."""
+        added = [self.add(*item) for item in last_born_by_id.items()]
+        return any(added)
+
+    def covers(self, worker: MeshWorker) -> bool:
+        """Return whether this start of a worker is over."""
+        return worker.born_ms <= self.last_born_by_id.get(worker.worker_id, -1)
 
 
 @define
@@ -47,5 +93,8 @@
 
 def has_left(record: HostRecord) -> bool:
     """Return whether the node has stopped after its worker has deregistered."""
-    worker = record.worker
-    return record.is_leaving and worker is not None and worker.state == "gone"
+    if not record.is_leaving:
+        return False
+    if record.worker is None:
+        return bool(record.departed_by_id)
+    return record.worker.state == "gone"
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -1,6 +1,7 @@
 """The application object of a sidecar node, which creates and owns its tasks."""
 
 import sys
+import time
 from collections.abc import Callable
 from functools import partial
 from random import Random
@@ -140,7 +141,7 @@
             self.dialect,
             self.clock,
             self.rule_table.is_allowed,
-            lambda worker: self.hosts.publish(),
+            lambda: self.hosts.publish(),
             CrashReports(settings.host_id, self.clock, self._send_crash_notice),
             self.body_budget,
         )
@@ -245,7 +246,11 @@
             readiness = make_readiness_handler(self.dialect, self.is_ready)
             self._listen(settings.readiness_address, readiness, 0)
             reports = make_report_handler(
-                self.dialect, self.inbound, self.decode_worker, self.clock
+                self.dialect,
+                self.inbound,
+                self.decode_worker,
+                self.clock,
+                lambda: int(time.time() * 1000),
             )
             self._listen(settings.heartbeat_address, reports, MAX_REPORT_BYTES)
             metrics = make_metrics_handler(self.dialect, self.metrics)
--- a/bamboocove/sidecar/hosts.py
+++ b/bamboocove/sidecar/hosts.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, evolve, field
+from attrs import define, field
 
 from bamboocove.coordination.link_selection import LinkSelector
 from bamboocove.coordination.record_repair import (
@@ -27,8 +27,6 @@
 from bamboocove.state.codec import from_plain, to_plain
 from bamboocove.state.mesh import HostRecord
 
-# States from which a worker becomes ready once its health check succeeds.
-RECOVERABLE_STATES = ("ready", "down")
 # Delay after which changed records change the links, in seconds, once there are any.
 # The records of many hosts arrive at the same time after a start, each with a message
 # of its own.
@@ -98,6 +96,7 @@
             self.inbound.is_draining,
             self.inbound.worker,
             settings.link_bytes_per_s,
+            dict(self.inbound.watch.departed.last_born_by_id),
         )
 
     def publish(self) -> None:
@@ -206,11 +205,7 @@
             # must supersede those of the previous one.
             self.incarnation = record.incarnation + 1
             self.publish()
-        worker = record.worker
-        if self.inbound.worker is None and worker is not None:
-            # In state "down" the worker is probed before it gets requests.
-            state = "down" if worker.state in RECOVERABLE_STATES else worker.state
-            self.inbound.update_worker(evolve(worker, state=state, sequence=0))
-        elif worker is not None and worker.state not in RECOVERABLE_STATES:
-            # A report that was sent before the worker left may have come first.
-            self.inbound.watch.end_incarnation(worker)
+        watch = self.inbound.watch
+        watch.merge_departed(record.departed_by_id)
+        if record.worker is not None:
+            watch.adopt(record.worker)
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -62,8 +62,9 @@
     is_version_allowed : callable
         Takes a service and a version; returns whether that version may run
         requests.
-    on_worker : callable
-        Called with the worker when its state has changed.
+    on_change : callable
+        Called without arguments when the worker's state, or what is known of departed
+        workers, has changed.
     crash_reports : CrashReports
         Reports of requests that ran when the worker crashed.
     budget : ByteBudget
@@ -76,7 +77,7 @@
         dialect: Dialect,
         clock: Any,
         is_version_allowed: Callable[[str, str], bool],
-        on_worker: Callable[[MeshWorker], None],
+        on_change: Callable[[], None],
         crash_reports: CrashReports,
         budget: ByteBudget,
     ):
@@ -84,7 +85,7 @@
         self._dialect = dialect
         self._clock = clock
         self._is_version_allowed = is_version_allowed
-        self._on_worker = on_worker
+        self._on_change = on_change
         self.crash_reports = crash_reports
         self.budget = budget
         self._pool = ConnectionPool(clock, CONNECT_TIMEOUT_S, RECEIVE_BUFFER_BYTES)
@@ -100,6 +101,7 @@
             self._on_worker_state,
             self._on_worker_replaced,
             self._on_limit,
+            self._on_change,
         )
         self._responses = WorkerResponses(
             address,
@@ -139,9 +141,9 @@
         """Apply a report of the worker unless it is outdated."""
         return self.watch.update(worker)
 
-    def deregister(self, worker_id: str) -> ReportResult:
-        """Mark the worker as gone after it has deregistered itself."""
-        return self.watch.deregister(worker_id)
+    def deregister(self, worker_id: str, unix_ms: int) -> ReportResult:
+        """Apply that a worker has deregistered itself, at a Unix time in ms."""
+        return self.watch.deregister(worker_id, unix_ms)
 
     def _on_worker_state(self, worker: MeshWorker) -> None:
         self.queue.slots = worker.slots
@@ -149,7 +151,7 @@
         self._responses.forget_timeouts()
         if worker.state != "ready":
             self.refuse_waiting(f"worker is {worker.state}")
-        self._on_worker(worker)
+        self._on_change()
 
     def _on_worker_replaced(self) -> None:
         self.refuse_waiting("worker was replaced")
--- a/bamboocove/sidecar/worker_reports.py
+++ b/bamboocove/sidecar/worker_reports.py
@@ -19,7 +19,11 @@
 
 
 def make_report_handler(
-    dialect: Dialect, inbound: InboundProxy, decode_worker: DecodeWorker, clock: Any
+    dialect: Dialect,
+    inbound: InboundProxy,
+    decode_worker: DecodeWorker,
+    clock: Any,
+    get_unix_ms: Callable[[], int],
 ) -> Handler:
     """Return the handler of status reports and sign-offs of the worker.
 
@@ -36,6 +40,8 @@
         Decodes a worker's report about itself.
     clock : reactor
         Source of time.
+    get_unix_ms : callable
+        Returns the present Unix time in milliseconds.
     """
     started_at = clock.seconds()
 
@@ -47,7 +53,7 @@
             exchange.respond(404, [])
         elif exchange.method == b"DELETE":
             held = inbound.worker
-            result = inbound.deregister(worker_id)
+            result = inbound.deregister(worker_id, get_unix_ms())
             acknowledge(exchange)
             log_report(worker_id, "gone", held, result)
         elif exchange.method == b"PUT":
--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -1,11 +1,12 @@
 """State of the worker on this host, from its reports and from health checks."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from enum import Enum
 from typing import Any
 
-from attrs import define, evolve
+from attrs import define, evolve, field
 
+from bamboocove.coordination.departures import DepartedStarts
 from bamboocove.errors import ErrorResult
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.logs import log
@@ -25,6 +26,8 @@
 # this interval, in seconds, and if it has changed by more than this fraction.
 LIMIT_PUBLISH_INTERVAL_S = 2.0
 LIMIT_TOLERANCE = 0.2
+# States that a start of a worker never leaves again, but for "gone" after "draining".
+LEAVING_STATES = ("draining", "gone")
 
 
 class ReportResult(Enum):
@@ -35,8 +38,8 @@
     OUTDATED = "outdated"
     # A worker that was started later is known on this host.
     EARLIER_START = "earlier start"
-    # The worker that signs off is not the known one.
-    UNKNOWN_WORKER = "unknown worker"
+    # This start of the worker has said before that it leaves.
+    DEPARTED = "departed"
 
 
 @define(eq=False)
@@ -61,10 +64,14 @@
     on_limit : callable
         Called with the requests per second that the worker takes when that has
         changed; 0 for no limit.
+    on_departed : callable
+        Called without arguments when ``departed`` has changed.
     worker : MeshWorker or None
         Last known state of the worker.
     health_path : str
         Path of the worker's health check; without one it is not probed.
+    departed : DepartedStarts
+        Workers that have left, other than the known one.
     """
 
     address: Address
@@ -74,8 +81,10 @@
     on_state: Callable[[MeshWorker], None]
     on_replaced: Callable[[], None]
     on_limit: Callable[[float], None]
+    on_departed: Callable[[], None]
     worker: MeshWorker | None = None
     health_path: str = ""
+    departed: DepartedStarts = field(factory=DepartedStarts)
     _probe_at: float = 0.0
     _is_probing: bool = False
     _published_limit_per_s: float = 0.0
@@ -84,11 +93,15 @@
     def update(self, worker: MeshWorker) -> ReportResult:
         """Apply a report of the worker unless it is outdated."""
         held = self.worker
+        if self.departed.covers(worker):
+            return ReportResult.DEPARTED
         if held is not None:
             result = self._compare(held, worker)
             if result is not ReportResult.APPLIED:
                 return result
             if held.incarnation != worker.incarnation:
+                if held.state in LEAVING_STATES:
+                    self.departed.add(*held.incarnation)
                 self.on_replaced()
             else:
                 # A report does not tell the limit. One that was under way when the
@@ -109,22 +122,52 @@
             return ReportResult.EARLIER_START
         return ReportResult.APPLIED
 
-    def deregister(self, worker_id: str) -> ReportResult:
-        """Mark the worker as gone after it has deregistered itself."""
-        if self.worker is None or self.worker.worker_id != worker_id:
-            return ReportResult.UNKNOWN_WORKER
-        self.set_state("gone")
+    def deregister(self, worker_id: str, unix_ms: int) -> ReportResult:
+        """Apply that a worker has deregistered itself.
+
+        Its reports may come later, or the record of the process before that names it.
+
+        Parameters
+        ----------
+        worker_id : str
+            The worker.
+        unix_ms : int
+            Present Unix time in milliseconds.
+        """
+        if self.worker is not None and self.worker.worker_id == worker_id:
+            self.set_state("gone")
+        elif self.departed.add(worker_id, unix_ms):
+            self.on_departed()
         return ReportResult.APPLIED
 
-    def end_incarnation(self, worker: MeshWorker) -> None:
-        """Apply that a start of the worker is draining or gone, if it is the known one.
+    def adopt(self, worker: MeshWorker) -> None:
+        """Take over the worker that the process before knew.
 
-        A report may have arrived after the one that said so; it does not revive it.
+        A worker that was ready is probed first. One that was leaving has left, even if
+        an earlier report of it has arrived since.
         """
         held = self.worker
-        if held is not None and held.incarnation == worker.incarnation:
-            if held.state != "gone":
-                self.set_state(worker.state)
+        if self.departed.covers(worker):
+            worker = evolve(worker, state="gone")
+        if held is None:
+            state = worker.state if worker.state in LEAVING_STATES else "down"
+            self.worker = evolve(worker, state=state, sequence=0)
+            self._publish_state()
+        elif worker.state not in LEAVING_STATES:
+            return
+        elif held.incarnation != worker.incarnation:
+            if self.departed.add(*worker.incarnation):
+                self.on_departed()
+        elif held.state != "gone":
+            self.set_state(worker.state)
+
+    def merge_departed(self, departed_by_id: Mapping[str, int]) -> None:
+        """Take over the departed workers that the process before knew."""
+        if not self.departed.merge(departed_by_id):
+            return
+        if self.worker is not None and self.departed.covers(self.worker):
+            self.set_state("gone")
+        self.on_departed()
 
     def set_state(self, state: str) -> None:
         """Set the state of the worker; call ``on_state`` if it has changed."""
--- a/bamboocove/state/mesh.py
+++ b/bamboocove/state/mesh.py
@@ -189,6 +189,9 @@
     link_bytes_per_s : int
         Rate of the host's network link. Its node takes offers of large bodies if this
         is not 0; nodes of earlier releases do not.
+    departed_by_id : mapping of str to int
+        Workers that have left and are not ``worker``, or not this start of it, each
+        with the Unix time of its last start that is over, in milliseconds.
     """
 
     host_id: str
@@ -199,6 +202,7 @@
     is_leaving: bool = False
     worker: MeshWorker | None = None
     link_bytes_per_s: int = field(default=0, validator=_IS_COUNT)
+    departed_by_id: Mapping[str, int] = field(factory=dict)
 
     @property
     def age_key(self) -> tuple[int, int]:
--- a/tests/sidecar/test_worker_departure.py
+++ b/tests/sidecar/test_worker_departure.py
@@ -4,7 +4,12 @@
 from attrs import evolve
 from twisted.internet import reactor
 
-from bamboocove.coordination.departures import KEEP_S, DepartedHosts
+from bamboocove.coordination.departures import (
+    KEEP_S,
+    MAX_DEPARTED_WORKERS,
+    DepartedHosts,
+    DepartedStarts,
+)
 from bamboocove.sidecar import shutdown
 from bamboocove.state.mesh import HostRecord, MeshWorker
 from tests.callpath import run_reactor_until
@@ -24,6 +29,16 @@
     mesh.close()
 
 
+def sign_off(host):
+    """Sign the worker off, again while that is not acknowledged."""
+    run_reactor_until(lambda: host.send_report(b"DELETE") == 200)
+
+
+def run_for(seconds):
+    ends_at = reactor.seconds() + seconds
+    run_reactor_until(lambda: reactor.seconds() >= ends_at)
+
+
 def get_state(host):
     worker = host.node.inbound.worker
     return worker and worker.state
@@ -72,6 +87,56 @@
     run_reactor_until(lambda: get_state(host) == "ready")
 
 
+@pytest.mark.parametrize("is_late_report_first", [False, True])
+def test_worker_that_signs_off_at_a_node_that_does_not_know_it_gets_no_request(
+    mesh, is_late_report_first
+):
+    """Guards against an acknowledged sign-off that a node forgets.
+
+    The node takes over the worker from the record of the process before, or from a
+    report that was sent before the sign-off.
+    """
+    caller, leaving, _ = mesh.add("front"), mesh.add("orders"), mesh.add("orders")
+    mesh.settle()
+    stop_at_once(leaving.node)
+    mesh.store.is_down = True
+    leaving.start(incarnation=2000)
+    sign_off(leaving)
+    if is_late_report_first:
+        leaving.report()
+    mesh.store.is_down = False
+    run_reactor_until(lambda: caller.node.fleet.records_by_id["h1"].incarnation == 2000)
+    # Longer than two probes of a worker that is down.
+    run_for(1.2)
+    leaving.report()
+    assert get_state(leaving) in (None, "gone")
+    served_before = len(leaving.requests)
+    assert all(caller.call("/pay/1", "POST")[0] == 200 for _ in range(10))
+    assert len(leaving.requests) == served_before
+
+
+def test_sign_off_of_an_unknown_worker_outlives_a_restart(mesh):
+    """Guards against a worker that is used although its sign-off came first."""
+    (host,) = (mesh.add("orders", is_reported=False),)
+    sign_off(host)
+    run_reactor_until(lambda: "i-h0" in mesh.store.hosts["h0"].departed_by_id)
+    stop_at_once(host.node)
+    host.start(incarnation=2000)
+    run_reactor_until(lambda: mesh.store.hosts["h0"].incarnation == 2000)
+    host.report()
+    assert get_state(host) is None
+
+
+def test_departed_workers_that_a_host_remembers_are_bounded():
+    departed = DepartedStarts()
+    for number in range(3 * MAX_DEPARTED_WORKERS):
+        assert departed.add(f"i-{number}", 5)
+    assert len(departed.last_born_by_id) == MAX_DEPARTED_WORKERS
+    last = 3 * MAX_DEPARTED_WORKERS - 1
+    assert departed.covers(evolve(WORKER, worker_id=f"i-{last}"))
+    assert not departed.covers(evolve(WORKER, worker_id=f"i-{last}", born_ms=6))
+
+
 def test_record_of_a_departed_host_is_removed_after_late_reports_have_come():
     """Guards against a table that grows with each host that has ever run."""
     departed = DepartedHosts()
@@ -79,6 +144,7 @@
         evolve(RECORD, host_id="h2", is_leaving=False),
         evolve(RECORD, host_id="h3", worker=evolve(WORKER, state="draining")),
         evolve(RECORD, host_id="h4", worker=None),
+        evolve(RECORD, host_id="h5", is_leaving=False, departed_by_id={"i-1": 5}),
     ]
     assert departed.find_expired([RECORD, *others], 0.0) == []
     assert departed.find_expired([RECORD, *others], KEEP_S - 1.0) == []
