--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -251,6 +251,7 @@
                 self.decode_worker,
                 self.clock,
                 lambda: int(time.time() * 1000),
+                lambda: self.watch.wait_until_written(self.hosts.get_record().age_key),
             )
             self._listen(settings.heartbeat_address, reports, MAX_REPORT_BYTES)
             metrics = make_metrics_handler(self.dialect, self.metrics)
--- a/bamboocove/sidecar/watch.py
+++ b/bamboocove/sidecar/watch.py
@@ -4,7 +4,7 @@
 from functools import partial
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import deferLater
 
 from bamboocove.coordination.departures import DepartedHosts
@@ -111,6 +111,7 @@
         self._is_running = False
         self._written_age_key: tuple[int, int] | None = None
         self._wakeup: Deferred | None = None
+        self._age_keys_by_waiter: dict[Deferred, tuple[int, int]] = {}
         self._departed_hosts = DepartedHosts()
         self.is_reading = False
         self.watch_answered_at = float("-inf")
@@ -150,6 +151,33 @@
         if wakeup is not None:
             wakeup.callback(None)
 
+    def wait_until_written(self, age_key: tuple[int, int]) -> Deferred:
+        """Wait until the store holds the record of this host, or a newer one.
+
+        Parameters
+        ----------
+        age_key : (int, int)
+            ``age_key`` of the record.
+
+        Returns
+        -------
+        written : Deferred
+            Fires with None. It may be cancelled.
+        """
+        written = self._written_age_key
+        if written is not None and written >= age_key:
+            return succeed(None)
+        waiter = Deferred(lambda waiter: self._age_keys_by_waiter.pop(waiter, None))
+        self._age_keys_by_waiter[waiter] = age_key
+        return waiter
+
+    def _set_written(self, record: HostRecord) -> None:
+        self._written_age_key = record.age_key
+        for waiter, age_key in list(self._age_keys_by_waiter.items()):
+            if age_key <= record.age_key:
+                del self._age_keys_by_waiter[waiter]
+                waiter.callback(None)
+
     def _track_availability(self, result: Any) -> bool:
         """Update and log the availability of the store; return whether it answered."""
         is_failure = isinstance(result, ErrorResult) and result.kind in (
@@ -289,7 +317,7 @@
                 failures += 1
                 continue
             if stored is None:
-                self._written_age_key = record.age_key
+                self._set_written(record)
             else:
                 self._on_hosts([stored])
             return
@@ -302,8 +330,11 @@
                 break
             await self._wait_for_record_change(left_s)
         record = self._get_record()
-        await self._call_until_success(partial(self._store.write_host, record))
-        self._written_age_key = record.age_key
+        written = await self._call_until_success(
+            partial(self._store.write_host, record)
+        )
+        if written is not None:
+            self._set_written(record)
 
     async def _read_hosts(self) -> list[HostRecord]:
         records = await self._call_until_success(self._store.read_hosts)
--- a/bamboocove/sidecar/worker_reports.py
+++ b/bamboocove/sidecar/worker_reports.py
@@ -1,18 +1,25 @@
 """HTTP endpoint at which the worker of this host reports its state and signs off."""
 
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
+from twisted.internet.defer import Deferred
+from twisted.python.failure import Failure
+
 from bamboocove.errors import ErrorResult
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.inbound import InboundProxy
 from bamboocove.sidecar.logs import log
-from bamboocove.sidecar.worker_watch import ReportResult
+from bamboocove.sidecar.worker_watch import LEAVING_STATES, ReportResult
 from bamboocove.state.mesh import MeshWorker
 from bamboocove.transport.exchanges import Exchange
 
 # Worker reports are small.
 MAX_REPORT_BYTES = 64 * 1024
+# Time within which a report that the worker leaves must be in the store, in seconds. A
+# worker waits for the acknowledgement for a second.
+KEEP_TIMEOUT_S = 0.8
 
 DecodeWorker = Callable[[str, bytes], MeshWorker | ErrorResult]
 Handler = Callable[[Exchange], None]
@@ -24,11 +31,14 @@
     decode_worker: DecodeWorker,
     clock: Any,
     get_unix_ms: Callable[[], int],
+    wait_until_kept: Callable[[], Deferred],
 ) -> Handler:
     """Return the handler of status reports and sign-offs of the worker.
 
     A report takes effect before it is acknowledged, so that a draining worker
-    receives no new requests after the acknowledgement.
+    receives no new requests after the acknowledgement. That it leaves is acknowledged
+    only once the next process on this host would know it, too; status 503 says that
+    this was not so in time.
 
     Parameters
     ----------
@@ -42,6 +52,9 @@
         Source of time.
     get_unix_ms : callable
         Returns the present Unix time in milliseconds.
+    wait_until_kept : callable
+        Returns a Deferred that fires once the store holds the present record of this
+        host.
     """
     started_at = clock.seconds()
 
@@ -54,8 +67,9 @@
         elif exchange.method == b"DELETE":
             held = inbound.worker
             result = inbound.deregister(worker_id, get_unix_ms())
-            acknowledge(exchange)
-            log_report(worker_id, "gone", held, result)
+            answer_when_kept(
+                exchange, partial(log_report, worker_id, "gone", held, result, None)
+            )
         elif exchange.method == b"PUT":
             parts: list[bytes] = []
             exchange.receive(
@@ -72,19 +86,36 @@
             return
         held = inbound.worker
         result = inbound.update_worker(worker)
+        log_line = partial(log_report, worker_id, worker.state, held, result, worker)
+        if worker.state in LEAVING_STATES:
+            answer_when_kept(exchange, log_line)
+            return
         acknowledge(exchange)
-        if worker.state != "ready" or result is not ReportResult.APPLIED:
-            log_report(worker_id, worker.state, held, result, worker)
+        if result is not ReportResult.APPLIED:
+            log_line(True)
 
     def acknowledge(exchange: Exchange) -> None:
         exchange.respond(200, [(b"content-type", b"application/json")], b"{}")
 
+    def answer_when_kept(exchange: Exchange, log_line: Callable[[bool], None]) -> None:
+        def on_kept(_: None) -> None:
+            acknowledge(exchange)
+            log_line(True)
+
+        def on_not_kept(_: Failure) -> None:
+            exchange.respond(503, [])
+            log_line(False)
+
+        kept = wait_until_kept().addTimeout(KEEP_TIMEOUT_S, clock)
+        kept.addCallbacks(on_kept, on_not_kept)
+
     def log_report(
         worker_id: str,
         state: str,
         held: MeshWorker | None,
         result: ReportResult,
-        worker: MeshWorker | None = None,
+        worker: MeshWorker | None,
+        is_acknowledged: bool,
     ) -> None:
         log(
             "worker.report",
@@ -97,7 +128,7 @@
             held_state=held.state if held else "",
             held_sequence=held.sequence if held else None,
             held_born=held.born_ms if held else None,
-            is_acknowledged=True,
+            is_acknowledged=is_acknowledged,
             process_age_s=round(clock.seconds() - started_at, 3),
         )
 
--- a/tests/sidecar/test_worker_departure.py
+++ b/tests/sidecar/test_worker_departure.py
@@ -101,10 +101,11 @@
     stop_at_once(leaving.node)
     mesh.store.is_down = True
     leaving.start(incarnation=2000)
-    sign_off(leaving)
+    leaving.send_report(b"DELETE")
     if is_late_report_first:
         leaving.report()
     mesh.store.is_down = False
+    sign_off(leaving)
     run_reactor_until(lambda: caller.node.fleet.records_by_id["h1"].incarnation == 2000)
     # Longer than two probes of a worker that is down.
     run_for(1.2)
@@ -115,6 +116,45 @@
     assert len(leaving.requests) == served_before
 
 
+@pytest.mark.parametrize("state", ["draining", "gone"])
+def test_leaving_is_not_acknowledged_before_the_next_process_would_know_it(
+    mesh, monkeypatch, state
+):
+    """Guards against a sign-off that is forgotten if the node is killed after it.
+
+    The record of the host in the store is all that its next process has.
+    """
+    monkeypatch.setattr("bamboocove.sidecar.worker_reports.KEEP_TIMEOUT_S", 0.3)
+    caller, leaving = mesh.add("front"), mesh.add("orders")
+    mesh.settle()
+
+    def say_that_it_leaves():
+        if state == "gone":
+            return leaving.send_report(b"DELETE")
+        return leaving.report("draining")
+
+    mesh.store.is_down = True
+    assert say_that_it_leaves() == 503
+    # It takes effect all the same.
+    assert get_state(leaving) == state
+    assert caller.call("/pay/1", "POST")[0] == 503
+    mesh.store.is_down = False
+    run_reactor_until(lambda: say_that_it_leaves() == 200)
+    assert mesh.store.hosts["h1"].worker.state == state
+    stop_at_once(leaving.node)
+    leaving.start(incarnation=2000)
+    run_reactor_until(lambda: get_state(leaving) is not None)
+    assert get_state(leaving) == state
+    assert leaving.requests == []
+
+
+def test_ready_worker_is_acknowledged_while_the_store_is_down(mesh):
+    (host,) = (mesh.add("orders"),)
+    mesh.settle()
+    mesh.store.is_down = True
+    assert host.report() == 200
+
+
 def test_sign_off_of_an_unknown_worker_outlives_a_restart(mesh):
     """Guards against a worker that is used although its sign-off came first."""
     (host,) = (mesh.add("orders", is_reported=False),)
