--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -252,6 +252,8 @@
                 self.clock,
                 lambda: int(time.time() * 1000),
                 lambda: self.watch.wait_until_written(self.hosts.get_record().age_key),
+                self.hosts.find_other_host,
+                lambda: self.watch.has_read_hosts,
             )
             self._listen(settings.heartbeat_address, reports, MAX_REPORT_BYTES)
             metrics = make_metrics_handler(self.dialect, self.metrics)
--- a/bamboocove/sidecar/hosts.py
+++ b/bamboocove/sidecar/hosts.py
@@ -128,6 +128,15 @@
         self._is_update_due = False
         self.update_links(self.clock.seconds())
 
+    def find_other_host(self, worker_id: str) -> str:
+        """Return the host, other than this one, that a worker is on; empty if none."""
+        for host_id, record in self.fleet.records_by_id.items():
+            worker = record.worker
+            if worker is not None and worker.worker_id == worker_id:
+                if host_id != self.settings.host_id:
+                    return host_id
+        return ""
+
     def update_links(self, now: float) -> None:
         """Choose the hosts to keep links to, and dial or drop links accordingly."""
         fleet = self.fleet
--- a/bamboocove/sidecar/watch.py
+++ b/bamboocove/sidecar/watch.py
@@ -80,6 +80,8 @@
         of the local clock.
     unavailable_since : float or None
         Since when the store does not answer; None if it does.
+    has_read_hosts : bool
+        Whether the records of all hosts have been read since the start.
     """
 
     def __init__(
@@ -116,6 +118,7 @@
         self.is_reading = False
         self.watch_answered_at = float("-inf")
         self.unavailable_since: float | None = None
+        self.has_read_hosts = False
 
     def start(self) -> None:
         """Start to read and write."""
@@ -340,6 +343,7 @@
         records = await self._call_until_success(self._store.read_hosts)
         if records is not None:
             self._on_hosts(records)
+            self.has_read_hosts = True
         return records or []
 
     async def _remove_departed(self, records: list[HostRecord]) -> None:
--- a/bamboocove/sidecar/worker_reports.py
+++ b/bamboocove/sidecar/worker_reports.py
@@ -32,6 +32,8 @@
     clock: Any,
     get_unix_ms: Callable[[], int],
     wait_until_kept: Callable[[], Deferred],
+    find_other_host: Callable[[str], str],
+    has_read_hosts: Callable[[], bool],
 ) -> Handler:
     """Return the handler of status reports and sign-offs of the worker.
 
@@ -55,6 +57,11 @@
     wait_until_kept : callable
         Returns a Deferred that fires once the store holds the present record of this
         host.
+    find_other_host : callable
+        Takes a worker; returns the host, other than this one, that it is on, or an
+        empty string.
+    has_read_hosts : callable
+        Returns whether the records of all hosts are known.
     """
     started_at = clock.seconds()
 
@@ -65,11 +72,7 @@
         if not path.startswith(prefix) or not worker_id:
             exchange.respond(404, [])
         elif exchange.method == b"DELETE":
-            held = inbound.worker
-            result = inbound.deregister(worker_id, get_unix_ms())
-            answer_when_kept(
-                exchange, partial(log_report, worker_id, "gone", held, result, None)
-            )
+            sign_off(exchange, worker_id)
         elif exchange.method == b"PUT":
             parts: list[bytes] = []
             exchange.receive(
@@ -78,6 +81,24 @@
         else:
             exchange.respond(405, [])
 
+    def sign_off(exchange: Exchange, worker_id: str) -> None:
+        held = inbound.worker
+        is_held = held is not None and held.worker_id == worker_id
+        if not is_held and refuse_if_elsewhere(exchange, worker_id):
+            return
+        result = inbound.deregister(worker_id, get_unix_ms())
+        log_line = partial(log_report, worker_id, "gone", held, result, None)
+        answer_when_kept(exchange, log_line, "" if is_held else worker_id)
+
+    def refuse_if_elsewhere(exchange: Exchange, worker_id: str) -> bool:
+        # The node beside the worker has the last word on its requests.
+        host_id = find_other_host(worker_id)
+        if host_id:
+            reason = f"the worker is on host {host_id}"
+            log("worker.report-refused", worker=worker_id, reason=reason)
+            exchange.respond(404, [], reason.encode())
+        return bool(host_id)
+
     def apply_report(exchange: Exchange, worker_id: str, data: bytes) -> None:
         worker = decode_worker(worker_id, data)
         if isinstance(worker, ErrorResult):
@@ -97,12 +118,20 @@
     def acknowledge(exchange: Exchange) -> None:
         exchange.respond(200, [(b"content-type", b"application/json")], b"{}")
 
-    def answer_when_kept(exchange: Exchange, log_line: Callable[[bool], None]) -> None:
+    def answer_when_kept(
+        exchange: Exchange, log_line: Callable[[bool], None], unknown_id: str = ""
+    ) -> None:
         def on_kept(_: None) -> None:
-            acknowledge(exchange)
-            log_line(True)
+            if unknown_id and not has_read_hosts():
+                refuse()
+            elif not unknown_id or not refuse_if_elsewhere(exchange, unknown_id):
+                acknowledge(exchange)
+                log_line(True)
 
         def on_not_kept(_: Failure) -> None:
+            refuse()
+
+        def refuse() -> None:
             exchange.respond(503, [])
             log_line(False)
 
--- a/tests/sidecar/test_worker_departure.py
+++ b/tests/sidecar/test_worker_departure.py
@@ -148,6 +148,26 @@
     assert leaving.requests == []
 
 
+@pytest.mark.parametrize("has_read_hosts", [False, True])
+def test_sign_off_of_a_worker_of_another_host_is_not_acknowledged(mesh, has_read_hosts):
+    """Guards against a sign-off that the node beside the worker never hears of.
+
+    A node that has just started does not know yet that the worker is on another host.
+    """
+    leaving, other = mesh.add("orders"), mesh.add("orders")
+    mesh.settle()
+    if not has_read_hosts:
+        stop_at_once(other.node)
+        mesh.store.is_down = True
+        other.start(incarnation=2000)
+    other.worker_id = leaving.worker_id
+    assert other.send_report(b"DELETE") == (404 if has_read_hosts else 503)
+    mesh.store.is_down = False
+    run_reactor_until(lambda: other.node.watch.has_read_hosts)
+    assert other.send_report(b"DELETE") == 404
+    assert get_state(leaving) == "ready"
+
+
 def test_ready_worker_is_acknowledged_while_the_store_is_down(mesh):
     (host,) = (mesh.add("orders"),)
     mesh.settle()
