--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -145,6 +145,7 @@
             CrashReports(settings.host_id, self.clock, self._send_crash_notice),
             self.body_budget,
         )
+        self.inbound.watch.is_confirmed = settings.is_first_start
         self.hosts = HostDirectory(
             settings,
             self.fleet,
@@ -198,6 +199,7 @@
             lambda: self.dissemination.get_duty(),
             lambda: self.config.version,
             settings.is_first_start,
+            self.inbound.watch.confirm_reports,
         )
         self.readers = ReaderRole(settings.host_id)
         self.load_reporter = LoadReporter()
--- a/bamboocove/sidecar/watch.py
+++ b/bamboocove/sidecar/watch.py
@@ -70,6 +70,9 @@
         another node.
     is_first_start : bool
         Whether no process ran on this host before, so that the store has no record.
+    on_created : callable, optional
+        Called without arguments once the store holds a record of this host, after
+        ``on_hosts`` was called with that of the process before, if there was one.
 
     Attributes
     ----------
@@ -96,6 +99,7 @@
         get_duty: Callable[[], Duty],
         get_config_version: Callable[[], int],
         is_first_start: bool = False,
+        on_created: Callable[[], None] = lambda: None,
     ):
         self._store = store
         self._clock = clock
@@ -109,6 +113,7 @@
         self._read_version = 0
         self._duty = Duty.NONE
         self._is_first_start = is_first_start
+        self._on_created = on_created
         self._watch_from = 0.0
         self._is_running = False
         self._written_age_key: tuple[int, int] | None = None
@@ -323,6 +328,7 @@
                 self._set_written(record)
             else:
                 self._on_hosts([stored])
+            self._on_created()
             return
 
     async def _write_record(self) -> None:
--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -72,6 +72,10 @@
         Path of the worker's health check; without one it is not probed.
     departed : DepartedStarts
         Workers that have left, other than the known one.
+    is_confirmed : bool
+        Whether all is known that the process before on this host had acknowledged.
+        Until then a report may be an earlier one than that the worker leaves, and the
+        worker is probed before it gets requests.
     """
 
     address: Address
@@ -85,6 +89,8 @@
     worker: MeshWorker | None = None
     health_path: str = ""
     departed: DepartedStarts = field(factory=DepartedStarts)
+    is_confirmed: bool = False
+    _unconfirmed: MeshWorker | None = None
     _probe_at: float = 0.0
     _is_probing: bool = False
     _published_limit_per_s: float = 0.0
@@ -108,11 +114,26 @@
                 # worker said elsewhere that it leaves does not take that back.
                 state = "draining" if held.state == "draining" else worker.state
                 worker = evolve(worker, state=state, limit_per_s=held.limit_per_s)
+        if self._must_probe(held, worker):
+            worker = self._unconfirmed = evolve(worker, state="down")
         self.worker = worker
         if held is None or _get_published_state(held) != _get_published_state(worker):
             self._publish_state()
         return ReportResult.APPLIED
 
+    def _must_probe(self, held: MeshWorker | None, worker: MeshWorker) -> bool:
+        if worker.state != "ready" or self.is_confirmed:
+            return False
+        was_ready = held is not None and held.state == "ready"
+        return not was_ready or held.incarnation != worker.incarnation
+
+    def confirm_reports(self) -> None:
+        """Use the worker as reported: the process before has acknowledged no other."""
+        self.is_confirmed = True
+        if self.worker is not None and self.worker is self._unconfirmed:
+            self.set_state("ready")
+        self._unconfirmed = None
+
     def _compare(self, held: MeshWorker, worker: MeshWorker) -> ReportResult:
         if held.incarnation == worker.incarnation:
             is_newer = worker.sequence > held.sequence and held.state != "gone"
