--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -104,6 +104,8 @@
         if held is not None:
             result = self._compare(held, worker)
             if result is not ReportResult.APPLIED:
+                if worker.state in LEAVING_STATES:
+                    self._keep_leaving(held, worker)
                 return result
             if held.incarnation != worker.incarnation:
                 if held.state in LEAVING_STATES:
@@ -143,6 +145,22 @@
             return ReportResult.EARLIER_START
         return ReportResult.APPLIED
 
+    def _keep_leaving(self, held: MeshWorker, worker: MeshWorker) -> None:
+        """Apply that a start of the worker leaves, whatever its report came after.
+
+        No start of a worker takes that back. The time of its start comes from a clock
+        that may have been set back, so that of two starts of the same worker the
+        earlier one may be the one that runs; a probe shows that.
+        """
+        if held.incarnation == worker.incarnation:
+            if held.state != "gone":
+                self.set_state(worker.state)
+            return
+        if self.departed.add(*worker.incarnation):
+            self.on_departed()
+        if held.worker_id == worker.worker_id:
+            self.mark_down("an earlier start of it leaves")
+
     def deregister(self, worker_id: str, unix_ms: int) -> ReportResult:
         """Apply that a worker has deregistered itself.
 
--- a/tests/sidecar/test_worker_departure.py
+++ b/tests/sidecar/test_worker_departure.py
@@ -197,6 +197,50 @@
     assert leaving.requests == []
 
 
+def test_draining_report_that_comes_after_a_later_report_takes_effect(mesh):
+    """Guards against an acknowledged report that has no effect."""
+    caller, leaving = mesh.add("front"), mesh.add("orders")
+    mesh.settle()
+    leaving.sequence += 5
+    assert leaving.report() == 200
+    leaving.sequence -= 3
+    assert leaving.report("draining") == 200
+    assert get_state(leaving) == "draining"
+    assert caller.call("/pay/1", "POST")[0] == 503
+    leaving.sequence += 5
+    assert leaving.report() == 200
+    assert get_state(leaving) == "draining"
+
+
+def test_draining_report_of_an_earlier_start_outlives_a_late_report_of_it(mesh):
+    """Guards against a start whose leaving was acknowledged and forgotten."""
+    (host,) = (mesh.add("orders"),)
+    mesh.settle()
+    new = host.worker_id, host.born_ms
+    host.worker_id, host.born_ms = "i-old", host.born_ms - 500
+    assert host.report("draining") == 200
+    assert host.node.inbound.worker.incarnation == new
+    assert mesh.store.hosts["h0"].departed_by_id == {"i-old": host.born_ms}
+    # Without the later start, as after a restart.
+    host.node.inbound.watch.worker = None
+    assert host.report() == 200
+    assert get_state(host) is None
+
+
+def test_draining_report_of_a_worker_whose_clock_was_set_back_is_probed(mesh):
+    """Guards against a worker that has started again and whose reports are ignored."""
+    (host,) = (mesh.add("orders"),)
+    mesh.settle()
+    host.born_ms -= 500
+    host.worker.answer = lambda exchange: exchange.respond(
+        503, [(b"x-instance-id", host.worker_id.encode())]
+    )
+    assert host.report("draining") == 200
+    assert get_state(host) == "down"
+    run_for(0.8)
+    assert get_state(host) == "down"
+
+
 def test_ready_worker_is_acknowledged_while_the_store_is_down(mesh):
     (host,) = (mesh.add("orders"),)
     mesh.settle()
