--- a/bamboocove/platform/store.py
+++ b/bamboocove/platform/store.py
@@ -55,6 +55,8 @@
 HOSTS_TABLE = "bamboocove-hosts"
 RULES_TABLE = "bamboocove-rules"
 TRANSACTION_PATH = "/api/rows-tx"
+# Tries of a write whose row has another revision than expected.
+MAX_CONFLICTS = 3
 
 
 class PlatformStore:
@@ -77,6 +79,8 @@
         self._clock = clock
         self._pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
         self.calls = 0
+        # Revisions of the rows of hosts that were written, or found in their place.
+        self._revisions_by_host: dict[str, int] = {}
 
     def close(self) -> None:
         """Close idle connections."""
@@ -135,10 +139,29 @@
         """Read the records of all hosts."""
         return await self._read_records(HOSTS_TABLE, HostRecord, _get_host_id)
 
-    async def write_host(self, record: HostRecord) -> int | ErrorResult:
-        """Write the record of this host; return the new revision of the store."""
-        row = (HOSTS_TABLE, record.host_id, encode(record))
-        return await self._write([], [row], [])
+    async def write_host(self, record: HostRecord) -> int | HostRecord | ErrorResult:
+        """Write the record of this host over the one that this process has seen.
+
+        The store may perform a write whose response was lost after a later one; it has
+        no effect then.
+
+        Returns
+        -------
+        result : int or HostRecord or ErrorResult
+            The new revision of the store; or the record of another process on this
+            host, which was written meanwhile and stays.
+        """
+        for _ in range(MAX_CONFLICTS):
+            revision = self._revisions_by_host.get(record.host_id, 0)
+            result = await self._put_host(record, revision)
+            if not isinstance(result, list):
+                return result
+            for stored in decode_records(result, HostRecord, _get_host_id):
+                if stored.incarnation != record.incarnation:
+                    return stored
+                if stored.age_key >= record.age_key:
+                    return self._revisions_by_host[record.host_id]
+        return ErrorResult(ErrorKind.STORE_UNAVAILABLE, "the row changes all the time")
 
     async def create_host(self, record: HostRecord) -> HostRecord | None | ErrorResult:
         """Write the record of this host unless the store holds one.
@@ -149,28 +172,53 @@
             The record that the store holds instead, usually that of the previous
             process on this host; None if ``record`` was written.
         """
-        row = (HOSTS_TABLE, record.host_id, encode(record))
-        data = format_transaction([(HOSTS_TABLE, record.host_id, 0)], [row], [])
+        result = await self._put_host(record, 0)
+        if isinstance(result, ErrorResult):
+            return result
+        if not isinstance(result, list):
+            return None
+        records = decode_records(result, HostRecord, _get_host_id)
+        if records:
+            return records[0]
+        # The row cannot be read, or was removed meanwhile.
+        written = await self.write_host(record)
+        return written if isinstance(written, HostRecord | ErrorResult) else None
+
+    async def _put_host(
+        self, record: HostRecord, revision: int
+    ) -> int | list[Row] | ErrorResult:
+        """Write a record if the store holds a revision of it, 0 for none.
+
+        Returns
+        -------
+        result : int or list of Row or ErrorResult
+            The new revision of the store, or the row that it holds instead, if any.
+        """
+        host_id = record.host_id
+        data = format_transaction(
+            [(HOSTS_TABLE, host_id, revision)],
+            [(HOSTS_TABLE, host_id, encode(record))],
+            [],
+        )
         response = await self._request(b"POST", TRANSACTION_PATH, data, CALL_TIMEOUT_S)
         if isinstance(response, ErrorResult):
             return response
         if response.status != HTTP_PRECONDITION_FAILED:
-            result = parse_response(response)
-            return result if isinstance(result, ErrorResult) else None
+            document = parse_response(response)
+            if isinstance(document, ErrorResult):
+                return document
+            self._revisions_by_host[host_id] = get_revision(document, 0)
+            return self._revisions_by_host[host_id]
         document = parse_document(response.body)
         rows = [] if isinstance(document, ErrorResult) else parse_rows(document)
-        records = decode_records(rows, HostRecord, _get_host_id)
-        if not records:
-            records = await self._read_records(
-                HOSTS_TABLE, HostRecord, _get_host_id, record.host_id
-            )
-            if isinstance(records, ErrorResult):
-                return records
-        if records:
-            return records[0]
-        # The row cannot be read, or was removed meanwhile.
-        result = await self.write_host(record)
-        return result if isinstance(result, ErrorResult) else None
+        rows = [row for row in rows if row.key == host_id]
+        if not rows:
+            result = await self._read_table(HOSTS_TABLE, host_id)
+            if isinstance(result, ErrorResult):
+                return result
+            rows = result[0]
+        self._revisions_by_host[host_id] = rows[0].revision if rows else 0
+        return rows
 
     async def remove_host(self, record: HostRecord) -> bool | ErrorResult:
         """Remove the record of a host that has left.
--- a/bamboocove/sidecar/store.py
+++ b/bamboocove/sidecar/store.py
@@ -52,8 +52,8 @@
     async def read_hosts(self) -> list[HostRecord] | ErrorResult:
         """Read the records of all hosts."""
 
-    async def write_host(self, record: HostRecord) -> int | ErrorResult:
-        """Write the record of this host."""
+    async def write_host(self, record: HostRecord) -> int | HostRecord | ErrorResult:
+        """Write the record of this host; return that of another process instead."""
 
     async def create_host(self, record: HostRecord) -> HostRecord | None | ErrorResult:
         """Write the record of this host unless there is one; return the stored one."""
--- a/bamboocove/sidecar/watch.py
+++ b/bamboocove/sidecar/watch.py
@@ -342,7 +342,9 @@
         written = await self._call_until_success(
             partial(self._store.write_host, record)
         )
-        if written is not None:
+        if isinstance(written, HostRecord):
+            self._on_hosts([written])
+        elif written is not None:
             self._set_written(record)
 
     async def _read_hosts(self) -> list[HostRecord]:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,6 +12,7 @@
 from bamboocove.platform import store as platform_store
 from bamboocove.platform.standin_store import StoreStandin
 from bamboocove.platform.store import CALL_TIMEOUT_S, WATCH_WAIT_S, PlatformStore
+from bamboocove.state.codec import encode
 from bamboocove.state.mesh import HostRecord, MeshWorker, VersionRule
 from bamboocove.transport.fetching import TransferLimits
 from tests.callpath import run
@@ -100,6 +101,62 @@
     assert run(store.read_hosts()) == [first]
 
 
+def test_write_that_is_performed_late_does_not_replace_a_later_record(standin, store):
+    """Guards against a node that reads again that its worker is ready.
+
+    The store may perform a write seconds after its response was lost.
+    """
+    first = make_record("h", MeshWorker("i-1", "a", "v1", 12, "ready", 1.0, 5, 6))
+    assert run(store.create_host(first)) is None
+    transactions = []
+    apply = standin._apply_transaction
+    standin._apply_transaction = lambda document: (
+        transactions.append(document) or apply(document)
+    )
+    second = evolve(first, sequence=3)
+    standin.fault = "silent"
+    result = run(store.write_host(second))
+    assert result.kind is ErrorKind.STORE_UNKNOWN
+    standin.fault = None
+    assert run(store.write_host(second)) > 0
+    gone = evolve(second, sequence=4, worker=evolve(second.worker, state="gone"))
+    assert run(store.write_host(gone)) > 0
+    # The write without a response was the same as the one after it.
+    assert standin._apply_transaction(transactions[0])[0] == 412
+    assert run(store.read_hosts()) == [gone]
+
+
+def test_write_whose_response_was_lost_is_found_and_the_next_one_succeeds(
+    standin, store
+):
+    record = make_record("h")
+    assert run(store.create_host(record)) is None
+    standin.fault = "lose"
+    record = evolve(record, sequence=3)
+    assert run(store.write_host(record)).kind is ErrorKind.STORE_UNKNOWN
+    standin.fault = None
+    calls = standin.calls
+    assert run(store.write_host(record)) > 0
+    assert run(store.write_host(evolve(record, sequence=4))) > 0
+    assert standin.calls == calls + 2
+    assert run(store.read_hosts()) == [evolve(record, sequence=4)]
+
+
+def test_record_of_another_process_is_returned_and_then_replaced(standin, store):
+    """Guards against a process that overwrites what one before it wrote last."""
+    record = evolve(make_record("h"), incarnation=2)
+    assert run(store.create_host(record)) is None
+    other = make_record("h", MeshWorker("i-1", "a", "v1", 12, "gone", 1.0, 5, 6))
+    standin.put("bamboocove-hosts", "h", encode(other))
+    record = evolve(record, sequence=9)
+    assert run(store.write_host(record)) == other
+    assert run(store.read_hosts()) == [other]
+    assert run(store.write_host(record)) > 0
+    assert run(store.read_hosts()) == [record]
+    standin.put("bamboocove-hosts", "h", None)
+    assert run(store.write_host(evolve(record, sequence=10))) > 0
+
+
 def test_record_that_cannot_be_read_is_replaced(standin, store):
     standin.put("bamboocove-hosts", "h", b"\xff")
     assert run(store.create_host(make_record("h"))) is None
