--- a/bamboocove/platform/standin_worker.py
+++ b/bamboocove/platform/standin_worker.py
@@ -8,6 +8,7 @@
 from zlib import crc32
 
 from attrs import define, field, frozen
+from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
 from bamboocove.errors import ErrorResult
@@ -180,6 +181,10 @@
 
     def report(self) -> None:
         """Send the status of this worker to the node."""
+        self.send_report(self.make_report())
+
+    def make_report(self) -> bytes:
+        """Return the next report of this worker."""
         self.sequence += 1
         document = {
             "address": "{}:{}".format(*self.announced_address),
@@ -196,27 +201,39 @@
                 "coldRemainingS": 0,
             },
         }
-        self._send(b"PUT", json.dumps(document).encode())
+        return json.dumps(document).encode()
+
+    def send_report(self, body: bytes) -> None:
+        """Send a report to the node, perhaps later than it was made."""
+        self._send(b"PUT", body)
+
+    def sign_off(self) -> Deferred:
+        """Tell the node that this worker will not return; fires after the answer."""
+        return self._send(b"DELETE", b"")
 
-    def sign_off(self) -> None:
-        """Tell the node that this worker will not return."""
-        self._send(b"DELETE", b"")
+    def leave(self) -> Deferred:
+        """Sign off without having drained, and serve on until stopped."""
+        if self._reporter.running:
+            self._reporter.stop()
+        self.state = "leaving"
+        return self.sign_off()
 
     def drain(self) -> None:
         """Report that this worker is about to leave."""
         self.state = "draining"
         self.report()
 
-    def _send(self, method: bytes, body: bytes) -> None:
+    def _send(self, method: bytes, body: bytes) -> Deferred:
         target = DIALECT.worker_path + self.worker_id.encode()
         data = format_request(method, target, self.report_address, [], body)
         state = self.state
         done = Fetch(self.pool, self.report_address, data).start(REPORT_TIMEOUT_S)
-        done.addCallback(self._handle_report_result, state)
+        return done.addCallback(self._handle_report_result, state)
 
     def _handle_report_result(self, result: Any, state: str) -> None:
         is_accepted = not isinstance(result, ErrorResult) and result.status == 200
-        if is_accepted and state == "draining" and not self.acknowledged_at:
+        is_leaving = state in ("draining", "leaving")
+        if is_accepted and is_leaving and not self.acknowledged_at:
             self.acknowledged_at = self.clock.seconds()
 
     def _receive(self, exchange: Exchange) -> None:
@@ -254,7 +271,7 @@
         if self.limit_per_s:
             self.limit_named_at = self.limit_named_at or self.clock.seconds()
             fields.append((LIMIT_FIELD, b"%.2f" % self.limit_per_s))
-        if self.state == "draining":
+        if self.state in ("draining", "leaving"):
             fields.append((LEAVING_FIELD, b"1"))
         return fields
 
--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -34,6 +34,12 @@
 # Time for which a worker goes on serving after its drain is acknowledged.
 DRAIN_S = 3.0
 WORKER_RESTART_DELAY_S = 1.0
+# How late the last report of a worker arrives that signs off.
+LATE_REPORT_S = 2.5
+# Pause after a sign-off that is not acknowledged, and for how long it is repeated. The
+# pause is short so that one meets a node that has just opened its ports.
+SIGN_OFF_INTERVAL_S = 0.005
+SIGN_OFF_S = 5.0
 # Rows that another writer left among those of the hosts and the operator.
 ODD_ROWS_BY_KEY = {
     "nested": b'{"a":' * 10_000,
@@ -210,6 +216,31 @@
         if host.worker is worker:
             self.replace_worker(host, worker.version, WORKER_RESTART_DELAY_S)
 
+    async def sign_off_worker(self, host: Host, delay_s: float) -> None:
+        """Sign the worker of a host off while its node starts again, then replace it.
+
+        The last report that it sent before arrives late.
+        """
+        worker = host.worker
+        report = worker.make_report()
+        await deferLater(self.clock, delay_s)
+        give_up_at = self.clock.seconds() + SIGN_OFF_S
+        while host.worker is worker and not worker.acknowledged_at:
+            if self.clock.seconds() >= give_up_at:
+                break
+            await worker.leave()
+            await deferLater(self.clock, SIGN_OFF_INTERVAL_S)
+        await deferLater(self.clock, LATE_REPORT_S)
+        if host.worker is not worker:
+            return
+        worker.send_report(report)
+        await deferLater(self.clock, DRAIN_S)
+        if worker.acknowledged_at:
+            drain = AcknowledgedDrain(worker.worker_id, worker.acknowledged_at)
+            self.journal.drains.append(drain)
+        if host.worker is worker:
+            self.replace_worker(host, worker.version, WORKER_RESTART_DELAY_S)
+
     def end_limit(self, host: Host, worker: WorkerStandin) -> None:
         """Have a worker name its rate limit no longer, and record the limit."""
         if worker.limit_named_at:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -30,6 +30,9 @@
 MIN_LIMIT_PER_S, MAX_LIMIT_PER_S = 0.5, 4.0
 STORE_ERROR_STATUSES = (429, 503)
 PLANNED_KINDS = ("stop", "stop", "stop", "hang_up", "drain_worker", "change_config")
+# Workers that sign off as their node starts again: how many, and when after the kill.
+SIGN_OFFS = 3
+MAX_SIGN_OFF_DELAY_S = 1.5
 # When a node gets no processor after it was told to stop, and for how long.
 STARVE_WITHIN_S = 2.4
 MAX_STARVE_S = 1.0
@@ -136,6 +139,22 @@
     ]
 
 
+def plan_sign_offs(random: Random, duration_s: float) -> list[FaultEvent]:
+    """Return the events of a run in which workers sign off as their node starts again.
+
+    They have a source of their own, so that kept seeds play the same faults.
+    """
+    return [
+        FaultEvent(
+            random.uniform(0.0, 0.6 * duration_s),
+            "sign_off_worker",
+            random.uniform(0.0, MAX_SIGN_OFF_DELAY_S),
+            random.random(),
+        )
+        for _ in range(SIGN_OFFS)
+    ]
+
+
 def inject_fault(cluster: Cluster, event: FaultEvent) -> None:
     """Inject the fault of one event now."""
     hosts = list(cluster.hosts_by_id.values())
@@ -308,6 +327,15 @@
         run_logged(cluster.drain_worker(host))
 
 
+def _sign_off_worker(cluster: Cluster, host: Host, event: FaultEvent) -> None:
+    if host.worker.state != "ready":
+        return
+    _kill(cluster, host, event)
+    subject = f"worker of {host.host_id}"
+    cluster.record_disruption("sign_off_worker", subject, 1.0, is_planned=True)
+    run_logged(cluster.sign_off_worker(host, event.duration_s))
+
+
 def _change_config(cluster: Cluster, host: Host, event: FaultEvent) -> None:
     cluster.record_disruption("change_config", "operator", 0.1, is_planned=True)
     cluster.change_config()
@@ -332,8 +360,13 @@
     "change_config": _change_config,
 }
 
-# Kinds that are planned apart from those above, see ``plan_limits``, ``plan_work``.
-SEPARATE_INJECTORS_BY_KIND = {"limit_worker": _limit_worker, "starve": _starve}
+# Kinds that are planned apart from those above, see ``plan_limits``,
+# ``plan_sign_offs`` and ``plan_work``.
+SEPARATE_INJECTORS_BY_KIND = {
+    "limit_worker": _limit_worker,
+    "sign_off_worker": _sign_off_worker,
+    "starve": _starve,
+}
 
 
 async def roll_out_version(
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
     inject_fault,
     plan_faults,
     plan_limits,
+    plan_sign_offs,
     plan_work,
     roll_out_version,
 )
@@ -127,6 +128,8 @@
     else:
         events = plan_faults(random, options.duration_s, series_random)
         events += plan_limits(Random(f"{options.seed}/limits"), options.duration_s)
+        sign_off_random = Random(f"{options.seed}/sign-offs")
+        events += plan_sign_offs(sign_off_random, options.duration_s)
     rollout_at = random.uniform(0.0, 0.6) * options.duration_s
     cluster.start_store()
     for number in range(options.hosts):
