--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -165,6 +165,7 @@
         """Apply that a worker has deregistered itself.
 
         Its reports may come later, or the record of the process before that names it.
+        Also if it is known, since a later start of it may be the one that signs off.
 
         Parameters
         ----------
@@ -173,9 +174,12 @@
         unix_ms : int
             Present Unix time in milliseconds.
         """
+        is_new = self.departed.add(worker_id, unix_ms)
         if self.worker is not None and self.worker.worker_id == worker_id:
-            self.set_state("gone")
-        elif self.departed.add(worker_id, unix_ms):
+            if self.worker.state != "gone":
+                self.set_state("gone")
+                return ReportResult.APPLIED
+        if is_new:
             self.on_departed()
         return ReportResult.APPLIED
 
