--- a/bamboocove/coordination/departures.py
+++ b/bamboocove/coordination/departures.py
@@ -14,13 +14,15 @@
 # Time for which a record stays after its host has left, in seconds. Reports are at
 # most some seconds late.
 KEEP_S = 60.0
+# States that a start of a worker never leaves again, but for "gone" after "draining".
+LEAVING_STATES = ("draining", "gone")
 # Departed workers that a host remembers, the latest ones.
 MAX_DEPARTED_WORKERS = 16
 
 
 @define
 class DepartedStarts:
-    """Starts of the workers of one host that have announced that they leave.
+    """Starts of workers that have announced that they leave.
 
     A sign-off names the worker but not its start. If the worker is not known, all
     starts up to the sign-off are over; a later one holds a new worker.
@@ -29,9 +31,12 @@
     ----------
     last_born_by_id : dict of str to int
         Unix time of the last start that is over, in milliseconds, by worker.
+    capacity : int
+        Number of workers that are remembered, the latest ones.
     """
 
     last_born_by_id: dict[str, int] = field(factory=dict)
+    capacity: int = MAX_DEPARTED_WORKERS
 
     def add(self, worker_id: str, born_ms: int) -> bool:
         """Remember that the starts up to a time are over; return whether it is new.
@@ -46,7 +51,7 @@
             return False
         self.last_born_by_id.pop(worker_id, None)
         self.last_born_by_id[worker_id] = born_ms
-        if len(self.last_born_by_id) > MAX_DEPARTED_WORKERS:
+        if len(self.last_born_by_id) > self.capacity:
             del self.last_born_by_id[next(iter(self.last_born_by_id))]
         return True
 
--- a/bamboocove/sidecar/fleet.py
+++ b/bamboocove/sidecar/fleet.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from bamboocove.coordination.departures import LEAVING_STATES, DepartedStarts
 from bamboocove.coordination.link_selection import LinkCandidate, LinkChoice
 from bamboocove.coordination.placement import HostView, QueueReport
 from bamboocove.sidecar.logs import log
@@ -16,6 +17,9 @@
 # Time after which an unreachable host is replaced by another one among the links of
 # this node, in seconds. Most interruptions of a link are shorter.
 LOST_AFTER_S = 3.0
+# Workers of all hosts that are known to leave, the latest ones. More than a release of
+# all workers of the largest fleet takes.
+MAX_DEPARTED_WORKERS = 8192
 # Time for which a host is suspended after one sign that it does not answer, in
 # seconds; repeated while it stays unresponsive.
 SUSPEND_S = 0.4
@@ -34,12 +38,18 @@
         Identifier of this host.
     digest : int
         Checksum of all records, equal on nodes with equal records.
+    departed : DepartedStarts
+        Workers that leave. A later record does not revive one: the node of its host may
+        have started again without knowing.
     """
 
     own_id: str
     records_by_id: dict[str, HostRecord] = field(factory=dict)
     views_by_id: dict[str, HostView] = field(factory=dict)
     digest: int = 0
+    departed: DepartedStarts = field(
+        factory=lambda: DepartedStarts(capacity=MAX_DEPARTED_WORKERS)
+    )
     _selected_ids: set[str] = field(factory=set)
     _target_ids: set[str] = field(factory=set)
     _connected_ids: set[str] = field(factory=set)
@@ -63,8 +73,13 @@
     def _update_view(self, record: HostRecord, now: float) -> None:
         worker = record.worker
         view = self.views_by_id.get(record.host_id)
+        if worker is not None and worker.state in LEAVING_STATES:
+            self.departed.add(*worker.incarnation)
         is_usable = (
-            worker is not None and worker.state == "ready" and not record.is_leaving
+            worker is not None
+            and worker.state == "ready"
+            and not record.is_leaving
+            and not self.departed.covers(worker)
         )
         if not is_usable:
             self.views_by_id.pop(record.host_id, None)
--- a/bamboocove/sidecar/worker_reports.py
+++ b/bamboocove/sidecar/worker_reports.py
@@ -7,11 +7,12 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
+from bamboocove.coordination.departures import LEAVING_STATES
 from bamboocove.errors import ErrorResult
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.inbound import InboundProxy
 from bamboocove.sidecar.logs import log
-from bamboocove.sidecar.worker_watch import LEAVING_STATES, ReportResult
+from bamboocove.sidecar.worker_watch import ReportResult
 from bamboocove.state.mesh import MeshWorker
 from bamboocove.transport.exchanges import Exchange
 
--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -6,7 +6,7 @@
 
 from attrs import define, evolve, field
 
-from bamboocove.coordination.departures import DepartedStarts
+from bamboocove.coordination.departures import LEAVING_STATES, DepartedStarts
 from bamboocove.errors import ErrorResult
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.logs import log
@@ -26,8 +26,6 @@
 # this interval, in seconds, and if it has changed by more than this fraction.
 LIMIT_PUBLISH_INTERVAL_S = 2.0
 LIMIT_TOLERANCE = 0.2
-# States that a start of a worker never leaves again, but for "gone" after "draining".
-LEAVING_STATES = ("draining", "gone")
 
 
 class ReportResult(Enum):
--- a/tests/sidecar/test_worker_departure.py
+++ b/tests/sidecar/test_worker_departure.py
@@ -253,6 +253,30 @@
     assert get_state(host) == "down"
 
 
+def test_host_that_forgets_that_its_worker_leaves_gets_no_request_for_it(mesh):
+    """Guards against requests from hosts that had been told that the worker leaves.
+
+    Its answers say so, the node beside it is killed before its record is written, and
+    a late report makes the worker ready there.
+    """
+    caller, leaving, _ = mesh.add("front"), mesh.add("orders"), mesh.add("orders")
+    mesh.settle()
+    written = mesh.store.hosts["h1"]
+    leaving.node.inbound.watch.set_state("draining")
+    records_by_id = caller.node.fleet.records_by_id
+    run_reactor_until(lambda: records_by_id["h1"].worker.state == "draining")
+    stop_at_once(leaving.node)
+    mesh.store.hosts["h1"] = written
+    leaving.start(incarnation=2000)
+    assert leaving.report() == 200
+    run_reactor_until(lambda: records_by_id["h1"].incarnation == 2000)
+    run_reactor_until(lambda: records_by_id["h1"].worker.state == "ready")
+    run_reactor_until(lambda: caller.node.fleet.is_reachable("h1"))
+    served_before = len(leaving.requests)
+    assert all(caller.call("/pay/1", "POST")[0] == 200 for _ in range(10))
+    assert len(leaving.requests) == served_before
+
+
 def test_ready_worker_is_acknowledged_while_the_store_is_down(mesh):
     (host,) = (mesh.add("orders"),)
     mesh.settle()
