--- a/bamboocove/coordination/departures.py
+++ b/bamboocove/coordination/departures.py
@@ -24,13 +24,13 @@
 class DepartedStarts:
     """Starts of workers that have announced that they leave.
 
-    A sign-off names the worker but not its start. If the worker is not known, all
-    starts up to the sign-off are over; a later one holds a new worker.
+    A sign-off names the worker but not its start, so all starts up to it are over. A
+    worker may start again under its identifier afterwards.
 
     Parameters
     ----------
     last_born_by_id : dict of str to int
-        Unix time of the last start that is over, in milliseconds, by worker.
+        Unix time up to which the starts of a worker are over, in milliseconds.
     capacity : int
         Number of workers that are remembered, the latest ones.
     """
--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -69,7 +69,7 @@
     health_path : str
         Path of the worker's health check; without one it is not probed.
     departed : DepartedStarts
-        Workers that have left, other than the known one.
+        Starts of workers on this host that are over.
     is_confirmed : bool
         Whether all is known that the process before on this host had acknowledged.
         Until then a report may be an earlier one than that the worker leaves, and the
--- a/bamboocove/state/mesh.py
+++ b/bamboocove/state/mesh.py
@@ -190,8 +190,8 @@
         Rate of the host's network link. Its node takes offers of large bodies if this
         is not 0; nodes of earlier releases do not.
     departed_by_id : mapping of str to int
-        Workers that have left and are not ``worker``, or not this start of it, each
-        with the Unix time of its last start that is over, in milliseconds.
+        Workers of this host that have left, the latest ones, each with the Unix time up
+        to which its starts are over, in milliseconds.
     """
 
     host_id: str
