Divide the outbound proxy; add client accounts to the configuration

Responses to callers (Responder) and requests at silent or lost hosts (SilentHosts) are modules of their own now, behaviour unchanged; two tests name the moved methods.

--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -6,9 +6,7 @@
 from bamboocove.coordination.body_queue import may_keep
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.placement import (
-    HostView,
     QueueReport,
-    compute_retry_after,
     estimate_wait,
     pick_host,
 )
@@ -35,7 +33,6 @@
 )
 from bamboocove.sidecar.attempts import Attempt, AttemptTable
 from bamboocove.sidecar.body_receiver import BodyReceiver
-from bamboocove.sidecar.body_writer import send_body
 from bamboocove.sidecar.candidates import CandidateSelector
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.error_responses import send_error
@@ -52,8 +49,10 @@
     log_open_at_stop,
     log_repeated,
 )
+from bamboocove.sidecar.outbound_responses import Responder
 from bamboocove.sidecar.rules import RuleTable
 from bamboocove.sidecar.settings import HostSettings
+from bamboocove.sidecar.silent_hosts import SilentHosts
 from bamboocove.transport.exchanges import Exchange
 from bamboocove.transport.framing import get_header
 
@@ -124,7 +123,7 @@
             budget,
             clock,
             self._place,
-            self._respond_with_error,
+            lambda *args: self.responder.respond_with_error(*args),
             random,
             lambda: self.router.config.max_body_bytes,
         )
@@ -133,9 +132,32 @@
         self._attempts = AttemptTable(
             lambda: self.settings, fleet, inbound, hub, self.on_reply, budget
         )
-        self._requests: set[OutboundRequest] = set()
         self.crashes = CrashTable()
         self.budgets = RetryBudgets()
+        self.responder = Responder(
+            self.router,
+            self._attempts,
+            self.crashes,
+            budget,
+            metrics,
+            clock,
+            random,
+            self._body_receiver.release,
+        )
+        self._requests = self.responder.requests
+        self._silent_hosts = SilentHosts(
+            self._attempts,
+            fleet,
+            self.budgets,
+            budget,
+            self.responder,
+            self._dispatch,
+            self._candidates.select,
+            self._may_retry,
+            self._on_lost,
+        )
+        self.on_host_lost = self._silent_hosts.on_host_lost
+        self.on_host_suspect = self._silent_hosts.on_host_suspect
 
     @property
     def in_flight(self) -> int:
@@ -146,7 +168,9 @@
         """Handle a request of a caller."""
         request = self.router.accept(exchange, self._clock.seconds())
         if isinstance(request, ErrorResult):
-            status = send_error(exchange, request, self._get_retry_after(request))
+            status = send_error(
+                exchange, request, self.responder.get_retry_after(request)
+            )
             self._metrics.count_failed_request(request.kind.value)
             log(
                 "request.refused",
@@ -172,10 +196,9 @@
 
     def refuse_unsent(self) -> None:
         """Refuse the open requests that no worker can have got; the node will stop."""
-        self._end_requests([r for r in self._requests if not self._may_be_sent(r)])
-
-    def _may_be_sent(self, request: OutboundRequest) -> bool:
-        return request.may_have_run or self._attempts.has_sent(request)
+        self._end_requests(
+            [r for r in self._requests if not self.responder.may_be_sent(r)]
+        )
 
     def _end_requests(self, requests: list[OutboundRequest]) -> None:
         now = self._clock.seconds()
@@ -183,24 +206,10 @@
             if request.is_ended:
                 continue
             try:
-                log_open_at_stop(request, self._may_be_sent(request), now)
-                self._respond_stopping(request)
+                log_open_at_stop(request, self.responder.may_be_sent(request), now)
+                self.responder.respond_stopping(request)
             except Exception:
-                self._end_failed(request)
-
-    def _respond_stopping(self, request: OutboundRequest) -> None:
-        request.exchange.close_connection()
-        if self._may_be_sent(request):
-            reason = "the node stops before the answer has arrived"
-            error = ErrorResult(ErrorKind.UPSTREAM_LOST, reason)
-        else:
-            error = ErrorResult(ErrorKind.DRAINING, "the node is stopping")
-        self._respond_with_error(request, error, self._get_retry_after(error))
-
-    def _get_retry_after(self, error: ErrorResult) -> float:
-        if error.kind in (ErrorKind.NOT_READY, ErrorKind.DRAINING):
-            return UNAVAILABLE_RETRY_AFTER_S * (0.5 + self._random())
-        return 0.0
+                self.responder.end_failed(request)
 
     def _on_closed(self, request: OutboundRequest, error: ErrorResult) -> None:
         """Cancel a request that its connection has ended."""
@@ -219,7 +228,7 @@
                 host=request.host_id,
             )
         self._metrics.count_failed_request(error.kind.value)
-        self._finish(request)
+        self.responder.finish(request)
 
     # Placement of requests on hosts.
 
@@ -230,17 +239,19 @@
         request.received_at = now
         is_internal = request.priority == INTERNAL_PRIORITY
         if not self.router.may_take(request.route, now, request.deadline, is_internal):
-            self._respond_stopping(request)
+            self.responder.respond_stopping(request)
             return
         self.budgets.earn(request.service)
         if request.deadline - now < MIN_ATTEMPT_S:
-            self._refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, "no time is left")
+            self.responder.refuse(
+                request, ErrorKind.DEADLINE_BEFORE_DISPATCH, "no time is left"
+            )
             return
         if self.crashes.has_suspects(now):
             request.fingerprint = identify_request(request, self.settings.service)
             if self.crashes.is_blocked(request.fingerprint, now):
                 reason = "workers were lost while they ran this request"
-                self._refuse(request, ErrorKind.SUSPECT_REQUEST, reason)
+                self.responder.refuse(request, ErrorKind.SUSPECT_REQUEST, reason)
                 return
         self._dispatch(request, now)
 
@@ -252,7 +263,7 @@
         if now >= self.router.drain_window.end_at:
             # A host that was silent may still answer, until the node stops.
             if request.earlier_attempt is None:
-                self._respond_stopping(request)
+                self.responder.respond_stopping(request)
             return
         while True:
             views = self._candidates.select(request)
@@ -269,7 +280,7 @@
                     request.excluded_host_ids,
                 )
             if view is None:
-                self._refuse_unplaced(request, views)
+                self.responder.refuse_unplaced(request, views)
                 return
             request.hosts_tried += 1
             request.passed_at = now
@@ -290,14 +301,6 @@
         """Keep a part of a large reply."""
         self._attempts.take_reply_part(part)
 
-    def _withdraw(self, attempt: Attempt, now: float) -> None:
-        """Place a request that its host has not got on another one."""
-        request = attempt.request
-        self._attempts.cancel(attempt)
-        request.excluded_host_ids.add(attempt.host_id)
-        request.last_reason = "host does not answer"
-        self._dispatch(request, now)
-
     # Replies and failures of hosts.
 
     def on_reply(self, reply: Reply) -> None:
@@ -314,15 +317,10 @@
             self._handle_reply(attempt, reply)
         except Exception:
             # Nothing else would end the request before its deadline.
-            self._end_failed(attempt.request)
+            self.responder.end_failed(attempt.request)
         finally:
             self._budget.release_unread(size)
 
-    def _end_failed(self, request: OutboundRequest) -> None:
-        request.exchange.fail()
-        if request in self._requests:
-            self._finish(request)
-
     def _handle_reply(self, attempt: Attempt, reply: Reply) -> None:
         now = self._clock.seconds()
         request = attempt.request
@@ -337,7 +335,7 @@
         if request.is_ended:
             return
         if is_earlier:
-            self._on_earlier_reply(attempt, reply, now)
+            self._silent_hosts.on_earlier_reply(attempt, reply, now)
             return
         if reply.outcome == ANSWERED:
             self._on_answered(request, reply, now)
@@ -351,59 +349,9 @@
             reason = reply.body.decode("latin-1")
             self._on_lost(request, reason, now, reply.outcome == CRASHED)
         elif reply.outcome == TIMED_OUT:
-            self._fail(request, ErrorKind.DEADLINE_AFTER_DISPATCH, "no answer in time")
-
-    def _on_earlier_reply(self, attempt: Attempt, reply: Reply, now: float) -> None:
-        """Handle the reply of a host that was silent for some time."""
-        request = attempt.request
-        if reply.outcome == TIMED_OUT and request.attempt is None:
-            self._fail(request, ErrorKind.DEADLINE_AFTER_DISPATCH, "no answer in time")
-            return
-        if reply.outcome in (REFUSED, WRONG_WORKER, SHED):
-            reason = reply.body.decode("latin-1")
-            self._on_earlier_refused(request, reason, now, reply.outcome == SHED)
-            return
-        if reply.outcome != ANSWERED:
-            self._on_earlier_lost(request)
-            return
-        if (
-            reply.status >= 500
-            and request.attempt is not None
-            and may_keep(self._budget, len(reply.body))
-        ):
-            self._keep_fallback(request, reply)
-            return
-        request.host_id = attempt.host_id
-        request.view = attempt.view
-        self._deliver(request, reply, now)
-
-    def _on_earlier_refused(
-        self, request: OutboundRequest, reason: str, now: float, is_shed: bool = False
-    ) -> None:
-        """Place a request again that a host, silent for some time, has not run.
-
-        One that its worker has shed is placed again as a retry.
-        """
-        if not is_shed:
-            request.sent -= 1
-        request.last_reason = reason or "the worker did not take the request"
-        if request.attempt is not None:
-            return
-        if request.may_have_run:
-            self._fail(request, ErrorKind.UPSTREAM_LOST, request.last_reason)
-        elif not is_shed:
-            self._dispatch(request, now)
-        elif self._may_retry(request, now) and self.budgets.spend(request.service):
-            request.hosts_tried = 1
-            self._dispatch(request, now)
-        else:
-            self._refuse_unplaced(request, self._candidates.select(request))
-
-    def _on_earlier_lost(self, request: OutboundRequest) -> None:
-        request.may_have_run = True
-        if request.attempt is None:
-            reason = "the host was silent and did not answer"
-            self._fail(request, ErrorKind.UPSTREAM_LOST, reason)
+            self.responder.fail(
+                request, ErrorKind.DEADLINE_AFTER_DISPATCH, "no answer in time"
+            )
 
     def _on_answered(self, request: OutboundRequest, reply: Reply, now: float) -> None:
         request.sent += 1
@@ -417,44 +365,11 @@
             log_repeated(request, request.host_id, status=reply.status)
             request.excluded_host_ids.add(request.host_id)
             # Delivered if no further attempt succeeds.
-            self._keep_fallback(request, reply)
+            self.responder.keep_fallback(request, reply)
             request.hosts_tried = 1
             self._dispatch(request, now)
             return
-        self._deliver(request, reply, now)
-
-    def _keep_fallback(self, request: OutboundRequest, reply: Reply) -> None:
-        if request.fallback_reply is not None:
-            self._budget.release(len(request.fallback_reply.body))
-        self._budget.pass_on(len(reply.body))
-        request.fallback_reply = reply
-
-    def _deliver(self, request: OutboundRequest, reply: Reply, now: float) -> None:
-        seconds = now - request.started_at
-        self._metrics.record_response(request.route.name, reply.status, seconds)
-        if request.fingerprint and reply.status < FIRST_SERVER_ERROR:
-            self.crashes.clear(request.fingerprint)
-        log(
-            "request.answered",
-            id=request.attempt_id,
-            status=reply.status,
-            route=request.route.name,
-            host=request.host_id,
-            version=request.view.version,
-            asked=request.hosts_tried,
-            sent=request.sent,
-            seconds=round(seconds, 4),
-            received_s=request.get_age(request.received_at),
-            passed_s=request.get_age(request.passed_at),
-            service_ms=reply.service_ms,
-            config=self.router.config.version,
-        )
-        exchange = request.exchange
-        exchange.on_closed = None
-        self._finish(request)
-        headers = [tuple(item) for item in reply.headers]
-        exchange.start(reply.status, headers, len(reply.body))
-        send_body(exchange, reply.body, self._budget, self._clock)
+        self.responder.deliver(request, reply, now)
 
     def _on_refused(self, request: OutboundRequest, reply: Reply, now: float) -> None:
         request.last_reason = reply.body.decode("latin-1")
@@ -477,7 +392,7 @@
             request.hosts_tried = 1
             self._dispatch(request, now)
         else:
-            self._refuse_unplaced(request, self._candidates.select(request))
+            self.responder.refuse_unplaced(request, self._candidates.select(request))
 
     def _may_retry(self, request: OutboundRequest, now: float) -> bool:
         return may_retry(
@@ -502,67 +417,13 @@
             request.hosts_tried = 1
             self._dispatch(request, now)
             return
-        self._fail(request, ErrorKind.UPSTREAM_LOST, reason)
+        self.responder.fail(request, ErrorKind.UPSTREAM_LOST, reason)
 
     def record_crashes(self, notice: CrashNotice, now: float) -> None:
         """Record the suspects of a crash that callers of this service may send."""
         for fingerprint in notice.fingerprints_by_caller.get(self.settings.service, ()):
             self.crashes.record(fingerprint.hex(), notice.host_id, now)
 
-    def on_host_lost(self, host_id: str, now: float, has_replied: bool = False) -> None:
-        """Retry or fail the requests in flight to a host whose link was lost.
-
-        Parameters
-        ----------
-        host_id : str
-            The host.
-        now : float
-            Seconds of the local clock.
-        has_replied : bool
-            Whether the host has replied to all requests that it had read. It has not
-            read the others, which are placed on other hosts.
-        """
-        for attempt in self._attempts.find(host_id):
-            request = attempt.request
-            is_unread = has_replied and attempt.reply_size is None
-            is_earlier = attempt is request.earlier_attempt
-            if attempt.is_offered or is_unread and not is_earlier:
-                self._withdraw(attempt, now)
-                continue
-            self._attempts.close(attempt)
-            if is_earlier and is_unread:
-                self._on_earlier_refused(request, "the host stopped", now)
-            elif is_earlier:
-                self._on_earlier_lost(request)
-            else:
-                request.sent += 1
-                self._on_lost(request, "the host was lost", now)
-
-    def on_host_suspect(self, host_id: str, now: float) -> None:
-        """Send idempotent requests of an unresponsive host to other hosts, too.
-
-        The host may only be slow to answer, and its worker is at work on them. The
-        first answer counts; without another host that takes a request, its answer is
-        awaited.
-        """
-        self._fleet.suspend(host_id, now)
-        for attempt in self._attempts.find(host_id):
-            request = attempt.request
-            if attempt.is_offered:
-                self._withdraw(attempt, now)
-                continue
-            if not request.route.is_idempotent or request.earlier_attempt is not None:
-                continue
-            request.sent += 1
-            if self._may_retry(request, now) and self.budgets.spend(request.service):
-                request.earlier_attempt, request.attempt = attempt, None
-                request.excluded_host_ids.add(host_id)
-                request.hosts_tried = 1
-                log_repeated(request, host_id, lost="silent")
-                self._dispatch(request, now)
-            else:
-                request.sent -= 1
-
     def _on_deadline(self, request: OutboundRequest) -> None:
         request.timer = None
         if request.is_ended:
@@ -571,86 +432,12 @@
         may_have_run = request.may_have_run or request.earlier_attempt is not None
         if request.received_at is None:
             reason = "its body did not arrive in time"
-            self._refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, reason)
+            self.responder.refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, reason)
             return
         self._attempts.cancel_all(request)
         if is_offered and not may_have_run:
             reason = "no room for its body in time"
-            self._refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, reason)
+            self.responder.refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, reason)
             return
         reason = "no answer in time"
-        self._fail(request, ErrorKind.DEADLINE_AFTER_DISPATCH, reason)
-
-    def _refuse_unplaced(self, request: OutboundRequest, views: list[HostView]) -> None:
-        if self._may_be_sent(request):
-            self._fail(request, ErrorKind.UPSTREAM_LOST, "no other worker is left")
-            return
-        if not views and self.router.is_starting(self._clock.seconds()):
-            error = ErrorResult(ErrorKind.NOT_READY, "no worker is reached yet")
-            self._respond_with_error(request, error, self._get_retry_after(error))
-            return
-        kind = ErrorKind.OVERLOADED if views else ErrorKind.NO_UPSTREAM
-        reason = request.last_reason or "no worker may be asked"
-        self._refuse(request, kind, reason)
-
-    def _refuse(self, request: OutboundRequest, kind: ErrorKind, reason: str) -> None:
-        left_s = request.caller_deadline - self._clock.seconds()
-        retry_after_s = compute_retry_after(
-            left_s, self._random, request.may_return_soon
-        )
-        self._respond_with_error(request, ErrorResult(kind, reason), retry_after_s)
-
-    def _fail(self, request: OutboundRequest, kind: ErrorKind, reason: str) -> None:
-        if request.earlier_attempt is not None:
-            # The host that was silent may still answer, at the latest by the deadline.
-            return
-        self._respond_with_error(request, ErrorResult(kind, reason))
-
-    def _respond_with_error(
-        self, request: OutboundRequest, error: ErrorResult, retry_after_s: float = 0.0
-    ) -> None:
-        now = self._clock.seconds()
-        if request.fallback_reply is not None:
-            self._deliver(request, request.fallback_reply, now)
-            return
-        exchange = request.exchange
-        exchange.on_closed = None
-        self._finish(request)
-        self._metrics.count_failed_request(error.kind.value)
-        if not exchange.is_complete:
-            exchange.is_keep_alive = False
-        status = send_error(exchange, error, retry_after_s)
-        log(
-            "request.failed",
-            id=request.attempt_id,
-            status=status,
-            kind=error.kind.value,
-            reason=error.reason,
-            route=request.route.name,
-            service=request.service,
-            host=request.host_id,
-            asked=request.hosts_tried,
-            sent=request.sent,
-            held_s=round(now - request.started_at, 4),
-            received_s=request.get_age(request.received_at),
-            passed_s=request.get_age(request.passed_at),
-            config=self.router.config.version,
-            return_s=round(retry_after_s, 3),
-        )
-
-    def _finish(self, request: OutboundRequest) -> None:
-        request.is_ended = True
-        if request.passed_at is not None:
-            now = self._clock.seconds()
-            seconds = now - request.received_at
-            self.router.slowest.record(request.route.name, seconds, now)
-        self._attempts.cancel_all(request)
-        self._requests.discard(request)
-        self._body_receiver.release(request)
-        fallback, request.fallback_reply = request.fallback_reply, None
-        if fallback is not None:
-            self._budget.release(len(fallback.body))
-        timer, request.timer = request.timer, None
-        if timer is not None and timer.active():
-            timer.cancel()
-        request.exchange.on_data = request.exchange.on_end = None
+        self.responder.fail(request, ErrorKind.DEADLINE_AFTER_DISPATCH, reason)
--- a/bamboocove/state/mesh.py
+++ b/bamboocove/state/mesh.py
@@ -63,6 +63,8 @@
         Maximum number of workers that one request is sent to.
     priority : int
         Priority under load; 0 is the most urgent.
+    is_anonymous : bool
+        Whether requests need no key of a client account.
     """
 
     name: str
@@ -74,6 +76,33 @@
     target_s: float
     attempts: int = 1
     priority: int = 0
+    is_anonymous: bool = False
+
+
+@frozen
+class ClientAccount:
+    """An account whose clients authenticate their requests with a key.
+
+    Parameters
+    ----------
+    name : str
+        Unique within the configuration; workers get it with each request.
+    key_digests : tuple of str
+        Digests of the keys, see ``bamboocove.coordination.accounts``. No node knows
+        the keys themselves.
+    priority : int or None
+        Priority under load, which takes precedence over that of the route; None if the
+        account has none.
+    rate_per_s, burst : float
+        Requests per second that all nodes together may take, and how many more at once;
+        a rate of 0 means no limit.
+    """
+
+    name: str
+    key_digests: tuple[str, ...]
+    priority: int | None = None
+    rate_per_s: float = field(default=0.0, validator=_IS_COUNT)
+    burst: float = field(default=0.0, validator=_IS_COUNT)
 
 
 @frozen
@@ -111,6 +140,8 @@
         Maximum time that callers keep an idle connection open, in seconds.
     max_body_bytes : int or None
         Maximum size of the body of a request, in bytes; None if none is set.
+    accounts_by_name : dict of str to ClientAccount
+        All client accounts; without any, requests need no key.
     """
 
     version: int = 0
@@ -118,6 +149,7 @@
     services_by_name: Mapping[str, MeshService] = field(factory=dict)
     idle_timeout_s: float = 60.0
     max_body_bytes: int | None = None
+    accounts_by_name: Mapping[str, ClientAccount] = field(factory=dict)
 
 
 @frozen
--- a/tests/sidecar/test_program_errors.py
+++ b/tests/sidecar/test_program_errors.py
@@ -48,7 +48,14 @@
 
 @pytest.mark.parametrize(
     "name",
-    ["router.accept", "_place", "_dispatch", "_handle_reply", "_deliver", "_finish"],
+    [
+        "router.accept",
+        "_place",
+        "_dispatch",
+        "_handle_reply",
+        "responder.deliver",
+        "responder.finish",
+    ],
 )
 def test_request_is_answered_after_a_program_error(mesh, capfd, name):
     """Guards against a request that ends without an answer, or waits in vain."""
--- a/tests/sidecar/test_program_errors_at_stop.py
+++ b/tests/sidecar/test_program_errors_at_stop.py
@@ -54,7 +54,7 @@
     target.request_handler = lambda exchange: None
     calls = [open_call(caller, f"/read/{n}", attempt=f"a{n}") for n in range(3)]
     run_reactor_until(lambda: len(target.requests) == 3)
-    fail_next(monkeypatch, caller.node.outbound, "_respond_with_error")
+    fail_next(monkeypatch, caller.node.outbound.responder, "respond_with_error")
     assert stop(caller) < STOP_S
     assert [read_response(call)[0] for call in calls] == [502] * 3
     assert not caller.node.outbound.in_flight
