--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable
 from functools import partial
 from random import Random
-from resource import RUSAGE_SELF, getrusage
 from typing import Any
 
 from attrs import define, field
@@ -24,12 +23,7 @@
 from bamboocove.events import run_logged
 from bamboocove.lifecycle import LifecycleHooks, make_lifecycle
 from bamboocove.protocol.mesh_messages import (
-    CrashNotice,
-    Greeting,
     HostRecords,
-    ReplyTerms,
-    StateRequest,
-    SuspectReport,
 )
 from bamboocove.sidecar.crash_reports import CrashReports
 from bamboocove.sidecar.dialect import Dialect
@@ -42,10 +36,12 @@
 )
 from bamboocove.sidecar.fleet import Fleet
 from bamboocove.sidecar.forwarding import Forwarding
+from bamboocove.sidecar.gauges import update_gauges
 from bamboocove.sidecar.hosts import HostDirectory
 from bamboocove.sidecar.inbound import InboundProxy
+from bamboocove.sidecar.link_events import LinkEvents
 from bamboocove.sidecar.links import HubHandlers, LinkHub
-from bamboocove.sidecar.logs import WRITER, log
+from bamboocove.sidecar.logs import log
 from bamboocove.sidecar.messages import exchange_state, handle_message
 from bamboocove.sidecar.metrics import MeshMetrics
 from bamboocove.sidecar.moves import MoveController
@@ -123,15 +119,16 @@
         self.metrics = MeshMetrics()
         # Shared by request and response bodies.
         self.body_budget = ByteBudget(compute_budget(settings.memory_bytes))
+        self.link_events = LinkEvents(self)
         self.hub = LinkHub(
             self.clock,
             HubHandlers(
-                self._make_greeting,
+                self.link_events.make_greeting,
                 partial(handle_message, self),
-                self._on_up,
-                self._on_down,
-                self._on_ping_timeout,
-                self._on_suspect,
+                self.link_events.on_up,
+                self.link_events.on_down,
+                self.link_events.on_ping_timeout,
+                self.link_events.on_suspect,
             ),
             self.random.random,
             settings.zone,
@@ -142,7 +139,9 @@
             self.clock,
             self.rule_table.is_allowed,
             lambda: self.hosts.publish(),
-            CrashReports(settings.host_id, self.clock, self._send_crash_notice),
+            CrashReports(
+                settings.host_id, self.clock, self.link_events.send_crash_notice
+            ),
             self.body_budget,
         )
         self.inbound.watch.is_confirmed = settings.is_first_start
@@ -227,7 +226,6 @@
         self._next_sweep_at = 0.0
         self._next_exchange_at = 0.0
         self._was_reading = False
-        self._next_config_request_at = 0.0
 
     async def start(self) -> ErrorResult | None:
         """Open all ports, start the tasks and begin to fetch a configuration.
@@ -380,26 +378,7 @@
             server.sweep(now)
         self.fleet.remove_unreachable(now)
         self.hosts.update_links(now)
-        bounds = self.settings.bounds
-        node_count = len(self.fleet.records_by_id)
-        self.outbound.budgets.configure(
-            bounds.retry_ratio, bounds.retry_slack, node_count
-        )
-        gauges = {
-            "config_version": self.config.version,
-            "hosts_reachable": sum(p.is_open for p in self.hub.peers_by_id.values()),
-            "running": len(self.inbound.queue.running),
-            "waiting": len(self.inbound.queue.waiting),
-            "worker_limit_per_s": self.inbound.queue.limiter.limit_per_s,
-            "store_reading": self.watch.is_reading,
-            "store_calls": self.store.calls,
-            "log_lines_dropped": WRITER.dropped_lines,
-            "memory_peak_bytes": getrusage(RUSAGE_SELF).ru_maxrss * 1024,
-            "body_bytes": self.body_budget.held,
-            "unsent_bytes": sum(c.unsent_bytes for c in self.connections),
-        }
-        for name, value in gauges.items():
-            self.metrics.set_gauge(name, value)
+        update_gauges(self)
 
     def _on_operator_update(self, update: OperatorUpdate) -> None:
         if update.config is not None:
@@ -460,41 +439,6 @@
         for rule in rules:
             self.moves.apply_rule(rule, True, now)
 
-    def _make_greeting(self, is_dialled: bool) -> list[Any]:
-        # Small, and without a request for state: after a restart of all nodes each
-        # pair of them exchanges greetings.
-        record = self.hosts.get_record()
-        greeting = Greeting(record.host_id, record.incarnation)
-        if not is_dialled:
-            # The peer receives the record when this node dials it.
-            return [greeting]
-        return [greeting, ReplyTerms(), HostRecords([to_plain(record)])]
-
-    def _on_up(self, host_id: str) -> None:
-        self.fleet.mark_reachable(host_id)
-        if (
-            not self.config.version
-            and self.clock.seconds() >= self._next_config_request_at
-        ):
-            # Lets a node that cannot reach the store serve once a peer has answered.
-            self._next_config_request_at = self.clock.seconds() + EXCHANGE_INTERVAL_S
-            self.hub.send(host_id, StateRequest(0))
-
-    def _on_down(self, host_id: str) -> None:
-        now = self.clock.seconds()
-        self.fleet.mark_unreachable(host_id, now)
-        self.outbound.on_host_lost(host_id, now, self.hub.has_stopped(host_id))
-
-    def _on_ping_timeout(self, host_id: str) -> None:
-        self.dissemination.broadcast_in_zone(SuspectReport(host_id))
-
-    def _send_crash_notice(self, notice: CrashNotice) -> None:
-        self.outbound.record_crashes(notice, self.clock.seconds())
-        self.dissemination.broadcast(notice)
-
-    def _on_suspect(self, host_id: str) -> None:
-        self.outbound.on_host_suspect(host_id, self.clock.seconds())
-
     def is_ready(self) -> bool:
         """Return whether callers on this host may send requests to this node."""
         if not self.config.version or self.is_draining:
--- a/tests/sidecar/test_silent_hosts.py
+++ b/tests/sidecar/test_silent_hosts.py
@@ -111,7 +111,7 @@
     suspect(caller, silent)
     run_reactor_until(lambda: other.requests)
     for host in (silent, other):
-        caller.node._on_down(host.host_id)
+        caller.node.link_events.on_down(host.host_id)
     assert read_response(connection)[0] == 502
 
 
@@ -194,7 +194,7 @@
     other.node.inbound.is_draining = False
     suspect(caller, silent)
     run_reactor_until(lambda: other.requests)
-    caller.node._on_down(other.host_id)
+    caller.node.link_events.on_down(other.host_id)
     refuse_waiting(caller, silent)
     assert read_response(connection)[0] == 502
     assert len(other.requests) == 1
