Treat odd status codes of a worker as a lost response

A worker in trouble answered 000 and kept the connection. Statuses 000 and 099 were taken for interim responses, 199 with a body too: the request waited for its time-out and held a slot, and safe ones were not retried. 600 and 999 reached clients as answers. Such a response now counts as lost at once, its connection is closed, and safe requests are retried.

--- a/bamboocove/transport/clients.py
+++ b/bamboocove/transport/clients.py
@@ -213,6 +213,12 @@
         if self._is_complete:
             return
         status = self._parser.get_status_code()
+        if not _is_status(status) or status < 200 and _declares_body(self._headers):
+            # A worker in trouble answered 000 and went on using the connection. As an
+            # interim response it would be followed by another one that never comes.
+            self._error = f"not the status of a response: {status:03}"
+            self._is_reusable = False
+            return
         if status < 200:
             # Interim response; the parser itself stops at a 101. Its bytes count
             # towards the head, so that interim responses cannot go on forever.
@@ -326,6 +332,16 @@
             self.on_closed(self)
 
 
+def _is_status(status: int) -> bool:
+    """Return whether a status code is of one of the five classes of RFC 9110."""
+    return 100 <= status <= 599
+
+
+def _declares_body(headers: Headers) -> bool:
+    """Return whether a response declares a body, which an interim one cannot have."""
+    return any(n in (b"content-length", b"transfer-encoding") for n, _ in headers)
+
+
 @define
 class ConnectionPool:
     """Pool of idle client connections, by address.
