--- a/bamboocove/errors.py
+++ b/bamboocove/errors.py
@@ -16,6 +16,9 @@
     NOT_READY = "not_ready"
     DRAINING = "draining"
     SUSPECT_REQUEST = "suspect_request"
+    UNAUTHENTICATED = "unauthenticated"
+    STALE_KEYS = "stale_keys"
+    QUOTA_EXCEEDED = "quota_exceeded"
     KEY_REQUIRED = "key_required"
     KEY_IN_PROGRESS = "key_in_progress"
     KEY_REUSED = "key_reused"
@@ -102,6 +105,9 @@
     ErrorKind.NOT_READY: ErrorResponse(503, "not-run", True, 1),
     ErrorKind.DRAINING: ErrorResponse(503, "not-run", True, 1),
     ErrorKind.SUSPECT_REQUEST: ErrorResponse(422, "not-run", False),
+    ErrorKind.UNAUTHENTICATED: ErrorResponse(401, "not-run", False),
+    ErrorKind.STALE_KEYS: ErrorResponse(503, "not-run", True, 1),
+    ErrorKind.QUOTA_EXCEEDED: ErrorResponse(429, "not-run", True, 1),
     ErrorKind.KEY_REQUIRED: ErrorResponse(400, "not-run", False),
     ErrorKind.KEY_IN_PROGRESS: ErrorResponse(409, "unknown", True, 2),
     ErrorKind.KEY_REUSED: ErrorResponse(422, "not-run", False),
--- a/bamboocove/platform/host_settings.py
+++ b/bamboocove/platform/host_settings.py
@@ -12,6 +12,8 @@
 from bamboocove.sidecar.settings import Bounds, HostSettings
 
 SETTINGS_VARIABLE = "BAMBOOCOVE_BOOT"
+# Higher values are taken for mistakes.
+MAX_BOUND = 1e9
 MAX_LINK_MBPS = 1e7
 MAX_MEMORY_MB = 1e7
 
@@ -85,7 +87,6 @@
 
 
 def _read_settings(reader: _SettingsReader) -> HostSettings:
-    bounds = Bounds()
     return HostSettings(
         host_id=reader.get("self.nodeName", str),
         zone=reader.get("self.zone", str),
@@ -107,20 +108,43 @@
         link_bytes_per_s=_read_link_rate(reader),
         memory_bytes=_read_memory(reader),
         is_first_start=reader.get("self.bootstrap", bool, default=False),
-        bounds=Bounds(
-            grace_s=reader.get(
-                "terms.bounds.gracePeriodS", float, default=bounds.grace_s
-            ),
-            retry_ratio=reader.get(
-                "terms.bounds.retryBudgetRatio", float, default=bounds.retry_ratio
-            ),
-            retry_slack=reader.get(
-                "terms.bounds.budgetSlack", float, default=bounds.retry_slack
-            ),
-        ),
+        bounds=_read_bounds(reader),
+        regions_by_zone=_read_regions(reader),
+    )
+
+
+def _read_bounds(reader: _SettingsReader) -> Bounds:
+    bounds = Bounds()
+
+    def get(name: str, default: float) -> float:
+        value = reader.get(f"terms.bounds.{name}", float, default=default)
+        if not 0.0 <= value < MAX_BOUND:
+            raise ValueError(f"setting terms.bounds.{name} is out of range: {value}")
+        return value
+
+    return Bounds(
+        grace_s=get("gracePeriodS", bounds.grace_s),
+        retry_ratio=get("retryBudgetRatio", bounds.retry_ratio),
+        retry_slack=get("budgetSlack", bounds.retry_slack),
+        is_revocation_strict=reader.get("terms.bounds.strictRevoke", bool, False),
+        revocation_s=get("revokeS", bounds.revocation_s),
+        quota_window_s=get("quotaWindowS", bounds.quota_window_s),
+        quota_tolerance=get("quotaOver", bounds.quota_tolerance),
+        quota_slack=get("quotaSlack", bounds.quota_slack),
+        cold_tolerance=get("coldOver", bounds.cold_tolerance),
+        cold_slack=get("coldSlack", bounds.cold_slack),
+        evacuation_s=get("evacuateS", bounds.evacuation_s),
     )
 
 
+def _read_regions(reader: _SettingsReader) -> dict[str, str]:
+    regions_by_zone = reader.get("network.zones", dict, {})
+    for zone, region in regions_by_zone.items():
+        if not isinstance(region, str):
+            raise ValueError(f"setting network.zones.{zone} is no region: {region!r}")
+    return regions_by_zone
+
+
 def _read_link_rate(reader: _SettingsReader) -> int:
     megabits_per_s = reader.get("self.limits.linkMbps", float, default=0.0)
     if not 0.0 <= megabits_per_s < MAX_LINK_MBPS:
--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -11,6 +11,15 @@
 from attrs import fields, frozen
 
 from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.protocol.control_messages import (
+    ClockQuery,
+    ClockReply,
+    ConfigProof,
+    EvacuationUpdate,
+    QuotaGrant,
+    QuotaHolder,
+    QuotaRequest,
+)
 
 Headers = list[list[bytes]]
 
@@ -453,6 +462,13 @@
     ReplyTerms,
     ReplyOffer,
     ReplyPart,
+    ConfigProof,
+    ClockQuery,
+    ClockReply,
+    QuotaRequest,
+    QuotaGrant,
+    QuotaHolder,
+    EvacuationUpdate,
 )
 _FIELD_NAMES_BY_TYPE = {
     cls: tuple(f.name for f in fields(cls)) for cls in _MESSAGE_TYPES
--- a/bamboocove/sidecar/error_responses.py
+++ b/bamboocove/sidecar/error_responses.py
@@ -6,7 +6,14 @@
 # Tells callers that the request has not run and will not run, so that they may
 # retry it.
 NOT_RUN_STATUS = 503
-_NOT_RETRYABLE_KINDS = (ErrorKind.NO_ROUTE, ErrorKind.BAD_REQUEST, ErrorKind.TOO_LARGE)
+# Errors with a status of their own: a retry, or one before the time given, is in vain.
+_KEPT_KINDS = (
+    ErrorKind.NO_ROUTE,
+    ErrorKind.BAD_REQUEST,
+    ErrorKind.TOO_LARGE,
+    ErrorKind.UNAUTHENTICATED,
+    ErrorKind.QUOTA_EXCEEDED,
+)
 
 
 def get_status_code(error: ErrorResult) -> int:
@@ -20,7 +27,7 @@
     504
     """
     response = ERROR_RESPONSES[error.kind]
-    if response.run == "not-run" and error.kind not in _NOT_RETRYABLE_KINDS:
+    if response.run == "not-run" and error.kind not in _KEPT_KINDS:
         return NOT_RUN_STATUS
     return response.status
 
--- a/bamboocove/sidecar/settings.py
+++ b/bamboocove/sidecar/settings.py
@@ -1,6 +1,8 @@
 """Settings of a sidecar node, which forwards requests for the worker on its host."""
 
-from attrs import frozen
+from collections.abc import Mapping
+
+from attrs import field, frozen
 
 Address = tuple[str, int]
 
@@ -16,11 +18,32 @@
     retry_ratio, retry_slack : float
         Retry budget of a service, for all nodes together in any 10 s: a ratio of
         its requests, and a number of retries in addition.
+    is_revocation_strict : bool
+        Whether a withdrawn key may be used no longer than ``revocation_s``, by nodes
+        without the store, too.
+    revocation_s : float
+        Time for which a withdrawn key may still be used, in seconds.
+    quota_window_s, quota_tolerance, quota_slack : float
+        In any window, in seconds, an account may get its quota and this fraction of it
+        more, and a number of requests in addition.
+    cold_tolerance, cold_slack : float
+        A cold worker may get this multiple of its rate in any second, and a number of
+        requests in addition.
+    evacuation_s : float
+        Time after which no request may reach an evacuated zone, in seconds.
     """
 
     grace_s: float = 6.0
     retry_ratio: float = 0.2
     retry_slack: float = 60.0
+    is_revocation_strict: bool = False
+    revocation_s: float = 5.0
+    quota_window_s: float = 5.0
+    quota_tolerance: float = 0.1
+    quota_slack: float = 20.0
+    cold_tolerance: float = 1.5
+    cold_slack: float = 8.0
+    evacuation_s: float = 5.0
 
 
 @frozen
@@ -52,6 +75,9 @@
     is_first_start : bool
         Whether the whole system starts for the first time, so that no process ran
         on this host before.
+    regions_by_zone : mapping of str to str
+        All availability zones of the deployment, and the region of each; empty if
+        unknown.
     """
 
     host_id: str
@@ -69,3 +95,4 @@
     link_bytes_per_s: int = 0
     memory_bytes: int = 0
     is_first_start: bool = False
+    regions_by_zone: Mapping[str, str] = field(factory=dict)
