Authenticate requests by the key of a client account

With accounts in the configuration a request needs the key of one, unless its route is anonymous: 401 otherwise.

--- a/bamboocove/platform/documents.py
+++ b/bamboocove/platform/documents.py
@@ -4,9 +4,11 @@
 from collections.abc import Mapping
 from typing import Any
 
+from bamboocove.coordination.accounts import digest_key
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.platform.host_settings import parse_address
 from bamboocove.state.mesh import (
+    ClientAccount,
     HostRoute,
     MeshConfig,
     MeshService,
@@ -57,6 +59,12 @@
     return int(number)
 
 
+def _read_flag(value: Any) -> bool:
+    if value is not None and not isinstance(value, bool):
+        raise TypeError(f"not true or false: {value!r}")
+    return bool(value)
+
+
 def _read_string(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError(f"not a text: {value!r}")
@@ -88,6 +96,7 @@
                 )
                 for name, service in document["services"].items()
             },
+            accounts_by_name=_read_accounts(document.get("tenants") or {}),
             idle_timeout_s=_read_number(limits.get("idleTimeoutS", 60)),
             max_body_bytes=_read_size(limits.get("maxBodyBytes")),
         )
@@ -96,6 +105,46 @@
         return ErrorResult(ErrorKind.INVALID_CONFIG, reason)
 
 
+def _read_accounts(accounts: Mapping[str, Any]) -> dict[str, ClientAccount]:
+    accounts_by_name = {name: _read_account(name, a) for name, a in accounts.items()}
+    names_by_digest: dict[str, str] = {}
+    for account in accounts_by_name.values():
+        for digest in account.key_digests:
+            other = names_by_digest.setdefault(digest, account.name)
+            if other != account.name:
+                raise ValueError(f"tenants {other} and {account.name} share a key")
+    return accounts_by_name
+
+
+def _read_account(name: str, account: Mapping[str, Any]) -> ClientAccount:
+    try:
+        priority = account.get("priority")
+        if not name.isprintable():
+            raise ValueError("the name does not fit into a header field")
+        return ClientAccount(
+            _read_string(name),
+            tuple(map(_read_key, _read_list(account.get("apiKeys")))),
+            None if priority is None else max(0, int(_read_number(priority))),
+            _read_number(account.get("ratePerS") or 0),
+            _read_number(account.get("burst") or 0),
+        )
+    except _INVALID as error:
+        raise ValueError(f"tenant {name}: {error}") from None
+
+
+def _read_list(value: Any) -> list[Any]:
+    if value is not None and not isinstance(value, list):
+        raise TypeError("apiKeys is not a list")
+    return value or []
+
+
+def _read_key(key: Any) -> str:
+    """Return the digest of a key; no error shows the key."""
+    if not isinstance(key, str) or not key.strip():
+        raise TypeError("a key is empty or not a text")
+    return digest_key(key.strip().encode())
+
+
 def _read_route(name: str, route: Mapping[str, Any]) -> HostRoute:
     if "trafficSplit" in route:
         shares = tuple(
@@ -119,6 +168,7 @@
         target_s=_read_positive_number(route.get("targetLatencyS", timeout_s)),
         attempts=max(1, int(_read_number(route.get("attempts", 1)))),
         priority=max(0, int(_read_number(route.get("priority", 0)))),
+        is_anonymous=_read_flag(route.get("anonymous")),
     )
 
 
--- a/bamboocove/sidecar/dialect.py
+++ b/bamboocove/sidecar/dialect.py
@@ -21,6 +21,9 @@
         Worker that a request is meant for; any other worker refuses it.
     caller_service : bytes
         Service on the host from which the request was sent.
+    key, account : bytes
+        Key of a client account on a caller's request, which is not forwarded, and the
+        name of the account on the request to a worker.
     not_run : bytes
         Set by a worker on responses to requests that it did not run.
     signature : bytes
@@ -50,6 +53,8 @@
     time_left_ms: bytes
     worker_id: bytes
     caller_service: bytes
+    key: bytes
+    account: bytes
     not_run: bytes
     signature: bytes
     answering_worker_id: bytes
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -5,6 +5,7 @@
 
 from attrs import define, field
 
+from bamboocove.coordination.accounts import AccountTable
 from bamboocove.coordination.drain_window import NOT_DRAINING, SlowestResponses
 from bamboocove.coordination.fingerprints import digest_body, make_fingerprint
 from bamboocove.coordination.placement import HostView
@@ -21,9 +22,9 @@
 from bamboocove.protocol.mesh_messages import Reply
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.logs import log
-from bamboocove.state.mesh import HostRoute, MeshConfig
+from bamboocove.state.mesh import ClientAccount, HostRoute, MeshConfig
 from bamboocove.transport.exchanges import Exchange
-from bamboocove.transport.framing import get_header, strip_hop_by_hop_headers
+from bamboocove.transport.framing import Headers, get_header, strip_hop_by_hop_headers
 
 # The worker's node reports a time-out at the deadline; a node waits this much longer
 # for that reply, in seconds.
@@ -57,6 +58,8 @@
     caller_deadline : float
         Time until which the caller waits, which may be after the time-out of the
         route.
+    account : ClientAccount or None
+        Account whose key the request carries; None if it needs none.
     received_at, passed_at : float
         When the whole request was received and when it was last passed to a host, in
         seconds of the local clock; None if it was not.
@@ -97,6 +100,7 @@
     attempt_id: bytes
     headers: list[list[bytes]]
     caller_deadline: float
+    account: ClientAccount | None = None
     received_at: float | None = None
     passed_at: float | None = None
     is_new_version: bool = False
@@ -185,7 +189,16 @@
     ):
         self._dialect = dialect
         self._is_running = is_running
+        # Set by a node itself, whatever a caller sends, or not forwarded at all.
+        self._replaced_fields = (
+            dialect.time_left_ms,
+            dialect.worker_id,
+            dialect.caller_service,
+            dialect.key,
+            dialect.account,
+        )
         self._table: PrefixTable = {}
+        self._accounts = AccountTable()
         self._shares = WeightedRoundRobin(random)
         self._caller_waits = CallerWaitEstimator()
         self.config = MeshConfig()
@@ -205,6 +218,8 @@
         table = compile_routes(config)
         if isinstance(table, ErrorResult):
             return table
+        if config.accounts_by_name != self.config.accounts_by_name:
+            self._accounts = AccountTable(config.accounts_by_name)
         self.config = config
         self._table = table
         return None
@@ -242,6 +257,10 @@
             caller_timeout_s = int(time_left) / 1000
             waited_s = self._caller_waits.estimate_waited(route.name, caller_timeout_s)
         left_s = min(route.timeout_s, caller_timeout_s)
+        keys = [value for name, value in headers if name == self._dialect.key]
+        account = self._accounts.authenticate(route.is_anonymous, keys)
+        if isinstance(account, ErrorResult):
+            return account
         attempt_id = get_header(headers, self._dialect.attempt_id) or b""
         is_internal = self._is_running(self._dialect.get_parent(attempt_id))
         if not self.may_take(route, now, now + left_s, is_internal):
@@ -253,10 +272,11 @@
             now,
             now + left_s,
             now + route.target_s - waited_s,
-            INTERNAL_PRIORITY if is_internal else route.priority,
+            INTERNAL_PRIORITY if is_internal else _get_priority(route, account),
             attempt_id,
-            self._strip(headers),
+            self._make_headers(headers, account),
             now + caller_timeout_s,
+            account,
         )
 
     def may_take(
@@ -275,11 +295,21 @@
             slowest_s = self.slowest.get(route.name, route.target_s)
         return window.is_open(now, deadline + DEADLINE_GRACE_S, slowest_s)
 
-    def _strip(self, headers: list) -> list[list[bytes]]:
-        dialect = self._dialect
-        hop_fields = (dialect.time_left_ms, dialect.worker_id, dialect.caller_service)
-        return [
+    def _make_headers(
+        self, headers: Headers, account: ClientAccount | None
+    ) -> list[list[bytes]]:
+        """Return the header fields to forward, with the name of the account."""
+        kept = [
             list(item)
             for item in strip_hop_by_hop_headers(headers)
-            if item[0] not in hop_fields
+            if item[0] not in self._replaced_fields
         ]
+        if account is not None:
+            kept.append([self._dialect.account, account.name.encode()])
+        return kept
+
+
+def _get_priority(route: HostRoute, account: ClientAccount | None) -> int:
+    if account is None or account.priority is None:
+        return route.priority
+    return account.priority
