Share a worker among client accounts by their rates

An account that sends several times its usual made the requests of all others of its priority late or refused, since they were queued in order of arrival. Requests of a priority now start by start-time fair queueing, weighted by the rates of the accounts. Without accounts the order is unchanged. 861 tests of coordination and of the inbound path pass.

--- a/bamboocove/coordination/worker_queue.py
+++ b/bamboocove/coordination/worker_queue.py
@@ -4,7 +4,8 @@
 than the worker can run, together with calls from other workers, whose own
 requests fail if these calls fail. A long queue would make every response late,
 so a request is refused immediately if its predicted response misses the latency
-objective, and more urgent requests are served first. Refused callers retry;
+objective, and more urgent requests are served first; within a priority accounts get
+their shares. Refused callers retry;
 their retries can no longer meet the objective and get only the remaining
 capacity. Otherwise the retries of an overload would make all responses late.
 """
@@ -14,6 +15,7 @@
 
 from attrs import define, field
 
+from bamboocove.coordination.fair_shares import SHARED, FairShares
 from bamboocove.coordination.rate_limit import RateLimiter
 
 # Priority of calls from other workers. Refusing one wastes the work already done
@@ -96,8 +98,14 @@
         the local clock.
     payload : object
         Data that the owner of the queue needs to start the request.
+    account : str or None
+        Account that the request is queued for, see ``fair_shares``; None if it is not
+        known yet.
     started_at : float
         When the request was sent to the worker; 0 while it waits.
+    virtual_start, service_s : float
+        Place among the accounts of its priority, see ``fair_shares``, and the expected
+        service time in seconds with which it was counted there.
     """
 
     route: str
@@ -105,12 +113,20 @@
     target_at: float
     deadline: float
     payload: Any
+    account: str | None = SHARED
     started_at: float = 0.0
     base_priority: float = field(init=False)
+    virtual_start: float = field(init=False, default=0.0)
+    service_s: float = field(init=False, default=0.0)
 
     def __attrs_post_init__(self) -> None:
         self.base_priority = self.priority
 
+    @property
+    def order(self) -> tuple[float, float]:
+        """Sort key of waiting requests."""
+        return (self.priority, self.virtual_start)
+
 
 @define
 class WorkerQueue:
@@ -124,6 +140,8 @@
         Measured service times of the worker.
     limiter : RateLimiter
         Rate of requests that the worker takes.
+    shares : FairShares or None
+        Order of the accounts within a priority; None if there are no accounts.
     running : set of QueuedRequest
         Requests that occupy a slot.
     waiting : list of QueuedRequest
@@ -133,6 +151,7 @@
     slots: int
     service_times: ServiceTimes = field(factory=ServiceTimes)
     limiter: RateLimiter = field(factory=RateLimiter)
+    shares: FairShares | None = None
     running: set[QueuedRequest] = field(factory=set)
     waiting: list[QueuedRequest] = field(factory=list)
     _admitted_by_priority: dict[float, float] = field(factory=dict)
@@ -180,20 +199,52 @@
         """
         if request.base_priority != INTERNAL_PRIORITY:
             request.priority = self._compute_priority(request, now)
-        wait_s = self.predict_wait(request.priority, now)
+        self._set_start(request)
+        wait_s = self._predict_own_wait(request, now)
         is_admitted = not wait_s or self._can_finish_in_time(request, wait_s, now)
         self._record_admission(request, is_admitted)
         if not is_admitted:
             return False, []
-        index = len(self.waiting)
-        while index and self.waiting[index - 1].priority > request.priority:
-            index -= 1
+        self._count_share(request)
+        index = self._find_place(request)
         self.waiting.insert(index, request)
         evicted = self._evict(index + 1, now)
         for other in evicted:
             self._record_admission(other, False)
+            self._return_share(other)
         return True, evicted
 
+    def _uses_shares(self, request: QueuedRequest) -> bool:
+        return self.shares is not None and request.base_priority != INTERNAL_PRIORITY
+
+    def _set_start(self, request: QueuedRequest) -> None:
+        if not self._uses_shares(request):
+            return
+        request.service_s = self.service_times.get(request.route)
+        if request.account is None:
+            request.virtual_start = float("inf")
+        else:
+            request.virtual_start = self.shares.get_start(
+                request.account, request.service_s
+            )
+
+    def _count_share(self, request: QueuedRequest) -> None:
+        if self._uses_shares(request):
+            self.shares.add(request.account, request.service_s)
+
+    def _return_share(self, request: QueuedRequest) -> None:
+        if self._uses_shares(request):
+            self.shares.remove(request.account, request.service_s)
+
+    def _find_place(self, request: QueuedRequest) -> int:
+        index = len(self.waiting)
+        while index and self.waiting[index - 1].order > request.order:
+            index -= 1
+        return index
+
+    def _predict_own_wait(self, request: QueuedRequest, now: float) -> float:
+        return self._predict_wait_at(self._find_place(request), now)
+
     def can_admit(
         self,
         request: QueuedRequest,
@@ -214,7 +265,8 @@
         if request.base_priority != INTERNAL_PRIORITY:
             request.priority = self._compute_priority(request, now)
         delay_s = predict_delay(request.priority)
-        wait_s = max(delay_s, self.predict_wait(request.priority, now))
+        self._set_start(request)
+        wait_s = max(delay_s, self._predict_own_wait(request, now))
         return not wait_s or self._can_finish_in_time(request, wait_s, now)
 
     def _compute_priority(self, request: QueuedRequest, now: float) -> float:
@@ -294,8 +346,11 @@
             if self.limiter.predict_wait(1, now):
                 break
             request = self.waiting.pop(0)
+            if self.shares is not None and request.priority >= 0:
+                self.shares.advance(request.virtual_start)
             min_s = MIN_REMAINING_FRACTION * self.service_times.get(request.route)
             if request.deadline - now < min_s:
+                self._return_share(request)
                 expired.append(request)
                 continue
             self.limiter.take(now)
@@ -312,6 +367,8 @@
         kept: list[QueuedRequest] = []
         for request in self.waiting:
             (taken if is_taken(request) else kept).append(request)
+        for request in taken:
+            self._return_share(request)
         self.waiting = kept
         return taken
 
@@ -336,5 +393,6 @@
         """Remove a waiting request; return whether it was in the queue."""
         if request in self.waiting:
             self.waiting.remove(request)
+            self._return_share(request)
             return True
         return False
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -415,6 +415,8 @@
         if not before.version:
             self.outbound.router.configured_at = self.clock.seconds()
         self.config = config
+        if config.accounts_by_name != before.accounts_by_name:
+            self.inbound.use_accounts(config.accounts_by_name)
         for server in self.servers:
             # Callers reuse connections for as long as the configuration says.
             server.idle_timeout_s = max(IDLE_TIMEOUT_S, config.idle_timeout_s)
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -4,11 +4,12 @@
 request that it refuses has not run and will not run.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.drain_window import NOT_DRAINING, SlowestResponses
+from bamboocove.coordination.fair_shares import SHARED, get_share_key, make_shares
 from bamboocove.coordination.version_comparison import Tally
 from bamboocove.coordination.worker_queue import WorkerQueue
 from bamboocove.protocol.mesh_messages import (
@@ -37,8 +38,9 @@
 from bamboocove.sidecar.worker_responses import WorkerResponses
 from bamboocove.sidecar.worker_sender import WorkerSender
 from bamboocove.sidecar.worker_watch import ReportResult, WorkerWatch
-from bamboocove.state.mesh import MeshWorker
+from bamboocove.state.mesh import ClientAccount, MeshWorker
 from bamboocove.transport.clients import ConnectionPool
+from bamboocove.transport.framing import get_header
 
 # The worker is on this host and normally accepts a connection in about 1 ms.
 CONNECT_TIMEOUT_S = 0.5
@@ -92,6 +94,7 @@
         self._requests: set[InboundRequest] = set()
         self._failure_average = 0.0
         self._limit_timer: Any = None
+        self._accounts_by_name: Mapping[str, ClientAccount] = {}
         self.queue = WorkerQueue(1)
         self.watch = WorkerWatch(
             address,
@@ -153,12 +156,23 @@
             self.refuse_waiting(f"worker is {worker.state}")
         self._on_change()
 
+    def use_accounts(self, accounts_by_name: Mapping[str, ClientAccount]) -> None:
+        """Share the worker among accounts; without any, by order of arrival."""
+        self._accounts_by_name = accounts_by_name
+        self.queue.shares = make_shares(accounts_by_name)
+
+    def _get_account(self, forward: Forward) -> str:
+        if not self._accounts_by_name:
+            return SHARED
+        name = get_header(forward.headers, self._dialect.account) or b""
+        return get_share_key(name.decode(), self._accounts_by_name)
+
     def _on_worker_replaced(self) -> None:
         self.refuse_waiting("worker was replaced")
         self._pool.close()
         self._failure_average = 0.0
         self.tallies_by_route = {}
-        self.queue = WorkerQueue(1)
+        self.queue = WorkerQueue(1, shares=make_shares(self._accounts_by_name))
         self.crash_reports.reset()
 
     def _on_limit(self, limit_per_s: float) -> None:
@@ -235,7 +249,9 @@
         if not self._can_end(forward.route, request.deadline, now):
             self._end(request, REFUSED, reason=STOPPING_REASON)
             return
-        request.entry = entry = make_entry(forward, request, now)
+        request.entry = entry = make_entry(
+            forward, request, now, self._get_account(forward)
+        )
         is_admitted, evicted = self.queue.offer(entry, now)
         for evicted_entry in evicted:
             self._end(
@@ -289,7 +305,8 @@
         elif not self._can_end(offer.route, now + offer.left_ms / 1000, now):
             outcome, reason = REFUSED, STOPPING_REASON
         else:
-            entry = make_entry(offer, None, now)
+            # The account is known once the request itself arrives.
+            entry = make_entry(offer, None, now, None)
             if self.queue.can_admit(entry, predict_delay, now):
                 return entry.priority
             outcome, reason = REFUSED, "no room for its body in time"
--- a/bamboocove/sidecar/inbound_request.py
+++ b/bamboocove/sidecar/inbound_request.py
@@ -190,15 +190,22 @@
 
 
 def make_entry(
-    message: Forward | BodyOffer, request: InboundRequest | None, now: float
+    message: Forward | BodyOffer,
+    request: InboundRequest | None,
+    now: float,
+    account: str | None,
 ) -> QueuedRequest:
-    """Return an entry for the queue of the worker, at a time in seconds."""
+    """Return an entry for the queue of the worker, at a time in seconds.
+
+    ``account`` is that of the request, see ``QueuedRequest``.
+    """
     return QueuedRequest(
         message.route,
         message.priority,
         now + message.target_left_ms / 1000,
         now + message.left_ms / 1000,
         request,
+        account,
     )
 
 
