Evacuate availability zones on the operator's order

The operator can empty a zone before work on it; until now nodes ignored the rows evacuate/ZONE. Readers decode them by their keys and spread the set of zones; origins leave out the hosts of these zones, and the nodes beside their workers refuse requests, those that wait included. Each statement is exact for one era and revision of the store, so the newest one wins. It goes out with each change, on each new link, before the answer to a request for state, and with the readers' offers.

--- a/bamboocove/platform/rows.py
+++ b/bamboocove/platform/rows.py
@@ -12,12 +12,15 @@
 from bamboocove.sidecar.logs import log
 from bamboocove.sidecar.store import OperatorUpdate
 from bamboocove.state.codec import decode
+from bamboocove.state.evacuation import EvacuationChange
 from bamboocove.state.mesh import MoveOrder
 from bamboocove.transport.fetching import Response
 
 CONFIG_KEY = "config"
 # Prefix of the keys of move orders, which the platform calls rollouts.
 ORDER_PREFIX = "rollout/"
+# Prefix of the keys of orders to evacuate an availability zone.
+EVACUATION_PREFIX = "evacuate/"
 
 HTTP_OK = 200
 HTTP_PRECONDITION_FAILED = 412
@@ -139,7 +142,7 @@
             if not isinstance(row["key"], str):
                 raise TypeError(f"not a key: {row['key']!r}")
             if not row.get("deleted"):
-                value = base64.b64decode(row["value"])
+                value = _read_value(row)
             rows.append(Row(row["key"], value, int(row.get("ver", 0))))
         except (
             KeyError,
@@ -152,8 +155,15 @@
     return rows
 
 
+def _read_value(row: dict) -> bytes:
+    if row["key"].startswith(EVACUATION_PREFIX):
+        # Its key says all. Without the row, a full read would end the evacuation.
+        return b""
+    return base64.b64decode(row["value"])
+
+
 def make_update(rows: list[Row], revision: int, is_full_read: bool) -> OperatorUpdate:
-    """Return the configuration and the move orders among the rows of the operator."""
+    """Return the configuration and the orders among the rows of the operator."""
     config = None
     orders: list[MoveOrder] = []
     for row in rows:
@@ -170,4 +180,20 @@
     if isinstance(config, ErrorResult):
         log("store.row-unreadable", key=CONFIG_KEY, reason=config.reason)
         config = None
-    return OperatorUpdate(config, tuple(orders), revision, is_full_read)
+    return OperatorUpdate(
+        config,
+        tuple(orders),
+        revision,
+        is_full_read,
+        evacuations=_find_evacuations(rows),
+    )
+
+
+def _find_evacuations(rows: list[Row]) -> tuple[EvacuationChange, ...]:
+    found = [row for row in rows if row.key.startswith(EVACUATION_PREFIX)]
+    # A change may list a row more than once; the newest one counts.
+    found.sort(key=lambda row: row.revision)
+    return tuple(
+        EvacuationChange(row.key.removeprefix(EVACUATION_PREFIX), row.value is not None)
+        for row in found
+    )
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -34,6 +34,7 @@
     make_metrics_handler,
     make_readiness_handler,
 )
+from bamboocove.sidecar.evacuation import EvacuationControl
 from bamboocove.sidecar.fleet import Fleet
 from bamboocove.sidecar.forwarding import Forwarding
 from bamboocove.sidecar.gauges import update_gauges
@@ -120,6 +121,7 @@
         # Shared by request and response bodies.
         self.body_budget = ByteBudget(compute_budget(settings.memory_bytes))
         self.link_events = LinkEvents(self)
+        self.evacuation = EvacuationControl(self)
         self.hub = LinkHub(
             self.clock,
             HubHandlers(
@@ -381,6 +383,8 @@
         update_gauges(self)
 
     def _on_operator_update(self, update: OperatorUpdate) -> None:
+        # First, since a node serves as soon as it has a configuration.
+        self.evacuation.apply_update(update)
         if update.config is not None:
             self.use_config(update.config, "store")
         now = self.clock.seconds()
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -12,7 +12,7 @@
     number : int
         Stable number; 81x node, 82x configuration, 83x hosts and workers, 84x
         requests, 85x moves, 86x store, 87x memory, 88x reports of workers, 89x the log
-        itself.
+        itself, 92x evacuations and cold workers.
     name : str
         Name in the log line.
     meaning : str
@@ -219,6 +219,25 @@
         "process",
         "if requests reach a worker that has signed off, look here for its identifier",
     ),
+    MeshEvent(
+        921,
+        "evacuation.changed",
+        "the zones under evacuation have changed, as this node knows them; none if the "
+        "list is empty",
+        "after an order, compare the time with that of the write",
+    ),
+    MeshEvent(
+        922,
+        "evacuation.unknown-zone",
+        "an order to evacuate names a zone that is not in the settings; it is ignored",
+        "correct the key of the row",
+    ),
+    MeshEvent(
+        923,
+        "evacuation.message-unreadable",
+        "another node sent orders that this one cannot read",
+        "compare the releases of the two nodes",
+    ),
     MeshEvent(
         891,
         "log.left-out",
--- a/bamboocove/sidecar/dissemination.py
+++ b/bamboocove/sidecar/dissemination.py
@@ -32,6 +32,7 @@
 from bamboocove.protocol.mesh_messages import (
     ConfigCopy,
     ConfigDelta,
+    EvacuationUpdate,
     LoadUpdate,
     OutcomeBatch,
     OutcomeReport,
@@ -247,7 +248,7 @@
                     ),
                 )
 
-    def broadcast_offer(self, offer: StateOffer) -> None:
+    def broadcast_offer(self, offer: StateOffer | EvacuationUpdate) -> None:
         """Offer a reader's state to its zone and to the readers of other zones."""
         data = encode_mesh_message(offer)
         for zone, host_ids in self.get_connected_ids_by_zone().items():
--- a/bamboocove/sidecar/fleet.py
+++ b/bamboocove/sidecar/fleet.py
@@ -41,6 +41,8 @@
     departed : DepartedStarts
         Workers that leave. A later record does not revive one: the node of its host may
         have started again without knowing.
+    evacuated_zones : frozenset of str
+        Availability zones to whose workers no requests are sent.
     """
 
     own_id: str
@@ -50,6 +52,7 @@
     departed: DepartedStarts = field(
         factory=lambda: DepartedStarts(capacity=MAX_DEPARTED_WORKERS)
     )
+    evacuated_zones: frozenset[str] = frozenset()
     _selected_ids: set[str] = field(factory=set)
     _target_ids: set[str] = field(factory=set)
     _connected_ids: set[str] = field(factory=set)
@@ -154,11 +157,21 @@
                 view
                 for view in self.get_views(service)
                 if self.is_reachable(view.host_id)
+                and view.zone not in self.evacuated_zones
                 and (view.host_id in self._target_ids or view.host_id == self.own_id)
             ]
             self._linked_views_by_service[service] = views
         return views
 
+    def set_evacuated_zones(self, zones: frozenset[str]) -> None:
+        """Exclude the hosts of some availability zones from placement."""
+        self.evacuated_zones = zones
+        self._linked_views_by_service = {}
+
+    def get_zone_ids(self, zone: str) -> set[str]:
+        """Return the hosts of an availability zone."""
+        return {i for i, r in self.records_by_id.items() if r.zone == zone}
+
     def get_oldest_version(self, service: str) -> str:
         """Return the version of the ready worker that was started first.
 
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -46,6 +46,8 @@
 # not read counts as memory of the host, too. Ample without a network between.
 RECEIVE_BUFFER_BYTES = 128 * 1024
 STOPPING_REASON = "the node beside the worker stops too soon"
+EVACUATED_REASON = "the zone of the worker is evacuated"
+WRONG_WORKER_REASON = "worker is not ready for this"
 
 
 class InboundProxy:
@@ -127,6 +129,7 @@
         self._running_ids = self._sender.running_ids
         self.tallies_by_route: dict[str, Tally] = {}
         self.is_draining = False
+        self._is_evacuated = False
         self.drain_window = NOT_DRAINING
         self._slowest = SlowestResponses()
 
@@ -164,10 +167,19 @@
     def _on_limit(self, limit_per_s: float) -> None:
         self.queue.limiter.set_limit(limit_per_s, self._clock.seconds())
 
-    def refuse_waiting(self, reason: str) -> None:
+    def refuse_waiting(self, reason: str, outcome: int = REFUSED) -> None:
         """Refuse the requests that wait in the queue."""
         for entry in self.queue.take_waiting():
-            self._end(entry.payload, REFUSED, reason=reason)
+            self._end(entry.payload, outcome, reason=reason)
+
+    def set_evacuated(self, is_evacuated: bool) -> None:
+        """Set whether requests are refused because their zone is evacuated.
+
+        Those that wait are refused, too; those that run end.
+        """
+        self._is_evacuated = is_evacuated
+        if is_evacuated:
+            self.refuse_waiting(EVACUATED_REASON, WRONG_WORKER)
 
     def _refuse_late(self, now: float) -> None:
         """Refuse the waiting requests that would not end before a planned stop."""
@@ -230,7 +242,7 @@
     def _enqueue(self, request: InboundRequest, now: float) -> None:
         forward = request.forward
         if not self._may_run(forward):
-            self._end(request, WRONG_WORKER, reason="worker is not ready for this")
+            self._end(request, WRONG_WORKER, reason=self._get_wrong_reason())
             return
         if not self._can_end(forward.route, request.deadline, now):
             self._end(request, REFUSED, reason=STOPPING_REASON)
@@ -255,8 +267,12 @@
             and worker.version == forward.version
             and self._is_version_allowed(worker.service, worker.version)
             and not self.is_draining
+            and not self._is_evacuated
         )
 
+    def _get_wrong_reason(self) -> str:
+        return EVACUATED_REASON if self._is_evacuated else WRONG_WORKER_REASON
+
     def _can_end(self, route: str, deadline: float, now: float) -> bool:
         """Return whether a request can be expected to end before a planned stop."""
         window = self.drain_window
@@ -285,7 +301,7 @@
             The refusal, or the priority with which the body waits for permission.
         """
         if not self._may_run(offer):
-            outcome, reason = WRONG_WORKER, "worker is not ready for this"
+            outcome, reason = WRONG_WORKER, self._get_wrong_reason()
         elif not self._can_end(offer.route, now + offer.left_ms / 1000, now):
             outcome, reason = REFUSED, STOPPING_REASON
         else:
--- a/bamboocove/sidecar/link_events.py
+++ b/bamboocove/sidecar/link_events.py
@@ -37,10 +37,11 @@
         # pair of them exchanges greetings.
         record = self.application.hosts.get_record()
         greeting = Greeting(record.host_id, record.incarnation)
+        evacuation = self.application.evacuation.make_greeting()
         if not is_dialled:
             # The peer receives the record when this node dials it.
-            return [greeting]
-        return [greeting, ReplyTerms(), HostRecords([to_plain(record)])]
+            return [greeting, *evacuation]
+        return [greeting, ReplyTerms(), HostRecords([to_plain(record)]), *evacuation]
 
     def on_up(self, host_id: str) -> None:
         """Use a host again, and request the configuration if there is none yet."""
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -9,6 +9,7 @@
     ConfigCopy,
     ConfigDelta,
     CrashNotice,
+    EvacuationUpdate,
     Forward,
     HostRecords,
     HostsOffer,
@@ -54,6 +55,7 @@
     )
     if offer.reading_zone:
         dissemination.broadcast_offer(offer)
+        application.evacuation.repeat()
         if application.random.random() < HOSTS_OFFER_PROBABILITY:
             dissemination.broadcast_in_zone(HostsOffer(application.fleet.digest))
         return
@@ -135,6 +137,8 @@
             application.fleet.update_load(sender_id, load, now)
             if message.is_sign:
                 application.dissemination.load_relay.add(sender_id, load)
+    elif isinstance(message, EvacuationUpdate):
+        application.evacuation.apply_message(link, message, is_relayed)
     elif isinstance(message, RelayedMessage):
         _relay(application, link, host_id, message)
     elif isinstance(message, ConfigCopy | ConfigDelta):
@@ -160,7 +164,9 @@
         dissemination.load_relay.add_remote(relayed.loads_by_id)
     elif isinstance(relayed, OutcomeBatch):
         dissemination.outcome_batches.add_remote(relayed.items)
-    elif isinstance(relayed, CrashNotice | HostRecords | RulesUpdate):
+    elif isinstance(
+        relayed, CrashNotice | EvacuationUpdate | HostRecords | RulesUpdate
+    ):
         dissemination.relay(message)
     else:
         return
@@ -168,6 +174,9 @@
 
 
 def _send_state(application: Any, link: Any, message: StateRequest) -> None:
+    # Before the configuration, with which the node begins to serve.
+    for update in application.evacuation.make_greeting():
+        link.send_encoded(encode_mesh_message(update))
     if message.config_version == 0:
         records = [to_plain(r) for r in application.fleet.records_by_id.values()]
         link.send_encoded(encode_mesh_message(HostRecords(records)))
--- a/bamboocove/sidecar/metrics.py
+++ b/bamboocove/sidecar/metrics.py
@@ -47,6 +47,7 @@
                     "worker_limit_per_s",
                     "Requests per second that the worker takes; 0 without a limit.",
                 ),
+                ("evacuated_zones", "Availability zones under evacuation."),
                 ("store_reading", "1 if the node reads the store for its zone."),
                 ("store_calls", "Calls to the store since the start."),
                 ("log_lines_dropped", "Log lines that could not be written."),
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -37,7 +37,11 @@
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.error_responses import send_error
 from bamboocove.sidecar.fleet import Fleet
-from bamboocove.sidecar.inbound import STOPPING_REASON, InboundProxy
+from bamboocove.sidecar.inbound import (
+    EVACUATED_REASON,
+    STOPPING_REASON,
+    InboundProxy,
+)
 from bamboocove.sidecar.links import LinkHub
 from bamboocove.sidecar.logs import log
 from bamboocove.sidecar.metrics import MeshMetrics
@@ -375,7 +379,12 @@
         request.last_reason = reply.body.decode("latin-1")
         request.may_return_soon = False
         request.excluded_host_ids.add(request.host_id)
-        if reply.outcome == WRONG_WORKER:
+        if request.last_reason == EVACUATED_REASON:
+            # This node has not heard of it yet. No host there takes the request.
+            zone_ids = self._fleet.get_zone_ids(request.view.zone)
+            request.excluded_host_ids.update(zone_ids)
+            request.hosts_tried = 1
+        elif reply.outcome == WRONG_WORKER:
             self._fleet.suspend(request.host_id, now)
         elif request.last_reason != STOPPING_REASON:
             # A host that stops refuses requests for their deadlines, not for its load.
--- a/bamboocove/sidecar/store.py
+++ b/bamboocove/sidecar/store.py
@@ -6,6 +6,7 @@
 from attrs import frozen
 
 from bamboocove.errors import ErrorResult
+from bamboocove.state.evacuation import EvacuationChange
 from bamboocove.state.mesh import HostRecord, MeshConfig, MoveOrder, VersionRule
 
 
@@ -23,12 +24,18 @@
         Store revision up to which the update is complete.
     is_full_read : bool
         Whether all rows were read, not only those that changed.
+    era : int
+        Era of the store.
+    evacuations : tuple of EvacuationChange
+        Zones whose order of evacuation was read, or removed, oldest first.
     """
 
     config: MeshConfig | None
     orders: tuple[MoveOrder, ...]
     revision: int
     is_full_read: bool
+    era: int = 0
+    evacuations: tuple[EvacuationChange, ...] = ()
 
 
 class Store(Protocol):
--- a/tests/sidecar/hosts.py
+++ b/tests/sidecar/hosts.py
@@ -15,6 +15,7 @@
 from bamboocove.sidecar.application import SidecarApplication
 from bamboocove.sidecar.settings import HostSettings
 from bamboocove.sidecar.store import OperatorUpdate
+from bamboocove.state.evacuation import EvacuationChange
 from bamboocove.state.mesh import (
     HostRoute,
     MeshConfig,
@@ -35,6 +36,7 @@
     def __init__(self):
         self.config = None
         self.orders = {}
+        self.evacuated_zones = set()
         self.revision = 0
         self.hosts = {}
         self.rules = {}
@@ -50,12 +52,19 @@
         self.revision += 1
         self.orders[service] = MoveOrder(service, to_version, duration_s, self.revision)
 
+    def put_evacuations(self, *zones):
+        self.revision += 1
+        self.evacuated_zones = set(zones)
+
     async def read_operator(self):
         self.calls += 1
         if self.is_down:
             return UNAVAILABLE
         orders = tuple(self.orders.values())
-        return OperatorUpdate(self.config, orders, self.revision, True)
+        zones = tuple(EvacuationChange(z, True) for z in sorted(self.evacuated_zones))
+        return OperatorUpdate(
+            self.config, orders, self.revision, True, evacuations=zones
+        )
 
     async def watch_operator(self, revision, must_wait=True, on_progress=None):
         # Like the platform's store, answers after a time even without a change.
@@ -185,6 +194,7 @@
             ("127.0.0.1", 1),
             link_bytes_per_s=mesh.link_bytes_per_s,
             is_first_start=mesh.is_first_start,
+            regions_by_zone=mesh.regions_by_zone,
         )
         self.node = None
         self.start()
@@ -320,6 +330,7 @@
 
     is_first_start = False
     link_bytes_per_s = 0
+    regions_by_zone = {}
 
     def __init__(self):
         self.store = MemoryStore()
