Hold the rate of a cold worker in front of its queue

A cold worker takes coldPerS requests per second and crashes well above that; nodes sent it its usual load. It is cold for as long as its reports, or X-Cold-Ms of an answer, say; a worker that was down and does not say counts as cold for coldStartS until its next report. Records and reported waits tell other nodes. A request that a cold worker has refused goes to no other cold one.

--- a/bamboocove/coordination/placement.py
+++ b/bamboocove/coordination/placement.py
@@ -97,6 +97,9 @@
         Until then the host is skipped, because it does not respond.
     cold_until : float
         Until then the worker is slow because it has just started.
+    cold_per_s : float
+        Requests per second that the worker takes from all nodes while it is cold; 0 if
+        it is not, or takes any number.
     service_s_by_route : dict of str to float
         Moving averages of the service time, in seconds.
     """
@@ -114,6 +117,7 @@
     busy_priority: int = 0
     suspended_until: float = 0.0
     cold_until: float = 0.0
+    cold_per_s: float = 0.0
     service_s_by_route: dict[str, float] = field(factory=dict)
 
     def update_report(self, report: QueueReport, now: float) -> None:
@@ -139,6 +143,7 @@
 def estimate_wait(view: HostView, priority: int, now: float) -> float:
     """Return the predicted queueing time at a host, in seconds."""
     age = now - view.reported_at
+    sent = view.sent_since_report if age <= REPORT_MAX_AGE_S else view.in_flight
     if age > REPORT_MAX_AGE_S:
         free = view.slots - view.in_flight
         wait_s = 0.0
@@ -150,6 +155,9 @@
             free = -view.sent_since_report
     if free <= 0:
         wait_s += (1 - free) * INITIAL_SERVICE_S / max(1, view.slots)
+    if view.cold_per_s:
+        # The next one waits for the limit, however many slots are free.
+        wait_s += sent / view.cold_per_s
     return wait_s
 
 
--- a/bamboocove/coordination/rate_limit.py
+++ b/bamboocove/coordination/rate_limit.py
@@ -8,7 +8,7 @@
 turned away by workers that had free slots.
 """
 
-from attrs import define
+from attrs import define, field
 
 # Requests that may follow each other at once, as the time in seconds in which the limit
 # allows as many, and at least.
@@ -36,9 +36,20 @@
     ----------
     limit_per_s : float
         Requests per second; 0 if the worker names no limit.
+    burst : float or None
+        Requests that may follow each other at once; None for what the rate allows in
+        ``BURST_S``.
+    reserve_fraction : float
+        Rate beyond the limit for requests that other workers do not take, as a fraction
+        of it.
+    min_per_s : float
+        Rate at which the worker gets requests, however low the limit is.
     """
 
     limit_per_s: float = 0.0
+    burst: float | None = field(default=None, kw_only=True)
+    reserve_fraction: float = field(default=RESERVE_FRACTION, kw_only=True)
+    min_per_s: float = field(default=MIN_LIMIT_PER_S, kw_only=True)
     _tokens: float = 0.0
     _reserve: float = 0.0
     _updated_at: float = 0.0
@@ -66,20 +77,24 @@
             self._bound()
 
     def _get_rate(self) -> float:
-        return max(MIN_LIMIT_PER_S, self.limit_per_s)
+        return max(self.min_per_s, self.limit_per_s)
 
     def _get_burst(self) -> float:
+        if self.burst is not None:
+            return self.burst
         return max(MIN_BURST, BURST_S * self._get_rate())
 
     def _refill(self, now: float) -> None:
         elapsed_s = max(0.0, now - self._updated_at)
         self._updated_at = now
         self._tokens += elapsed_s * self._get_rate()
-        self._reserve += elapsed_s * self._get_rate() * RESERVE_FRACTION
+        self._reserve += elapsed_s * self._get_rate() * self.reserve_fraction
         self._bound()
 
     def _get_reserve_size(self) -> float:
-        return max(1.0, RESERVE_FRACTION * self._get_rate())
+        if not self.reserve_fraction:
+            return 0.0
+        return max(1.0, self.reserve_fraction * self._get_rate())
 
     def _bound(self) -> None:
         self._tokens = min(self._get_burst(), self._tokens)
@@ -99,7 +114,7 @@
             return 0.0
         self._refill(now)
         missing = position - self._tokens - self._reserve
-        rate = self._get_rate() * (1.0 + RESERVE_FRACTION)
+        rate = self._get_rate() * (1.0 + self.reserve_fraction)
         return missing / rate if missing > ROUNDING_ERROR else 0.0
 
     def predict_named_wait(self, position: int, now: float) -> float:
@@ -110,7 +125,8 @@
         if not self.limit_per_s:
             return 0.0
         self._refill(now)
-        used = 1.0 - self._reserve / self._get_reserve_size()
+        reserve_size = self._get_reserve_size()
+        used = 1.0 - self._reserve / reserve_size if reserve_size else 0.0
         wait_s = max(0.0, position - self._tokens) / self._get_rate()
         return wait_s + used * RESERVE_WAIT_S
 
--- a/bamboocove/coordination/worker_queue.py
+++ b/bamboocove/coordination/worker_queue.py
@@ -123,7 +123,9 @@
     service_times : ServiceTimes
         Measured service times of the worker.
     limiter : RateLimiter
-        Rate of requests that the worker takes.
+        Rate of requests that the worker names.
+    cold_limiter : RateLimiter
+        Rate of requests that it takes while it is cold, a hard bound.
     running : set of QueuedRequest
         Requests that occupy a slot.
     waiting : list of QueuedRequest
@@ -133,6 +135,9 @@
     slots: int
     service_times: ServiceTimes = field(factory=ServiceTimes)
     limiter: RateLimiter = field(factory=RateLimiter)
+    cold_limiter: RateLimiter = field(
+        factory=lambda: RateLimiter(burst=1.0, reserve_fraction=0.0, min_per_s=0.0)
+    )
     running: set[QueuedRequest] = field(factory=set)
     waiting: list[QueuedRequest] = field(factory=list)
     _admitted_by_priority: dict[float, float] = field(factory=dict)
@@ -147,20 +152,38 @@
         beyond_slots = position - (self.slots - len(self.running))
         slot_wait_s = max(0, beyond_slots) * self.service_times.mean_s
         return max(
-            slot_wait_s / max(1, self.slots), self.limiter.predict_wait(position, now)
+            slot_wait_s / max(1, self.slots), self.predict_limit_wait(position, now)
         )
 
+    def predict_limit_wait(self, position: int, now: float) -> float:
+        """Return the time until both limits let a request start, in seconds.
+
+        The parameters are those of ``RateLimiter.predict_wait``.
+        """
+        return max(
+            self.limiter.predict_wait(position, now),
+            self.cold_limiter.predict_wait(position, now),
+        )
+
+    def is_held_by_cold(self, now: float) -> bool:
+        """Return whether a new request waits because the worker is cold."""
+        position = len(self.waiting) + 1
+        return self.cold_limiter.predict_wait(position, now) > 0.0
+
     def predict_reported_wait(self, priority: float, now: float) -> float:
         """Return the queueing time of a new request that other nodes are to expect."""
         ahead = sum(request.priority <= priority for request in self.waiting)
         return max(
             self._predict_wait_at(ahead, now),
             self.limiter.predict_named_wait(ahead + 1, now),
+            self.cold_limiter.predict_named_wait(ahead + 1, now),
         )
 
     def count_usable_slots(self) -> int:
         """Return the slots that can be in use at a time, below a rate limit too."""
-        return self.limiter.count_slots(self.slots, self.service_times.mean_s)
+        service_s = self.service_times.mean_s
+        slots = self.limiter.count_slots(self.slots, service_s)
+        return self.cold_limiter.count_slots(slots, service_s)
 
     def offer(
         self, request: QueuedRequest, now: float
@@ -194,6 +217,13 @@
             self._record_admission(other, False)
         return True, evicted
 
+    def evict_late(self, now: float) -> list[QueuedRequest]:
+        """Remove and return the requests that a new limit would make too late."""
+        evicted = self._evict(0, now)
+        for request in evicted:
+            self._record_admission(request, False)
+        return evicted
+
     def can_admit(
         self,
         request: QueuedRequest,
@@ -291,7 +321,7 @@
             is_late = self.waiting[0].priority >= LATE_PRIORITY_OFFSET
             if is_late and len(self.running) >= self.slots - reserve:
                 break
-            if self.limiter.predict_wait(1, now):
+            if self.predict_limit_wait(1, now):
                 break
             request = self.waiting.pop(0)
             min_s = MIN_REMAINING_FRACTION * self.service_times.get(request.route)
@@ -299,6 +329,7 @@
                 expired.append(request)
                 continue
             self.limiter.take(now)
+            self.cold_limiter.take(now)
             request.started_at = now
             self.running.add(request)
             return request, expired
--- a/bamboocove/platform/documents.py
+++ b/bamboocove/platform/documents.py
@@ -89,11 +89,7 @@
                 for name, route in document["routes"].items()
             },
             services_by_name={
-                name: MeshService(
-                    name,
-                    _read_string(service.get("healthPath", "/")),
-                    int(_read_number(service.get("maxConnections", 100))),
-                )
+                name: _read_service(name, service)
                 for name, service in document["services"].items()
             },
             accounts_by_name=_read_accounts(document.get("tenants") or {}),
@@ -105,6 +101,19 @@
         return ErrorResult(ErrorKind.INVALID_CONFIG, reason)
 
 
+def _read_service(name: str, service: Mapping[str, Any]) -> MeshService:
+    try:
+        return MeshService(
+            name,
+            _read_string(service.get("healthPath", "/")),
+            int(_read_number(service.get("maxConnections", 100))),
+            _read_number(service.get("coldStartS") or 0),
+            _read_number(service.get("coldPerS") or 0),
+        )
+    except _INVALID as error:
+        raise ValueError(f"service {name}: {error}") from None
+
+
 def _read_accounts(accounts: Mapping[str, Any]) -> dict[str, ClientAccount]:
     accounts_by_name = {name: _read_account(name, a) for name, a in accounts.items()}
     names_by_digest: dict[str, str] = {}
@@ -241,7 +250,7 @@
             version=_read_string(info["version"]),
             slots=max(1, int(_read_number(info["slots"]))),
             state=state,
-            cold_s=_read_number(status.get("coldRemainingS", 0)),
+            cold_s=max(0.0, _read_number(status.get("coldRemainingS", 0))),
             born_ms=int(_read_number(document.get("born", 0))),
             sequence=int(_read_number(status["sequence"])),
         )
--- a/bamboocove/platform/headers.py
+++ b/bamboocove/platform/headers.py
@@ -7,6 +7,7 @@
 
 LIMIT_FIELD = b"server-limit"
 LEAVING_FIELD = b"server-leaving"
+COLD_FIELD = b"x-cold-ms"
 # Decimal numbers with more digits are not taken for a rate.
 _DECIMAL = re.compile(rb"\d{1,12}(\.\d{1,12})?")
 # What a worker that names 0 is taken to name: 0 stands for no limit elsewhere.
@@ -51,6 +52,23 @@
     return max(_LEAST_LIMIT_PER_S, min(limits)) if limits else None
 
 
+def read_cold(headers: Headers) -> float | None:
+    """Return for how many seconds a worker says that it stays cold.
+
+    Returns
+    -------
+    remaining_s : float or None
+        None if it does not say, or not with a decimal number.
+
+    Examples
+    --------
+    >>> read_cold([(b"x-cold-ms", b"2500")]), read_cold([]) is None
+    (2.5, True)
+    """
+    value = (get_header(headers, COLD_FIELD) or b"").strip()
+    return float(value) / 1000 if _DECIMAL.fullmatch(value) else None
+
+
 def is_leaving(headers: Headers) -> bool:
     """Return whether a worker says in a response that it is about to leave."""
     return get_header(headers, LEAVING_FIELD) == b"1"
@@ -71,6 +89,7 @@
     signature=b"x-response-signature",
     answering_worker_id=b"x-instance-id",
     read_limit=read_limit,
+    read_cold=read_cold,
     is_leaving=is_leaving,
     get_parent=get_parent_id,
     readiness_path=b"/api/ready",
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -424,8 +424,7 @@
             server.idle_timeout_s = max(IDLE_TIMEOUT_S, config.idle_timeout_s)
         self.dissemination.propagate_config(before, config, source)
         service = config.services_by_name.get(self.settings.service)
-        if service is not None:
-            self.inbound.watch.health_path = service.health_path
+        self.inbound.use_service(service, self.settings.bounds)
         self.lifecycle.serve()
 
     def _on_hosts(self, records: list[HostRecord]) -> None:
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -238,6 +238,13 @@
         "another node sent orders that this one cannot read",
         "compare the releases of the two nodes",
     ),
+    MeshEvent(
+        924,
+        "worker.cold",
+        "the worker on this host is cold and gets no more than its cold rate",
+        "if it repeats without a start of the worker, check the worker",
+    ),
+    MeshEvent(925, "worker.warm", "the worker on this host is no longer cold"),
     MeshEvent(
         891,
         "log.left-out",
--- a/bamboocove/sidecar/dialect.py
+++ b/bamboocove/sidecar/dialect.py
@@ -34,6 +34,9 @@
     read_limit : callable
         Takes the header fields of a worker's response; returns the requests per second
         that the worker takes: 0 if it names no limit, None if the limit is unreadable.
+    read_cold : callable
+        Takes the header fields of a worker's response; returns the seconds for which
+        the worker stays cold, None if they do not say.
     is_leaving : callable
         Takes the header fields of a worker's response; returns whether the worker is
         about to leave.
@@ -59,6 +62,7 @@
     signature: bytes
     answering_worker_id: bytes
     read_limit: Callable[[Headers], float | None]
+    read_cold: Callable[[Headers], float | None]
     is_leaving: Callable[[Headers], bool]
     get_parent: Callable[[bytes], bytes]
     readiness_path: bytes
--- a/bamboocove/sidecar/fleet.py
+++ b/bamboocove/sidecar/fleet.py
@@ -98,12 +98,16 @@
                 worker.version,
                 worker.slots,
                 cold_until=now + worker.cold_s,
+                cold_per_s=worker.cold_per_s,
             )
             if not self.is_reachable(record.host_id):
                 self.views_by_id[record.host_id].suspended_until = float("inf")
         else:
             view.slots = worker.slots
             view.busy_until = 0.0
+            view.cold_per_s = worker.cold_per_s
+            if worker.cold_per_s:
+                view.cold_until = now + worker.cold_s
         self._forget_cached_views()
         log(
             "host.record",
@@ -172,6 +176,10 @@
         """Return the hosts of an availability zone."""
         return {i for i, r in self.records_by_id.items() if r.zone == zone}
 
+    def get_cold_ids(self) -> list[str]:
+        """Return the hosts whose worker is cold and takes only a limited rate."""
+        return [i for i, view in self.views_by_id.items() if view.cold_per_s]
+
     def get_oldest_version(self, service: str) -> str:
         """Return the version of the ready worker that was started first.
 
--- a/bamboocove/sidecar/gauges.py
+++ b/bamboocove/sidecar/gauges.py
@@ -22,6 +22,8 @@
         "waiting": len(queue.waiting),
         "worker_limit_per_s": queue.limiter.limit_per_s,
         "store_reading": application.watch.is_reading,
+        "worker_cold_limit_per_s": application.inbound.cold.limit_per_s,
+        "cold_workers": len(application.fleet.get_cold_ids()),
         "evacuated_zones": len(application.fleet.evacuated_zones),
         "store_calls": application.store.calls,
         "log_lines_dropped": WRITER.dropped_lines,
--- a/bamboocove/sidecar/hosts.py
+++ b/bamboocove/sidecar/hosts.py
@@ -94,7 +94,7 @@
             settings.advertised_address or settings.link_address,
             settings.zone,
             self.inbound.is_draining,
-            self.inbound.worker,
+            self.inbound.published_worker,
             settings.link_bytes_per_s,
             dict(self.inbound.watch.departed.last_born_by_id),
         )
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -22,6 +22,7 @@
     Forward,
     Reply,
 )
+from bamboocove.sidecar.cold_worker import ColdWorker
 from bamboocove.sidecar.crash_reports import CrashReports
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.inbound_reports import (
@@ -32,12 +33,18 @@
     update_average,
 )
 from bamboocove.sidecar.inbound_request import InboundRequest, make_entry
+from bamboocove.sidecar.limit_timer import LimitTimer
 from bamboocove.sidecar.logs import log_program_error
-from bamboocove.sidecar.settings import Address
+from bamboocove.sidecar.refusals import (
+    COLD_REASON,
+    EVACUATED_REASON,
+    STOPPING_REASON,
+)
+from bamboocove.sidecar.settings import Address, Bounds
 from bamboocove.sidecar.worker_responses import WorkerResponses
 from bamboocove.sidecar.worker_sender import WorkerSender
 from bamboocove.sidecar.worker_watch import ReportResult, WorkerWatch
-from bamboocove.state.mesh import MeshWorker
+from bamboocove.state.mesh import MeshService, MeshWorker
 from bamboocove.transport.clients import ConnectionPool
 
 # The worker is on this host and normally accepts a connection in about 1 ms.
@@ -45,8 +52,6 @@
 # Kernel's buffer of a connection to the worker: what waits there while the node does
 # not read counts as memory of the host, too. Ample without a network between.
 RECEIVE_BUFFER_BYTES = 128 * 1024
-STOPPING_REASON = "the node beside the worker stops too soon"
-EVACUATED_REASON = "the zone of the worker is evacuated"
 WRONG_WORKER_REASON = "worker is not ready for this"
 
 
@@ -93,8 +98,15 @@
         self._pool = ConnectionPool(clock, CONNECT_TIMEOUT_S, RECEIVE_BUFFER_BYTES)
         self._requests: set[InboundRequest] = set()
         self._failure_average = 0.0
-        self._limit_timer: Any = None
         self.queue = WorkerQueue(1)
+        self._limit_timer = LimitTimer(clock, self._start_next)
+        self.cold = ColdWorker(
+            clock,
+            lambda: self.queue,
+            lambda entry: self._end(entry.payload, REFUSED, reason=COLD_REASON),
+            self._limit_timer.restart,
+            self._on_change,
+        )
         self.watch = WorkerWatch(
             address,
             dialect,
@@ -103,6 +115,7 @@
             self._on_worker_state,
             self._on_worker_replaced,
             self._on_limit,
+            self.cold.update,
             self._on_change,
         )
         self._responses = WorkerResponses(
@@ -140,6 +153,17 @@
         """Last known state of the worker on this host; None if there is none."""
         return self.watch.worker
 
+    @property
+    def published_worker(self) -> MeshWorker | None:
+        """The worker as the record of this host shows it."""
+        return self.cold.describe(self.watch.worker)
+
+    def use_service(self, service: MeshService | None, bounds: Bounds) -> None:
+        """Apply the configuration of the worker's service."""
+        if service is not None:
+            self.watch.health_path = service.health_path
+        self.cold.configure(service, bounds)
+
     def update_worker(self, worker: MeshWorker) -> ReportResult:
         """Apply a report of the worker unless it is outdated."""
         return self.watch.update(worker)
@@ -200,8 +224,9 @@
         for entry in list(self.queue.waiting):
             if entry.deadline <= now:
                 self.queue.discard(entry)
-                self._end(entry.payload, REFUSED, reason="waited too long")
+                self._end(entry.payload, REFUSED, reason=self._get_late_reason(now))
         self._refuse_late(now)
+        self.cold.tick()
         self.watch.tick(now)
 
     def submit(
@@ -251,12 +276,21 @@
         is_admitted, evicted = self.queue.offer(entry, now)
         for evicted_entry in evicted:
             self._end(
-                evicted_entry.payload, REFUSED, reason="gave way to an urgent request"
+                evicted_entry.payload,
+                REFUSED,
+                reason=self._get_queue_reason("gave way to an urgent request", now),
             )
         if is_admitted:
             self._start_next(now)
         else:
-            self._end(request, REFUSED, reason="queue is full")
+            reason = self._get_queue_reason("queue is full", now)
+            self._end(request, REFUSED, reason=reason)
+
+    def _get_late_reason(self, now: float) -> str:
+        return self._get_queue_reason("waited too long", now)
+
+    def _get_queue_reason(self, reason: str, now: float) -> str:
+        return COLD_REASON if self.queue.is_held_by_cold(now) else reason
 
     def _may_run(self, forward: Forward | BodyOffer) -> bool:
         worker = self.worker
@@ -308,7 +342,8 @@
             entry = make_entry(offer, None, now)
             if self.queue.can_admit(entry, predict_delay, now):
                 return entry.priority
-            outcome, reason = REFUSED, "no room for its body in time"
+            outcome = REFUSED
+            reason = self._get_queue_reason("no room for its body in time", now)
         return self.refuse(offer, outcome, reason)
 
     def refuse(self, message: Forward | BodyOffer, outcome: int, reason: str) -> Reply:
@@ -329,23 +364,13 @@
         while True:
             entry, expired = self.queue.start_next(now)
             for expired_entry in expired:
-                self._end(expired_entry.payload, REFUSED, reason="waited too long")
+                reason = self._get_late_reason(now)
+                self._end(expired_entry.payload, REFUSED, reason=reason)
             if entry is None:
-                self._wait_for_limit(now)
+                self._limit_timer.wait(self.queue, now)
                 return
             self._attempt(entry.payload, self._sender.connect)
 
-    def _wait_for_limit(self, now: float) -> None:
-        """Start the next request as soon as the worker's limit lets it."""
-        wait_s = self.queue.limiter.predict_wait(1, now)
-        if not wait_s or not self.queue.waiting or self._limit_timer is not None:
-            return
-        self._limit_timer = self._clock.callLater(wait_s, self._on_limit_wait_over)
-
-    def _on_limit_wait_over(self) -> None:
-        self._limit_timer = None
-        self._start_next(self._clock.seconds())
-
     def _on_unreachable(self, request: InboundRequest, reason: str) -> None:
         self._end(request, REFUSED, reason="worker is unreachable")
         self.watch.mark_down(reason)
@@ -428,6 +453,4 @@
     def close(self) -> None:
         """Close idle connections to the worker, and start nothing more."""
         self._pool.close()
-        timer, self._limit_timer = self._limit_timer, None
-        if timer is not None:
-            timer.cancel()
+        self._limit_timer.stop()
--- a/bamboocove/sidecar/metrics.py
+++ b/bamboocove/sidecar/metrics.py
@@ -47,6 +47,11 @@
                     "worker_limit_per_s",
                     "Requests per second that the worker takes; 0 without a limit.",
                 ),
+                (
+                    "worker_cold_limit_per_s",
+                    "Requests per second while the worker is cold; 0 without a limit.",
+                ),
+                ("cold_workers", "Known workers that are cold and limited."),
                 ("evacuated_zones", "Availability zones under evacuation."),
                 ("store_reading", "1 if the node reads the store for its zone."),
                 ("store_calls", "Calls to the store since the start."),
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -37,11 +37,7 @@
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.error_responses import send_error
 from bamboocove.sidecar.fleet import Fleet
-from bamboocove.sidecar.inbound import (
-    EVACUATED_REASON,
-    STOPPING_REASON,
-    InboundProxy,
-)
+from bamboocove.sidecar.inbound import InboundProxy
 from bamboocove.sidecar.links import LinkHub
 from bamboocove.sidecar.logs import log
 from bamboocove.sidecar.metrics import MeshMetrics
@@ -54,6 +50,7 @@
     log_repeated,
 )
 from bamboocove.sidecar.outbound_responses import Responder
+from bamboocove.sidecar.refusals import STOPPING_REASON, exclude_alike
 from bamboocove.sidecar.rules import RuleTable
 from bamboocove.sidecar.settings import HostSettings
 from bamboocove.sidecar.silent_hosts import SilentHosts
@@ -379,12 +376,8 @@
         request.last_reason = reply.body.decode("latin-1")
         request.may_return_soon = False
         request.excluded_host_ids.add(request.host_id)
-        if request.last_reason == EVACUATED_REASON:
-            # This node has not heard of it yet. No host there takes the request.
-            zone_ids = self._fleet.get_zone_ids(request.view.zone)
-            request.excluded_host_ids.update(zone_ids)
-            request.hosts_tried = 1
-        elif reply.outcome == WRONG_WORKER:
+        exclude_alike(request, self._fleet)
+        if reply.outcome == WRONG_WORKER:
             self._fleet.suspend(request.host_id, now)
         elif request.last_reason != STOPPING_REASON:
             # A host that stops refuses requests for their deadlines, not for its load.
--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -62,6 +62,9 @@
     on_limit : callable
         Called with the requests per second that the worker takes when that has
         changed; 0 for no limit.
+    on_cold : callable
+        Called with the seconds for which the worker says that it stays cold, None if a
+        worker that was down does not say; returns whether its limit has changed.
     on_departed : callable
         Called without arguments when ``departed`` has changed.
     worker : MeshWorker or None
@@ -83,6 +86,7 @@
     on_state: Callable[[MeshWorker], None]
     on_replaced: Callable[[], None]
     on_limit: Callable[[float], None]
+    on_cold: Callable[[float | None], bool]
     on_departed: Callable[[], None]
     worker: MeshWorker | None = None
     health_path: str = ""
@@ -117,7 +121,12 @@
         if self._must_probe(held, worker):
             worker = self._unconfirmed = evolve(worker, state="down")
         self.worker = worker
-        if held is None or _get_published_state(held) != _get_published_state(worker):
+        is_limit_changed = self.on_cold(worker.cold_s)
+        if (
+            held is None
+            or is_limit_changed
+            or _get_published_state(held) != _get_published_state(worker)
+        ):
             self._publish_state()
         return ReportResult.APPLIED
 
@@ -192,7 +201,15 @@
             worker = evolve(worker, state="gone")
         if held is None:
             state = worker.state if worker.state in LEAVING_STATES else "down"
-            self.worker = evolve(worker, state=state, sequence=0)
+            # A limit of a cold worker is none that it has named.
+            limit_per_s = 0.0 if worker.cold_per_s else worker.limit_per_s
+            self.worker = evolve(
+                worker,
+                state=state,
+                sequence=0,
+                limit_per_s=limit_per_s,
+                cold_per_s=0.0,
+            )
             self._publish_state()
         elif worker.state not in LEAVING_STATES:
             return
@@ -247,6 +264,9 @@
             self.worker = evolve(self.worker, limit_per_s=limit_per_s)
             self.on_limit(limit_per_s)
         self._publish_limit(now)
+        cold_s = self.dialect.read_cold(headers)
+        if cold_s is not None and self.on_cold(cold_s):
+            self._publish_state()
         if self.dialect.is_leaving(headers) and self.worker.state != "gone":
             self.set_state("draining")
 
@@ -300,6 +320,10 @@
         ):
             self.update_from_response(result.headers, self.clock.seconds())
         if self.worker.state == "down":
+            cold_s = self.dialect.read_cold(result.headers)
+            # A worker that is probed only to confirm its report has told the time.
+            if cold_s is not None or worker is not self._unconfirmed:
+                self.on_cold(cold_s)
             self.set_state("ready")
 
 
--- a/bamboocove/state/mesh.py
+++ b/bamboocove/state/mesh.py
@@ -117,11 +117,17 @@
         URL path of a worker's health check.
     max_connections : int
         Maximum number of connections that one worker accepts.
+    cold_start_s : float
+        Time for which a worker is cold after its start, in seconds.
+    cold_per_s : float
+        Requests per second that a cold worker takes; 0 for no limit.
     """
 
     name: str
     health_path: str
     max_connections: int
+    cold_start_s: float = field(default=0.0, validator=_IS_COUNT)
+    cold_per_s: float = field(default=0.0, validator=_IS_COUNT)
 
 
 @frozen
@@ -174,7 +180,10 @@
         Increases with each report since its start.
     limit_per_s : float
         Requests per second that it takes from all hosts together, as its responses
-        say; 0 if they name no limit.
+        say or because it is cold; 0 if there is no limit.
+    cold_per_s : float
+        Requests per second that it takes because it is cold; 0 if it is not, or takes
+        any number.
     """
 
     worker_id: str
@@ -186,6 +195,7 @@
     born_ms: int = 0
     sequence: int = 0
     limit_per_s: float = field(default=0.0, validator=[ge(0), le(MAX_COUNT)])
+    cold_per_s: float = field(default=0.0, validator=_IS_COUNT)
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/tests/sidecar/hosts.py
+++ b/tests/sidecar/hosts.py
@@ -182,6 +182,8 @@
         self.worker_id = f"i-{host_id}"
         self.requests = []
         self.request_handler = None
+        self.health_checks = 0
+        self.health_fields = []
         port = self.worker.port
         addresses = [("127.0.0.1", get_free_port()) for _ in range(4)]
         self.settings = HostSettings(
@@ -217,7 +219,9 @@
     def answer(self, exchange):
         headers = dict(exchange.headers)
         if exchange.target == b"/healthz":
-            exchange.respond(200, [(b"x-instance-id", self.worker_id.encode())])
+            self.health_checks += 1
+            identity = (b"x-instance-id", self.worker_id.encode())
+            exchange.respond(200, [identity, *self.health_fields])
             return
         if headers[b"x-expected-instance"] != self.worker_id.encode():
             exchange.respond(421, [(b"x-instance-id", self.worker_id.encode())])
@@ -244,7 +248,7 @@
     def respond_not_executed(self, exchange):
         self.respond(exchange, 503, (b"x-not-executed", b"1"))
 
-    def report(self, state="ready"):
+    def report(self, state="ready", cold_s=0.0):
         """Send a report of the worker to the node; return the status code."""
         self.sequence += 1
         body = json.dumps(
@@ -259,7 +263,7 @@
                 "status": {
                     "state": state,
                     "sequence": self.sequence,
-                    "coldRemainingS": 0,
+                    "coldRemainingS": cold_s,
                 },
                 "born": self.born_ms,
             }
--- a/tests/sidecar/test_evacuation.py
+++ b/tests/sidecar/test_evacuation.py
@@ -78,7 +78,7 @@
         front_a.open(format_call("/read/1", attempt=f"c{n}", left_ms=9000))
         for n in range(3)
     ]
-    run_reactor_until(lambda: len(orders_a.node.inbound.queue.waiting) == 2)
+    run_reactor_until(lambda: held and len(orders_a.node.inbound.queue.waiting) == 2)
     other_view.suspended_until = 0.0
     order(mesh, "a")
     assert not orders_a.node.inbound.queue.waiting
