Refuse configurations that keep requests out of a region

allowedRegions of a route or an account was read by nobody, so that requests ran where they may not. Nodes do not place by region; a configuration that leaves out the region of any zone of the settings is now refused as a whole, with a reason that names the route or account, the region and the zone.

--- a/bamboocove/platform/documents.py
+++ b/bamboocove/platform/documents.py
@@ -132,21 +132,27 @@
             raise ValueError("the name does not fit into a header field")
         return ClientAccount(
             _read_string(name),
-            tuple(map(_read_key, _read_list(account.get("apiKeys")))),
+            tuple(map(_read_key, _read_list(account, "apiKeys"))),
             None if priority is None else max(0, int(_read_number(priority))),
             _read_number(account.get("ratePerS") or 0),
             _read_number(account.get("burst") or 0),
+            _read_regions(account),
         )
     except _INVALID as error:
         raise ValueError(f"tenant {name}: {error}") from None
 
 
-def _read_list(value: Any) -> list[Any]:
+def _read_list(table: Mapping[str, Any], name: str) -> list[Any]:
+    value = table.get(name)
     if value is not None and not isinstance(value, list):
-        raise TypeError("apiKeys is not a list")
+        raise TypeError(f"{name} is not a list")
     return value or []
 
 
+def _read_regions(table: Mapping[str, Any]) -> tuple[str, ...]:
+    return tuple(map(_read_string, _read_list(table, "allowedRegions")))
+
+
 def _read_key(key: Any) -> str:
     """Return the digest of a key; no error shows the key."""
     if not isinstance(key, str) or not key.strip():
@@ -165,6 +171,10 @@
     weights = [share.weight for share in shares]
     if min(weights, default=0.0) < 0.0 or sum(weights) <= 0.0:
         raise ValueError(f"route {name}: no service has a positive weight")
+    try:
+        allowed_regions = _read_regions(route)
+    except TypeError as error:
+        raise ValueError(f"route {name}: {error}") from None
     timeout_s = _read_positive_number(route.get("timeoutS", DEFAULT_TIMEOUT_S))
     return HostRoute(
         name=name,
@@ -178,6 +188,7 @@
         attempts=max(1, int(_read_number(route.get("attempts", 1)))),
         priority=max(0, int(_read_number(route.get("priority", 0)))),
         is_anonymous=_read_flag(route.get("anonymous")),
+        allowed_regions=allowed_regions,
     )
 
 
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -19,6 +19,7 @@
 from bamboocove.coordination.load_reports import LoadReporter
 from bamboocove.coordination.readers import ReaderRole
 from bamboocove.coordination.record_repair import RecordRepair
+from bamboocove.coordination.regions import check_regions
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.events import run_logged
 from bamboocove.lifecycle import LifecycleHooks, make_lifecycle
@@ -405,7 +406,9 @@
         before = self.config
         if config.version <= before.version:
             return
-        error = self.outbound.router.use_config(config)
+        error = check_regions(config, self.settings.regions_by_zone)
+        if error is None:
+            error = self.outbound.router.use_config(config)
         if error is not None:
             log("config.refused", version=config.version, reason=error.reason)
             return
--- a/bamboocove/state/mesh.py
+++ b/bamboocove/state/mesh.py
@@ -65,6 +65,8 @@
         Priority under load; 0 is the most urgent.
     is_anonymous : bool
         Whether requests need no key of a client account.
+    allowed_regions : tuple of str
+        Regions in which requests may run; empty for all.
     """
 
     name: str
@@ -77,6 +79,7 @@
     attempts: int = 1
     priority: int = 0
     is_anonymous: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 @frozen
@@ -96,6 +99,8 @@
     rate_per_s, burst : float
         Requests per second that all nodes together may take, and how many more at once;
         a rate of 0 means no limit.
+    allowed_regions : tuple of str
+        Regions in which requests may run; empty for all.
     """
 
     name: str
@@ -103,6 +108,7 @@
     priority: int | None = None
     rate_per_s: float = field(default=0.0, validator=_IS_COUNT)
     burst: float = field(default=0.0, validator=_IS_COUNT)
+    allowed_regions: tuple[str, ...] = ()
 
 
 @frozen
--- a/tests/sidecar/test_evacuation.py
+++ b/tests/sidecar/test_evacuation.py
@@ -1,6 +1,7 @@
 """Evacuation of availability zones by complete nodes on loopback."""
 
 import pytest
+from attrs import evolve
 from twisted.internet import reactor
 
 from tests.callpath import run_reactor_until
@@ -160,3 +161,14 @@
     make_zones(mesh)
     mesh.store.put_evacuations("A", "a")
     wait_for(mesh.hosts, "a")
+
+
+def test_configuration_that_leaves_out_a_region_does_not_come_into_force(mesh):
+    """Guards against allowed regions that a node reads and ignores."""
+    make_zones(mesh)
+    config = make_config(2)
+    route = evolve(config.routes_by_name["read"], allowed_regions=("s",))
+    mesh.store.put_config(evolve(config, routes_by_name={"read": route}))
+    mesh.store.put_evacuations("a")
+    wait_for(mesh.hosts, "a")
+    assert mesh.get_versions() == [1] * 4
