Lose no order that is written while the store is read in pages

A read of several pages named the revision of the last one, so that what was written to an earlier page meanwhile was in neither the read nor the changes that followed. It names that of the first page now.

--- a/bamboocove/coordination/body_grants.py
+++ b/bamboocove/coordination/body_grants.py
@@ -105,6 +105,12 @@
         self._waiting_by_key.pop(key, None)
         self._granted_by_key.pop(key, None)
 
+    def take_waiting(self) -> list[Any]:
+        """Remove the offers that wait for permission; return their keys."""
+        keys = list(self._waiting_by_key)
+        self._waiting_by_key.clear()
+        return keys
+
     def take_granted(self, now: float) -> list[Any]:
         """Grant the offers for which there is room; return their keys.
 
--- a/bamboocove/platform/store.py
+++ b/bamboocove/platform/store.py
@@ -294,6 +294,8 @@
         self, table: str, key: str | None = None
     ) -> tuple[list[Row], int] | ErrorResult:
         rows: list[Row] = []
+        # What changes between two pages is in the changes since the first one.
+        revision: int | None = None
         query: dict[str, Any] = {"table": table, "part": "", "limit": PAGE_SIZE}
         if key is not None:
             query.update({"from": key, "to": key + "\0"})
@@ -304,8 +306,10 @@
                 return document
             page = parse_rows(document)
             rows += page
+            if revision is None:
+                revision = get_revision(document, 0)
             if not document.get("hasMore") or not page:
-                return rows, get_revision(document, 0)
+                return rows, revision
             query["from"] = page[-1].key + "\0"
 
     async def _write(
--- a/bamboocove/sidecar/evacuation.py
+++ b/bamboocove/sidecar/evacuation.py
@@ -6,8 +6,13 @@
 
 from bamboocove.coordination.evacuation import EvacuationTable
 from bamboocove.errors import ErrorResult
-from bamboocove.protocol.mesh_messages import EvacuationUpdate, encode_mesh_message
+from bamboocove.protocol.mesh_messages import (
+    WRONG_WORKER,
+    EvacuationUpdate,
+    encode_mesh_message,
+)
 from bamboocove.sidecar.logs import log
+from bamboocove.sidecar.refusals import EVACUATED_REASON
 from bamboocove.sidecar.store import OperatorUpdate
 from bamboocove.state.codec import from_plain
 from bamboocove.state.evacuation import EvacuationOrders
@@ -108,4 +113,7 @@
             source=source,
         )
         application.fleet.set_evacuated_zones(orders.zones)
-        application.inbound.set_evacuated(application.settings.zone in orders.zones)
+        is_evacuated = application.settings.zone in orders.zones
+        application.inbound.set_evacuated(is_evacuated)
+        if is_evacuated:
+            application.forwarding.refuse_waiting(WRONG_WORKER, EVACUATED_REASON)
--- a/bamboocove/sidecar/forwarding.py
+++ b/bamboocove/sidecar/forwarding.py
@@ -162,6 +162,14 @@
             self.grants.remove((link, stream))
             self._send_grants()
 
+    def refuse_waiting(self, outcome: int, reason: str) -> None:
+        """Refuse the offered bodies that wait for permission to be sent."""
+        for link, stream in self.grants.take_waiting():
+            self._end_offer(link, stream)
+            load = self.inbound.make_load()
+            reply = Reply(stream, outcome, 0, [], reason.encode(), 0, load)
+            link.send_encoded(encode_mesh_message(reply))
+
     def tick(self, now: float) -> None:
         """Forget offers and replies that nobody waits for any more.
 
--- a/tests/sidecar/test_forwarding.py
+++ b/tests/sidecar/test_forwarding.py
@@ -7,10 +7,13 @@
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.protocol.mesh_messages import (
     ANSWERED,
+    WRONG_WORKER,
+    BodyGrant,
     BodyOffer,
     Cancel,
     Forward,
     Reply,
+    decode_mesh_message,
 )
 from bamboocove.sidecar.forwarding import Forwarding
 from bamboocove.sidecar.reply_offers import ReplyOffers
@@ -176,3 +179,21 @@
     forwarding.take(link, None)
     assert inbound.budget.held == 0
     assert grants.predict_wait(9) == 0
+
+
+def test_bodies_that_wait_are_refused_without_being_sent(inbound, clock):
+    """Guards against uploads that cross zones for a worker that may not take them."""
+    inbound.assess_offer = lambda offer, predict_delay, now: 1.0
+    inbound.make_load = lambda: [0, 1, 0, 0]
+    inbound.budget = ByteBudget(20 * LARGE_BYTES)
+    forwarding = Forwarding(inbound, clock, BodyGrants(1.0), ReplyOffers(ByteBudget(0)))
+    sent = []
+    link = FakeLink()
+    link.send_encoded = lambda data: sent.append(decode_mesh_message(data))
+    for stream in (1, 2):
+        offer = BodyOffer(stream, "up", "s", "v1", 900, 300, 1, LARGE_BYTES, b"a")
+        forwarding.take(link, offer)
+    assert sent == [BodyGrant(1)]
+    forwarding.refuse_waiting(WRONG_WORKER, "evacuated")
+    assert [(type(m), m.stream) for m in sent[1:]] == [(Reply, 2)]
+    assert inbound.budget.held == LARGE_BYTES
