--- a/bamboocove/platform/documents.py
+++ b/bamboocove/platform/documents.py
@@ -89,11 +89,7 @@
                 for name, route in document["routes"].items()
             },
             services_by_name={
-                name: MeshService(
-                    name,
-                    _read_string(service.get("healthPath", "/")),
-                    int(_read_number(service.get("maxConnections", 100))),
-                )
+                name: _read_service(name, service)
                 for name, service in document["services"].items()
             },
             accounts_by_name=_read_accounts(document.get("tenants") or {}),
@@ -105,6 +101,19 @@
         return ErrorResult(ErrorKind.INVALID_CONFIG, reason)
 
 
+def _read_service(name: str, service: Mapping[str, Any]) -> MeshService:
+    try:
+        return MeshService(
+            name,
+            _read_string(service.get("healthPath", "/")),
+            int(_read_number(service.get("maxConnections", 100))),
+            _read_number(service.get("coldStartS") or 0),
+            _read_number(service.get("coldPerS") or 0),
+        )
+    except _INVALID as error:
+        raise ValueError(f"service {name}: {error}") from None
+
+
 def _read_accounts(accounts: Mapping[str, Any]) -> dict[str, ClientAccount]:
     accounts_by_name = {name: _read_account(name, a) for name, a in accounts.items()}
     names_by_digest: dict[str, str] = {}
@@ -123,21 +132,27 @@
             raise ValueError("the name does not fit into a header field")
         return ClientAccount(
             _read_string(name),
-            tuple(map(_read_key, _read_list(account.get("apiKeys")))),
+            tuple(map(_read_key, _read_list(account, "apiKeys"))),
             None if priority is None else max(0, int(_read_number(priority))),
             _read_number(account.get("ratePerS") or 0),
             _read_number(account.get("burst") or 0),
+            _read_regions(account),
         )
     except _INVALID as error:
         raise ValueError(f"tenant {name}: {error}") from None
 
 
-def _read_list(value: Any) -> list[Any]:
+def _read_list(table: Mapping[str, Any], name: str) -> list[Any]:
+    value = table.get(name)
     if value is not None and not isinstance(value, list):
-        raise TypeError("apiKeys is not a list")
+        raise TypeError(f"{name} is not a list")
     return value or []
 
 
+def _read_regions(table: Mapping[str, Any]) -> tuple[str, ...]:
+    return tuple(map(_read_string, _read_list(table, "allowedRegions")))
+
+
 def _read_key(key: Any) -> str:
     """Return the digest of a key; no error shows the key."""
     if not isinstance(key, str) or not key.strip():
@@ -156,6 +171,10 @@
     weights = [share.weight for share in shares]
     if min(weights, default=0.0) < 0.0 or sum(weights) <= 0.0:
         raise ValueError(f"route {name}: no service has a positive weight")
+    try:
+        allowed_regions = _read_regions(route)
+    except TypeError as error:
+        raise ValueError(f"route {name}: {error}") from None
     timeout_s = _read_positive_number(route.get("timeoutS", DEFAULT_TIMEOUT_S))
     return HostRoute(
         name=name,
@@ -169,6 +188,7 @@
         attempts=max(1, int(_read_number(route.get("attempts", 1)))),
         priority=max(0, int(_read_number(route.get("priority", 0)))),
         is_anonymous=_read_flag(route.get("anonymous")),
+        allowed_regions=allowed_regions,
     )
 
 
@@ -241,7 +261,7 @@
             version=_read_string(info["version"]),
             slots=max(1, int(_read_number(info["slots"]))),
             state=state,
-            cold_s=_read_number(status.get("coldRemainingS", 0)),
+            cold_s=max(0.0, _read_number(status.get("coldRemainingS", 0))),
             born_ms=int(_read_number(document.get("born", 0))),
             sequence=int(_read_number(status["sequence"])),
         )
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -19,6 +19,7 @@
 from bamboocove.coordination.load_reports import LoadReporter
 from bamboocove.coordination.readers import ReaderRole
 from bamboocove.coordination.record_repair import RecordRepair
+from bamboocove.coordination.regions import check_regions
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.events import run_logged
 from bamboocove.lifecycle import LifecycleHooks, make_lifecycle
@@ -34,6 +35,7 @@
     make_metrics_handler,
     make_readiness_handler,
 )
+from bamboocove.sidecar.evacuation import EvacuationControl
 from bamboocove.sidecar.fleet import Fleet
 from bamboocove.sidecar.forwarding import Forwarding
 from bamboocove.sidecar.gauges import update_gauges
@@ -120,6 +122,7 @@
         # Shared by request and response bodies.
         self.body_budget = ByteBudget(compute_budget(settings.memory_bytes))
         self.link_events = LinkEvents(self)
+        self.evacuation = EvacuationControl(self)
         self.hub = LinkHub(
             self.clock,
             HubHandlers(
@@ -381,6 +384,8 @@
         update_gauges(self)
 
     def _on_operator_update(self, update: OperatorUpdate) -> None:
+        # First, since a node serves as soon as it has a configuration.
+        self.evacuation.apply_update(update)
         if update.config is not None:
             self.use_config(update.config, "store")
         now = self.clock.seconds()
@@ -401,7 +406,9 @@
         before = self.config
         if config.version <= before.version:
             return
-        error = self.outbound.router.use_config(config)
+        error = check_regions(config, self.settings.regions_by_zone)
+        if error is None:
+            error = self.outbound.router.use_config(config)
         if error is not None:
             log("config.refused", version=config.version, reason=error.reason)
             return
@@ -422,8 +429,7 @@
             server.idle_timeout_s = max(IDLE_TIMEOUT_S, config.idle_timeout_s)
         self.dissemination.propagate_config(before, config, source)
         service = config.services_by_name.get(self.settings.service)
-        if service is not None:
-            self.inbound.watch.health_path = service.health_path
+        self.inbound.use_service(service, self.settings.bounds)
         self.lifecycle.serve()
 
     def _on_hosts(self, records: list[HostRecord]) -> None:
--- a/bamboocove/state/mesh.py
+++ b/bamboocove/state/mesh.py
@@ -65,6 +65,8 @@
         Priority under load; 0 is the most urgent.
     is_anonymous : bool
         Whether requests need no key of a client account.
+    allowed_regions : tuple of str
+        Regions in which requests may run; empty for all.
     """
 
     name: str
@@ -77,6 +79,7 @@
     attempts: int = 1
     priority: int = 0
     is_anonymous: bool = False
+    allowed_regions: tuple[str, ...] = ()
 
 
 @frozen
@@ -96,6 +99,8 @@
     rate_per_s, burst : float
         Requests per second that all nodes together may take, and how many more at once;
         a rate of 0 means no limit.
+    allowed_regions : tuple of str
+        Regions in which requests may run; empty for all.
     """
 
     name: str
@@ -103,6 +108,7 @@
     priority: int | None = None
     rate_per_s: float = field(default=0.0, validator=_IS_COUNT)
     burst: float = field(default=0.0, validator=_IS_COUNT)
+    allowed_regions: tuple[str, ...] = ()
 
 
 @frozen
@@ -117,11 +123,17 @@
         URL path of a worker's health check.
     max_connections : int
         Maximum number of connections that one worker accepts.
+    cold_start_s : float
+        Time for which a worker is cold after its start, in seconds.
+    cold_per_s : float
+        Requests per second that a cold worker takes; 0 for no limit.
     """
 
     name: str
     health_path: str
     max_connections: int
+    cold_start_s: float = field(default=0.0, validator=_IS_COUNT)
+    cold_per_s: float = field(default=0.0, validator=_IS_COUNT)
 
 
 @frozen
@@ -174,7 +186,10 @@
         Increases with each report since its start.
     limit_per_s : float
         Requests per second that it takes from all hosts together, as its responses
-        say; 0 if they name no limit.
+        say or because it is cold; 0 if there is no limit.
+    cold_per_s : float
+        Requests per second that it takes because it is cold; 0 if it is not, or takes
+        any number.
     """
 
     worker_id: str
@@ -186,6 +201,7 @@
     born_ms: int = 0
     sequence: int = 0
     limit_per_s: float = field(default=0.0, validator=[ge(0), le(MAX_COUNT)])
+    cold_per_s: float = field(default=0.0, validator=_IS_COUNT)
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/tests/sidecar/hosts.py
+++ b/tests/sidecar/hosts.py
@@ -15,6 +15,7 @@
 from bamboocove.sidecar.application import SidecarApplication
 from bamboocove.sidecar.settings import HostSettings
 from bamboocove.sidecar.store import OperatorUpdate
+from bamboocove.state.evacuation import EvacuationChange
 from bamboocove.state.mesh import (
     HostRoute,
     MeshConfig,
@@ -35,6 +36,7 @@
     def __init__(self):
         self.config = None
         self.orders = {}
+        self.evacuated_zones = set()
         self.revision = 0
         self.hosts = {}
         self.rules = {}
@@ -50,12 +52,19 @@
         self.revision += 1
         self.orders[service] = MoveOrder(service, to_version, duration_s, self.revision)
 
+    def put_evacuations(self, *zones):
+        self.revision += 1
+        self.evacuated_zones = set(zones)
+
     async def read_operator(self):
         self.calls += 1
         if self.is_down:
             return UNAVAILABLE
         orders = tuple(self.orders.values())
-        return OperatorUpdate(self.config, orders, self.revision, True)
+        zones = tuple(EvacuationChange(z, True) for z in sorted(self.evacuated_zones))
+        return OperatorUpdate(
+            self.config, orders, self.revision, True, evacuations=zones
+        )
 
     async def watch_operator(self, revision, must_wait=True, on_progress=None):
         # Like the platform's store, answers after a time even without a change.
@@ -173,6 +182,8 @@
         self.worker_id = f"i-{host_id}"
         self.requests = []
         self.request_handler = None
+        self.health_checks = 0
+        self.health_fields = []
         port = self.worker.port
         addresses = [("127.0.0.1", get_free_port()) for _ in range(4)]
         self.settings = HostSettings(
@@ -185,6 +196,7 @@
             ("127.0.0.1", 1),
             link_bytes_per_s=mesh.link_bytes_per_s,
             is_first_start=mesh.is_first_start,
+            regions_by_zone=mesh.regions_by_zone,
         )
         self.node = None
         self.start()
@@ -207,7 +219,9 @@
     def answer(self, exchange):
         headers = dict(exchange.headers)
         if exchange.target == b"/healthz":
-            exchange.respond(200, [(b"x-instance-id", self.worker_id.encode())])
+            self.health_checks += 1
+            identity = (b"x-instance-id", self.worker_id.encode())
+            exchange.respond(200, [identity, *self.health_fields])
             return
         if headers[b"x-expected-instance"] != self.worker_id.encode():
             exchange.respond(421, [(b"x-instance-id", self.worker_id.encode())])
@@ -234,7 +248,7 @@
     def respond_not_executed(self, exchange):
         self.respond(exchange, 503, (b"x-not-executed", b"1"))
 
-    def report(self, state="ready"):
+    def report(self, state="ready", cold_s=0.0):
         """Send a report of the worker to the node; return the status code."""
         self.sequence += 1
         body = json.dumps(
@@ -249,7 +263,7 @@
                 "status": {
                     "state": state,
                     "sequence": self.sequence,
-                    "coldRemainingS": 0,
+                    "coldRemainingS": cold_s,
                 },
                 "born": self.born_ms,
             }
@@ -320,6 +334,7 @@
 
     is_first_start = False
     link_bytes_per_s = 0
+    regions_by_zone = {}
 
     def __init__(self):
         self.store = MemoryStore()
