Hand up the time of the store with what is read from it

Key revocation needs to know up to which time of the store a node knows the configuration. OperatorUpdate carries nowS, the boot time at which the question was asked, and the era. Of a read of several pages the first one counts for both the time and the revision: a row of it that changed while further pages were read was missed by the next watch. An invalid configuration no longer hides a valid one in the same answer. The length of a long poll is a parameter of the client.

--- a/bamboocove/platform/rows.py
+++ b/bamboocove/platform/rows.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -126,6 +127,18 @@
     return revision
 
 
+def get_store_time(document: dict) -> float | None:
+    """Return the time of the store in seconds, or None if a document names none."""
+    seconds = document.get("nowS")
+    if seconds is None:
+        return None
+    is_number = isinstance(seconds, int | float) and not isinstance(seconds, bool)
+    if not is_number or not math.isfinite(seconds):
+        log("store.row-unreadable", key="nowS", reason=f"not a time: {seconds!r}")
+        return None
+    return float(seconds)
+
+
 def parse_rows(document: dict) -> list[Row]:
     """Return the rows of a document, without those that cannot be read."""
     rows = []
@@ -152,22 +165,40 @@
     return rows
 
 
-def make_update(rows: list[Row], revision: int, is_full_read: bool) -> OperatorUpdate:
-    """Return the configuration and the move orders among the rows of the operator."""
+def make_update(
+    rows: list[Row],
+    revision: int,
+    is_full_read: bool,
+    store_time_s: float | None = None,
+    asked_at: float = 0.0,
+) -> OperatorUpdate:
+    """Return the configuration and the move orders among the rows of the operator.
+
+    Of several configurations the last valid one counts: an invalid one leaves the one
+    before it in force.
+    """
     config = None
     orders: list[MoveOrder] = []
     for row in rows:
         if row.value is None:
             continue
         if row.key == CONFIG_KEY:
-            config = decode_config(row.value)
+            decoded = decode_config(row.value)
+            if isinstance(decoded, ErrorResult):
+                log("store.row-unreadable", key=CONFIG_KEY, reason=decoded.reason)
+            else:
+                config = decoded
         elif row.key.startswith(ORDER_PREFIX):
             order = decode_move_order(row.value, row.revision)
             if isinstance(order, ErrorResult):
                 log("store.row-unreadable", key=row.key, reason=order.reason)
             else:
                 orders.append(order)
-    if isinstance(config, ErrorResult):
-        log("store.row-unreadable", key=CONFIG_KEY, reason=config.reason)
-        config = None
-    return OperatorUpdate(config, tuple(orders), revision, is_full_read)
+    return OperatorUpdate(
+        config,
+        tuple(orders),
+        revision,
+        is_full_read,
+        store_time_s=store_time_s,
+        asked_at=asked_at,
+    )
--- a/bamboocove/platform/standin_store.py
+++ b/bamboocove/platform/standin_store.py
@@ -150,9 +150,12 @@
         return {
             "rows": rows,
             "hasMore": len(keys) > self.page_size,
-            "ver": self.revision,
+            **self._make_position(),
         }
 
+    def _make_position(self) -> dict[str, Any]:
+        return {"ver": self.revision, "nowS": self.clock.seconds()}
+
     def _serve_watch(self, exchange: Exchange, query: dict[str, str]) -> None:
         after = int(query["after"])
         if after < self._oldest_revision:
@@ -164,7 +167,7 @@
             if change[0] == query["table"] and change[-1] > after
         ]
         if rows or not int(query.get("waitMs", 0)):
-            self._respond(exchange, 200, {"rows": rows, "ver": self.revision})
+            self._respond(exchange, 200, {"rows": rows, **self._make_position()})
             return
         watch = (exchange, query)
         self._watches.append(watch)
@@ -182,7 +185,7 @@
     def _end_watch(self, watch: tuple[Exchange, dict[str, str]]) -> None:
         if watch in self._watches:
             self._watches.remove(watch)
-            self._respond(watch[0], 200, {"rows": [], "ver": self.revision})
+            self._respond(watch[0], 200, {"rows": [], **self._make_position()})
 
     def _apply_transaction(
         self, document: dict[str, Any]
--- a/bamboocove/platform/store.py
+++ b/bamboocove/platform/store.py
@@ -5,6 +5,7 @@
 from urllib.parse import quote, urlencode
 
 from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.platform.call_log import log_call
 from bamboocove.platform.documents import encode_move_status
 from bamboocove.platform.rows import (
     HTTP_PRECONDITION_FAILED,
@@ -13,6 +14,7 @@
     decode_records,
     format_transaction,
     get_revision,
+    get_store_time,
     make_update,
     parse_document,
     parse_response,
@@ -29,6 +31,7 @@
     TransferLimits,
     format_request,
 )
+from bamboocove.transport.monotonic_clock import read_boot_time
 
 JSON_HEADERS = [(b"content-type", b"application/json")]
 # A response takes about 4 ms to begin, and up to 60 times as long when the store is
@@ -45,9 +48,6 @@
 WATCH_WAIT_S = 2.0
 WATCH_TIMEOUT_MARGIN_S = 0.8
 PAGE_SIZE = 500
-# Responses from this size on are logged, in bytes. One that takes longer to cross a
-# slow network link than the client waits never arrives.
-LOGGED_RESPONSE_BYTES = 64 * 1024
 # Only the operator writes OPERATOR_TABLE; nodes write the status of moves to
 # STATUS_TABLE.
 OPERATOR_TABLE = "op"
@@ -72,11 +72,23 @@
         Address of the store.
     clock : reactor
         Source of time and connections.
+    watch_wait_s : float
+        Longest time that the store holds a call for changes, in seconds.
+    get_boot_time : callable
+        Returns the time since the machine started, in seconds.
     """
 
-    def __init__(self, address: Address, clock: Any):
+    def __init__(
+        self,
+        address: Address,
+        clock: Any,
+        watch_wait_s: float = WATCH_WAIT_S,
+        get_boot_time: Callable[[], float] = read_boot_time,
+    ):
         self._address = address
         self._clock = clock
+        self.watch_wait_s = watch_wait_s
+        self._get_boot_time = get_boot_time
         self._pool = ConnectionPool(clock, CONNECT_TIMEOUT_S)
         self.calls = 0
         # Revisions of the rows of hosts that were written, or found in their place.
@@ -92,10 +104,13 @@
 
     async def read_operator(self) -> OperatorUpdate | ErrorResult:
         """Read all rows of the operator: the configuration and all move orders."""
+        asked_at = self._get_boot_time()
         result = await self._read_table(OPERATOR_TABLE)
         if isinstance(result, ErrorResult):
             return result
-        return make_update(*result, is_full_read=True)
+        rows, page = result
+        store_time_s = get_store_time(page)
+        return make_update(rows, get_revision(page, 0), True, store_time_s, asked_at)
 
     async def watch_operator(
         self,
@@ -123,16 +138,20 @@
         query = {
             "table": OPERATOR_TABLE,
             "after": revision,
-            "waitMs": int(WATCH_WAIT_S * 1000) if must_wait else 0,
+            "waitMs": int(self.watch_wait_s * 1000) if must_wait else 0,
         }
         target = "/api/rows-feed?" + urlencode(query)
-        document = await self._call(
-            b"GET", target, b"", WATCH_WAIT_S + WATCH_TIMEOUT_MARGIN_S, on_progress
-        )
+        timeout_s = self.watch_wait_s + WATCH_TIMEOUT_MARGIN_S
+        asked_at = self._get_boot_time()
+        document = await self._call(b"GET", target, b"", timeout_s, on_progress)
         if isinstance(document, ErrorResult):
             return document
         return make_update(
-            parse_rows(document), get_revision(document, revision), is_full_read=False
+            parse_rows(document),
+            get_revision(document, revision),
+            False,
+            get_store_time(document),
+            asked_at,
         )
 
     async def read_hosts(self) -> list[HostRecord] | ErrorResult:
@@ -292,8 +311,17 @@
 
     async def _read_table(
         self, table: str, key: str | None = None
-    ) -> tuple[list[Row], int] | ErrorResult:
+    ) -> tuple[list[Row], dict] | ErrorResult:
+        """Read the rows of a table, or one of them.
+
+        Returns
+        -------
+        result : (list of Row, dict) or ErrorResult
+            The rows, and the document of the first page. Rows that change while further
+            pages are read are seen as of its revision and time, or later.
+        """
         rows: list[Row] = []
+        first_page: dict = {}
         query: dict[str, Any] = {"table": table, "part": "", "limit": PAGE_SIZE}
         if key is not None:
             query.update({"from": key, "to": key + "\0"})
@@ -302,10 +330,11 @@
             document = await self._call(b"GET", target, b"", CALL_TIMEOUT_S)
             if isinstance(document, ErrorResult):
                 return document
+            first_page = first_page or document
             page = parse_rows(document)
             rows += page
             if not document.get("hasMore") or not page:
-                return rows, get_revision(document, 0)
+                return rows, first_page
             query["from"] = page[-1].key + "\0"
 
     async def _write(
@@ -353,7 +382,7 @@
             on_progress=on_progress,
         )
         result = await fetch.start(timeout_s)
-        _log_call(target, result, self._clock.seconds() - started_at)
+        log_call(target, result, self._clock.seconds() - started_at)
         if isinstance(result, ErrorResult):
             kind = ErrorKind.STORE_UNAVAILABLE
             if method == b"POST" and result.kind is ErrorKind.UPSTREAM_LOST:
@@ -362,19 +391,5 @@
         return result
 
 
-def _log_call(target: str, result: Response | ErrorResult, seconds: float) -> None:
-    """Log a call that failed or whose response is large."""
-    is_failure = isinstance(result, ErrorResult)
-    size = 0 if is_failure else len(result.body)
-    if is_failure or size >= LOGGED_RESPONSE_BYTES:
-        log(
-            "store.call",
-            target=target,
-            bytes=size,
-            seconds=round(seconds, 3),
-            reason=result.reason if is_failure else "",
-        )
-
-
 def _get_host_id(record: HostRecord) -> str:
     return record.host_id
--- a/bamboocove/sidecar/store.py
+++ b/bamboocove/sidecar/store.py
@@ -23,12 +23,22 @@
         Store revision up to which the update is complete.
     is_full_read : bool
         Whether all rows were read, not only those that changed.
+    era : int
+        Era of the store.
+    store_time_s : float or None
+        Time of the store at which it read the rows, in seconds of its clock; None if
+        it told none.
+    asked_at : float
+        When the store was asked, in seconds since the machine started.
     """
 
     config: MeshConfig | None
     orders: tuple[MoveOrder, ...]
     revision: int
     is_full_read: bool
+    era: int = 0
+    store_time_s: float | None = None
+    asked_at: float = 0.0
 
 
 class Store(Protocol):
--- a/bamboocove/transport/monotonic_clock.py
+++ b/bamboocove/transport/monotonic_clock.py
@@ -1,4 +1,4 @@
-"""Reactor time that does not depend on the wall clock."""
+"""Clocks that do not depend on the wall clock."""
 
 import time
 from typing import Any
@@ -12,3 +12,12 @@
     the difference fire at once.
     """
     reactor.seconds = time.monotonic
+
+
+def read_boot_time() -> float:
+    """Return the time since the machine started, in seconds.
+
+    The monotonic clock does not count the time for which a machine is suspended, so
+    what must not be used after a certain age is measured by this one.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,6 +9,7 @@
 from twisted.internet.task import Clock
 
 from bamboocove.errors import ErrorKind
+from bamboocove.platform import call_log
 from bamboocove.platform import store as platform_store
 from bamboocove.platform.standin_store import StoreStandin
 from bamboocove.platform.store import CALL_TIMEOUT_S, WATCH_WAIT_S, PlatformStore
@@ -246,7 +247,7 @@
 ):
     """Guards against logs that cannot tell a slow network link from an outage."""
     lines = []
-    monkeypatch.setattr(platform_store, "log", lambda event, **kw: lines.append(kw))
+    monkeypatch.setattr(call_log, "log", lambda event, **kw: lines.append(kw))
     monkeypatch.setattr(platform_store, "CALL_TIMEOUT_S", 0.2)
     standin.fault = "silent"
     run(store.read_hosts())
