Refuse requests with a key at nodes that lack a recent proof

With strictRevoke and accounts, readers send a ConfigProof when the store has answered and with their offers, if it is newer by 0.4 s; other nodes ask the sender of a proof for the time of the store every 10 s. The origin checks the age, and the account once more, when the whole request has been read: 503 with a Retry-After (stale_keys), or 401 if the key was withdrawn while the body arrived. Anonymous requests are served. A call for changes waits for 1.0 s instead of 2.0 s at revokeS 5, so that the last proof lasts for the 3 s in which requests must be served without a store. Events 901 to 903, gauge bamboocove_key_proof_age_seconds.

--- a/bamboocove/platform/node.py
+++ b/bamboocove/platform/node.py
@@ -10,12 +10,13 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import LoopingCall
 
+from bamboocove.coordination.key_freshness import compute_poll_time
 from bamboocove.errors import ErrorResult
 from bamboocove.events import run_logged
 from bamboocove.platform.documents import decode_worker
 from bamboocove.platform.headers import DIALECT
 from bamboocove.platform.host_settings import read_host_settings
-from bamboocove.platform.store import PlatformStore
+from bamboocove.platform.store import WATCH_WAIT_S, PlatformStore
 from bamboocove.sidecar.application import SidecarApplication
 from bamboocove.sidecar.logs import log, setup_log
 from bamboocove.sidecar.settings import HostSettings
@@ -29,10 +30,14 @@
     settings: HostSettings, reactor: Any, random: Random, incarnation: int
 ) -> SidecarApplication:
     """Return the application, wired to the platform's store, headers and documents."""
+    bounds = settings.bounds
+    watch_wait_s = WATCH_WAIT_S
+    if bounds.is_revocation_strict:
+        watch_wait_s = compute_poll_time(bounds.revocation_s, WATCH_WAIT_S)
     return SidecarApplication(
         settings,
         DIALECT,
-        PlatformStore(settings.store_address, reactor),
+        PlatformStore(settings.store_address, reactor, watch_wait_s),
         lambda worker_id, data: decode_worker(worker_id, data, settings.worker_address),
         reactor,
         random,
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -39,6 +39,7 @@
 from bamboocove.sidecar.gauges import update_gauges
 from bamboocove.sidecar.hosts import HostDirectory
 from bamboocove.sidecar.inbound import InboundProxy
+from bamboocove.sidecar.key_proofs import KeyProofs
 from bamboocove.sidecar.link_events import LinkEvents
 from bamboocove.sidecar.links import HubHandlers, LinkHub
 from bamboocove.sidecar.logs import log
@@ -60,6 +61,7 @@
 from bamboocove.state.codec import to_plain
 from bamboocove.state.mesh import HostRecord, MeshConfig
 from bamboocove.transport.calls import SWEEP_INTERVAL_S, CallServer
+from bamboocove.transport.monotonic_clock import read_boot_time
 from bamboocove.transport.server_connection import IDLE_TIMEOUT_S, ServerConnection
 
 VERSION = "0.2"
@@ -99,6 +101,8 @@
         Configuration in force; version 0 until there is one.
     finished : Deferred
         Fires when the node has stopped.
+    get_boot_time : callable
+        Returns the time since the machine started, in seconds.
     """
 
     settings: HostSettings
@@ -111,6 +115,7 @@
     metrics_port: int = METRICS_PORT
     config: MeshConfig = field(factory=MeshConfig)
     finished: Deferred = field(factory=Deferred)
+    get_boot_time: Callable[[], float] = read_boot_time
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
@@ -199,6 +204,7 @@
             lambda: self.config.version,
             settings.is_first_start,
             self.inbound.watch.confirm_reports,
+            lambda: self.key_proofs.may_wait(),
         )
         self.readers = ReaderRole(settings.host_id)
         self.load_reporter = LoadReporter()
@@ -211,6 +217,8 @@
             self.watch,
             self.moves.record_outcomes,
         )
+        self.key_proofs = KeyProofs(self, self.get_boot_time)
+        self.outbound.check_keys = self.key_proofs.check
         self.hooks = LifecycleHooks(
             self._on_bootstrapping,
             lambda: log("node.serving", config=self.config.version),
@@ -354,6 +362,7 @@
         self.inbound.tick(now)
         self.forwarding.tick(now)
         self.moves.tick(now)
+        self.key_proofs.tick()
         self._report_load(now)
         if now >= self._next_sweep_at:
             self._next_sweep_at = now + SWEEP_INTERVAL_S
@@ -387,6 +396,8 @@
         for order in update.orders:
             if self.moves.apply_order(order, now):
                 self.dissemination.broadcast(self.moves.make_rules_message())
+        # Only after the update was applied: an exception leaves the proof out.
+        self.key_proofs.record_update(update)
 
     def use_config(self, config: MeshConfig, source: str) -> None:
         """Put a configuration in force if it is valid and newer than the present one.
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -12,7 +12,7 @@
     number : int
         Stable number; 81x node, 82x configuration, 83x hosts and workers, 84x
         requests, 85x moves, 86x store, 87x memory, 88x reports of workers, 89x the log
-        itself.
+        itself, 90x keys of accounts.
     name : str
         Name in the log line.
     meaning : str
@@ -224,6 +224,21 @@
         "log.left-out",
         "the rate limit suppressed lines of an event in one second",
     ),
+    MeshEvent(
+        901,
+        "keys.stale",
+        "this node begins to refuse requests with a key: it cannot prove that it knows "
+        "the keys that were withdrawn of late",
+        "look at `store.lost` on the readers of the zone, and at the links to them",
+    ),
+    MeshEvent(902, "keys.fresh", "this node serves requests with a key again"),
+    MeshEvent(
+        903,
+        "keys.store-clock",
+        "the store is at a later time than its bound allowed; the bound is determined "
+        "again",
+        "if it repeats, compare the clocks of the host and the store",
+    ),
 )
 
 EVENTS_BY_NAME = {event.name: event for event in _EVENTS}
--- a/bamboocove/sidecar/gauges.py
+++ b/bamboocove/sidecar/gauges.py
@@ -15,7 +15,9 @@
     )
     peers = application.hub.peers_by_id.values()
     queue = application.inbound.queue
+    key_proofs = application.key_proofs
     gauges = {
+        "key_proof_age_seconds": key_proofs.get_age() if key_proofs.is_active else 0.0,
         "config_version": application.config.version,
         "hosts_reachable": sum(peer.is_open for peer in peers),
         "running": len(queue.running),
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from bamboocove.protocol.control_messages import ClockQuery, ClockReply, ConfigProof
 from bamboocove.protocol.mesh_messages import (
     BodyGrant,
     BodyOffer,
@@ -52,6 +53,7 @@
         application.rule_table.get_digest(),
         application.settings.zone if dissemination.is_reading() else "",
     )
+    application.key_proofs.send_proof()
     if offer.reading_zone:
         dissemination.broadcast_offer(offer)
         if application.random.random() < HOSTS_OFFER_PROBABILITY:
@@ -128,6 +130,8 @@
         application.hub.probe(message.host_id, now)
     elif isinstance(message, CrashNotice):
         application.outbound.record_crashes(message, now)
+    elif isinstance(message, ConfigProof | ClockQuery | ClockReply):
+        application.key_proofs.take(link, message)
     elif isinstance(message, StateRequest):
         _send_state(application, link, message)
     elif isinstance(message, LoadUpdate):
--- a/bamboocove/sidecar/metrics.py
+++ b/bamboocove/sidecar/metrics.py
@@ -40,6 +40,10 @@
             name: Gauge(f"bamboocove_{name}", text, registry=self._registry)
             for name, text in (
                 ("config_version", "Version of the configuration in force."),
+                (
+                    "key_proof_age_seconds",
+                    "Age of the proof that the node knows all withdrawn keys.",
+                ),
                 ("hosts_reachable", "Hosts with an open link."),
                 ("running", "Requests that the worker runs."),
                 ("waiting", "Requests that wait for the worker."),
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -158,6 +158,9 @@
         )
         self.on_host_lost = self._silent_hosts.on_host_lost
         self.on_host_suspect = self._silent_hosts.on_host_suspect
+        self.check_keys: Callable[[OutboundRequest], ErrorResult | None] = (
+            lambda request: None
+        )
 
     @property
     def in_flight(self) -> int:
@@ -241,6 +244,11 @@
         if not self.router.may_take(request.route, now, request.deadline, is_internal):
             self.responder.respond_stopping(request)
             return
+        error = self.check_keys(request)
+        if error is not None:
+            retry_after_s = self.responder.get_retry_after(error)
+            self.responder.respond_with_error(request, error, retry_after_s)
+            return
         self.budgets.earn(request.service)
         if request.deadline - now < MIN_ATTEMPT_S:
             self.responder.refuse(
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -257,7 +257,7 @@
             caller_timeout_s = int(time_left) / 1000
             waited_s = self._caller_waits.estimate_waited(route.name, caller_timeout_s)
         left_s = min(route.timeout_s, caller_timeout_s)
-        keys = [value for name, value in headers if name == self._dialect.key]
+        keys = self._get_keys(headers)
         account = self._accounts.authenticate(route.is_anonymous, keys)
         if isinstance(account, ErrorResult):
             return account
@@ -295,6 +295,24 @@
             slowest_s = self.slowest.get(route.name, route.target_s)
         return window.is_open(now, deadline + DEADLINE_GRACE_S, slowest_s)
 
+    def confirm_account(self, request: OutboundRequest) -> ErrorResult | None:
+        """Return an error unless a request's key still belongs to its account."""
+        account = request.account
+        accounts = self._accounts
+        if account is None or accounts.accounts_by_name.get(account.name) is account:
+            return None
+        keys = self._get_keys(request.exchange.headers)
+        present = accounts.authenticate(False, keys)
+        if isinstance(present, ErrorResult):
+            return present
+        if present is None or present.name != account.name:
+            reason = "the key no longer belongs to the account"
+            return ErrorResult(ErrorKind.UNAUTHENTICATED, reason)
+        return None
+
+    def _get_keys(self, headers: Headers) -> list[bytes]:
+        return [value for name, value in headers if name == self._dialect.key]
+
     def _make_headers(
         self, headers: Headers, account: ClientAccount | None
     ) -> list[list[bytes]]:
--- a/bamboocove/sidecar/outbound_responses.py
+++ b/bamboocove/sidecar/outbound_responses.py
@@ -17,8 +17,10 @@
 from bamboocove.sidecar.metrics import MeshMetrics
 from bamboocove.sidecar.outbound_request import OutboundRequest, RequestRouter
 
-# Mean Retry-After of a node that is not ready or is draining, in seconds.
+# Mean Retry-After of a node that is not ready, is draining, or has to hear from a
+# reader first, in seconds.
 UNAVAILABLE_RETRY_AFTER_S = 0.3
+UNAVAILABLE_KINDS = (ErrorKind.NOT_READY, ErrorKind.DRAINING, ErrorKind.STALE_KEYS)
 FIRST_SERVER_ERROR = 500
 
 
@@ -60,7 +62,7 @@
 
     def get_retry_after(self, error: ErrorResult) -> float:
         """Return the delay after which a caller should retry, in seconds."""
-        if error.kind in (ErrorKind.NOT_READY, ErrorKind.DRAINING):
+        if error.kind in UNAVAILABLE_KINDS:
             return UNAVAILABLE_RETRY_AFTER_S * (0.5 + self.random())
         return 0.0
 
--- a/bamboocove/sidecar/watch.py
+++ b/bamboocove/sidecar/watch.py
@@ -73,6 +73,8 @@
     on_created : callable, optional
         Called without arguments once the store holds a record of this host, after
         ``on_hosts`` was called with that of the process before, if there was one.
+    may_wait : callable, optional
+        Returns whether the next watch call may wait for changes.
 
     Attributes
     ----------
@@ -100,6 +102,7 @@
         get_config_version: Callable[[], int],
         is_first_start: bool = False,
         on_created: Callable[[], None] = lambda: None,
+        may_wait: Callable[[], bool] = lambda: True,
     ):
         self._store = store
         self._clock = clock
@@ -114,6 +117,7 @@
         self._duty = Duty.NONE
         self._is_first_start = is_first_start
         self._on_created = on_created
+        self._may_wait = may_wait
         self._watch_from = 0.0
         self._is_running = False
         self._written_age_key: tuple[int, int] | None = None
@@ -224,8 +228,9 @@
         failures = 0
         is_confirmed = False
         while self._is_running:
-            if revision >= 0 and self._clock.seconds() < self._watch_from:
-                await deferLater(self._clock, DUTY_POLL_INTERVAL_S)
+            delay_s = self._watch_from - self._clock.seconds()
+            if revision >= 0 and delay_s > 0.0:
+                await deferLater(self._clock, min(DUTY_POLL_INTERVAL_S, delay_s))
                 continue
             self._update_duty()
             if not self.is_reading:
@@ -240,7 +245,9 @@
             else:
                 # The first call returns at once, so that the zone soon hears a reader.
                 result = await self._store.watch_operator(
-                    revision, is_confirmed, self._record_progress
+                    revision,
+                    is_confirmed and self._may_wait(),
+                    self._record_progress,
                 )
             if not self._is_running:
                 return
--- a/tests/sidecar/hosts.py
+++ b/tests/sidecar/hosts.py
@@ -13,7 +13,7 @@
 from bamboocove.platform.documents import decode_worker
 from bamboocove.platform.headers import DIALECT
 from bamboocove.sidecar.application import SidecarApplication
-from bamboocove.sidecar.settings import HostSettings
+from bamboocove.sidecar.settings import Bounds, HostSettings
 from bamboocove.sidecar.store import OperatorUpdate
 from bamboocove.state.mesh import (
     HostRoute,
@@ -22,15 +22,20 @@
     MoveOrder,
     ServiceShare,
 )
+from bamboocove.transport.monotonic_clock import read_boot_time
 from tests.callpath import Caller, Worker, run, run_reactor_until
 
 POLL_S = 0.02
 WATCH_S = 2.0
+TIMEOUT_S = 0.8
 UNAVAILABLE = ErrorResult(ErrorKind.STORE_UNAVAILABLE, "down")
 
 
 class MemoryStore:
-    """In-memory store of the platform that can be made unavailable by ``is_down``."""
+    """In-memory store of the platform that can be made unavailable by ``is_down``.
+
+    While ``is_silent``, reads and watches of the operator's rows end by their time-out.
+    """
 
     def __init__(self):
         self.config = None
@@ -39,6 +44,8 @@
         self.hosts = {}
         self.rules = {}
         self.is_down = False
+        self.is_silent = False
+        self.watch_s = WATCH_S
         self.calls = 0
         self.pending_watches = 0
 
@@ -51,22 +58,36 @@
         self.orders[service] = MoveOrder(service, to_version, duration_s, self.revision)
 
     async def read_operator(self):
+        return await self._answer_operator(read_boot_time())
+
+    async def _answer_operator(self, asked_at):
         self.calls += 1
+        if self.is_silent:
+            await deferLater(reactor, TIMEOUT_S)
+            return UNAVAILABLE
         if self.is_down:
             return UNAVAILABLE
         orders = tuple(self.orders.values())
-        return OperatorUpdate(self.config, orders, self.revision, True)
+        return OperatorUpdate(
+            self.config,
+            orders,
+            self.revision,
+            True,
+            store_time_s=reactor.seconds(),
+            asked_at=asked_at,
+        )
 
     async def watch_operator(self, revision, must_wait=True, on_progress=None):
         # Like the platform's store, answers after a time even without a change.
-        end = reactor.seconds() + (WATCH_S if must_wait else 0.0)
+        asked_at = read_boot_time()
+        end = reactor.seconds() + (self.watch_s if must_wait else 0.0)
         self.pending_watches += 1
         while (
             self.revision <= revision and not self.is_down and reactor.seconds() < end
         ):
             await deferLater(reactor, POLL_S)
         self.pending_watches -= 1
-        return await self.read_operator()
+        return await self._answer_operator(asked_at)
 
     async def read_hosts(self):
         self.calls += 1
@@ -183,6 +204,7 @@
             ("127.0.0.1", port),
             *addresses,
             ("127.0.0.1", 1),
+            bounds=mesh.bounds,
             link_bytes_per_s=mesh.link_bytes_per_s,
             is_first_start=mesh.is_first_start,
         )
@@ -319,6 +341,7 @@
     """Several hosts that share one store."""
 
     is_first_start = False
+    bounds = Bounds()
     link_bytes_per_s = 0
 
     def __init__(self):
