--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -311,3 +311,45 @@
     started_at = reactor.seconds()
     assert run(store.read_operator(), 8).kind is ErrorKind.STORE_UNAVAILABLE
     assert reactor.seconds() - started_at < 0.2 + 2 * CALL_TIMEOUT_S
+
+
+def test_update_is_as_old_as_its_first_page(standin, store):
+    """Guards against a change that a read and the watch after it both miss.
+
+    It is made to a row of the first page while a further one is read.
+    """
+    standin.put("op", "config", json.dumps(CONFIG).encode())
+    for name in ("a", "b"):
+        standin.put("op", f"rollout/{name}", b"{}")
+    read_page = standin._read_page
+
+    def change_after_read(query):
+        page = read_page(query)
+        if "from" not in query:
+            newer = json.dumps({**CONFIG, "version": 8}).encode()
+            standin.put("op", "config", newer)
+        return {**page, "nowS": 7.5 if "from" not in query else 9.5}
+
+    standin._read_page = change_after_read
+    update = run(store.read_operator())
+    assert update.config.version == 7 and update.store_time_s == 7.5
+    watched = run(store.watch_operator(update.revision, must_wait=False))
+    assert watched.config.version == 8
+
+
+def test_update_tells_when_the_store_was_asked(standin):
+    """Guards against a time of the store that is taken for that of its arrival."""
+    times = iter([100.0, 200.0])
+    store = PlatformStore(standin.address, reactor, 0.1, lambda: next(times))
+    update = run(store.watch_operator(standin.revision))
+    assert update.asked_at == 100.0
+    assert update.store_time_s == pytest.approx(reactor.seconds(), abs=0.1)
+    store.close()
+
+
+def test_invalid_configuration_does_not_hide_a_valid_one(standin, store):
+    """Guards against a withdrawal that is lost behind a mistaken edit."""
+    standin.put("op", "config", json.dumps(CONFIG).encode())
+    standin.put("op", "config", b'{"version": 8}')
+    update = run(store.watch_operator(10))
+    assert update.config.version == 7
--- a/tests/sidecar/test_key_revocation.py
+++ b/tests/sidecar/test_key_revocation.py
@@ -1,5 +1,8 @@
 """Requests with a key at nodes that may not know which keys were withdrawn."""
 
+import math
+from types import SimpleNamespace
+
 import pytest
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
@@ -7,9 +10,13 @@
 from bamboocove.coordination.accounts import digest_key
 from bamboocove.coordination.key_freshness import get_max_age
 from bamboocove.coordination.readers import Duty
+from bamboocove.protocol.mesh_messages import decode_mesh_message
+from bamboocove.sidecar.key_proofs import KeyProofs
 from bamboocove.sidecar.settings import Bounds
+from bamboocove.sidecar.store import OperatorUpdate
 from bamboocove.sidecar.watch import WATCH_DELAY_S
 from bamboocove.state.mesh import ClientAccount
+from bamboocove.transport.monotonic_clock import read_boot_time
 from tests.callpath import run, run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, read_response
 from tests.sidecar.test_client_accounts import call, make_account_config
@@ -109,13 +116,42 @@
     mesh.close()
 
 
-def test_node_that_restarts_without_the_store_asks_for_its_bound(mesh):
+def test_time_of_a_suspended_machine_counts(mesh):
+    """Guards against a proof whose age leaves out the time in suspension."""
+    host = mesh.hosts[2]
+    assert call(host, "/read/1", KEY) == 200
+    host.node.key_proofs.get_boot_time = lambda: read_boot_time() + 10.0
+    assert call(host, "/read/1", KEY) == 503
+    assert call(host, "/open/1") == 200
+
+
+def test_restarted_node_asks_for_the_time_of_the_store(mesh):
     """Guards against a process that trusts a proof before it knows the time."""
     host = find_standby(mesh)
-    reader = next(each for each in mesh.hosts if each is not host).node.key_proofs
-    proof = reader.freshness.get_newest_proof(2)
-    fresh = type(reader)(host.node, host.node.get_boot_time)
+    other = next(each for each in mesh.hosts if each is not host)
+    reader = other.node.key_proofs
+    restarted = KeyProofs(host.node, read_boot_time)
     sent = []
-    link = type("Link", (), {"send_encoded": sent.append})
-    fresh.take(link, proof)
-    assert fresh.get_age() == float("inf") and len(sent) == 1
+    link = SimpleNamespace(send_encoded=sent.append)
+    restarted.take(link, reader.freshness.get_newest_proof(2))
+    assert restarted.get_age() == math.inf
+    reader.take(link, decode_mesh_message(sent[0]))
+    restarted.take(link, decode_mesh_message(sent[1]))
+    assert restarted.get_age() < MAX_AGE_S
+
+
+def test_read_without_a_valid_configuration_proves_nothing(mesh):
+    """Guards against a node that missed a version behind a mistaken edit."""
+    node = mesh.hosts[0].node
+    proofs = KeyProofs(node, node.get_boot_time)
+
+    def get_age_after(config, is_full_read):
+        now = read_boot_time()
+        store_s = reactor.seconds()
+        update = OperatorUpdate(config, (), 9, is_full_read, 0, store_s, now)
+        proofs.record_update(update)
+        return proofs.get_age()
+
+    assert get_age_after(None, True) == math.inf
+    assert get_age_after(None, False) == math.inf
+    assert get_age_after(node.config, False) < MAX_AGE_S
