Drop proofs from before the store's clock was set back

If the clock of the store went back without a new era, a proof of a later time looked new until the clock had caught up, and a withdrawn key with it. Proofs above the bound are dropped as soon as a bound shows them. The trace of a request shows keys.stale and keys.fresh.

--- a/bamboocove/coordination/key_freshness.py
+++ b/bamboocove/coordination/key_freshness.py
@@ -123,6 +123,14 @@
             # The lowest versions arrive first.
             del self.verified_s_by_version[max(self.verified_s_by_version)]
 
+    def drop_later(self, store_s: float) -> bool:
+        """Drop proofs of a later time of the store; return whether there were any."""
+        proofs = self.verified_s_by_version.items()
+        kept = {v: s for v, s in proofs if s <= store_s + ROUNDING_S}
+        has_later = len(kept) < len(proofs)
+        self.verified_s_by_version = kept
+        return has_later
+
     def find_newest(self, version: int) -> tuple[float, int] | None:
         """Return time and version of the newest proof for a version or older ones."""
         proofs = [(s, v) for v, s in self.verified_s_by_version.items() if v <= version]
@@ -143,7 +151,8 @@
     Parameters
     ----------
     on_contradiction : callable
-        Called with a time of the store in seconds that exceeds the bound on it.
+        Called with a time of the store in seconds that does not fit to earlier ones: it
+        exceeds the bound on it, or its clock was set back.
     """
 
     on_contradiction: Callable[[float], None] = lambda store_s: None
@@ -181,8 +190,13 @@
             Current time in seconds of the local clock.
         """
         state = self._get_era(era)
-        if state is not None and now - asked_at <= BOUND_LIFETIME_S:
-            state.clock.record(asked_at, store_s)
+        if state is None or now - asked_at > BOUND_LIFETIME_S:
+            return
+        state.clock.record(asked_at, store_s)
+        # Proofs from before the clock of the store was set back would look new for as
+        # long as it takes to catch up.
+        if state.drop_later(state.clock.get(now)):
+            self.on_contradiction(store_s)
 
     def record_proof(self, proof: ConfigProof, now: float) -> None:
         """Record a proof; it counts once this node has the version that it names."""
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -235,8 +235,8 @@
     MeshEvent(
         903,
         "keys.store-clock",
-        "the store is at a later time than its bound allowed; the bound is determined "
-        "again",
+        "the store is at a later time than its bound allowed, or its clock was set "
+        "back; what does not fit is dropped",
         "if it repeats, compare the clocks of the host and the store",
     ),
 )
--- a/bamboocove/sidecar/key_proofs.py
+++ b/bamboocove/sidecar/key_proofs.py
@@ -145,8 +145,9 @@
         if proof is None:
             return
         era, verified_ms = self._last_sent
-        is_next = proof.verified_ms >= verified_ms + MIN_PROGRESS_S * 1000
-        if proof.store_era != era or is_next:
+        # Negative if the clock of the store was set back.
+        progress_s = (proof.verified_ms - verified_ms) / 1000
+        if proof.store_era != era or not 0.0 <= progress_s < MIN_PROGRESS_S:
             self._last_sent = (proof.store_era, proof.verified_ms)
             application.dissemination.broadcast_offer(proof)
 
--- a/bamboocove/tracing.py
+++ b/bamboocove/tracing.py
@@ -12,6 +12,8 @@
 # Events that record the state on which a node based its routing decisions.
 CONTEXT_EVENTS = (
     "config.applied",
+    "keys.stale",
+    "keys.fresh",
     "host.record",
     "worker.state",
     "link.down",
--- a/tests/coordination/test_key_freshness.py
+++ b/tests/coordination/test_key_freshness.py
@@ -121,6 +121,16 @@
     assert is_served(freshness, 51.1)
 
 
+def test_clock_that_is_set_back_drops_later_proofs():
+    """Guards against an old proof that looks new until the clock has caught up."""
+    freshness = make_reader()
+    answer(freshness, 10.0, 51.0, 51.0)
+    assert not is_served(freshness, 51.0)
+    answer(freshness, 11.0, 52.0, 52.0)
+    assert freshness.get_age(1, 52.0) == pytest.approx(0.0, abs=0.01)
+    assert not is_served(freshness, 56.5)
+
+
 def test_new_era_needs_a_bound_of_its_own():
     """Guards against comparing the clocks of two eras of the store."""
     freshness = make_reader()
