--- a/bamboocove/sidecar/store.py
+++ b/bamboocove/sidecar/store.py
@@ -28,6 +28,11 @@
         Era of the store.
     evacuations : tuple of EvacuationChange
         Zones whose order of evacuation was read, or removed, oldest first.
+    store_time_s : float or None
+        Time of the store at which it read the rows, in seconds of its clock; None if
+        it told none.
+    asked_at : float
+        When the store was asked, in seconds since the machine started.
     """
 
     config: MeshConfig | None
@@ -36,6 +41,8 @@
     is_full_read: bool
     era: int = 0
     evacuations: tuple[EvacuationChange, ...] = ()
+    store_time_s: float | None = None
+    asked_at: float = 0.0
 
 
 class Store(Protocol):
