Restore the stand-in store from a copy

The stand-in could not lose acknowledged writes, so nothing showed what nodes do after a restore. restore(seconds) returns to the rows and the revision of that time, raises the era of the header Store-Era, cuts watches and issues versions again. A watch after a version that the store lacks gets 410; answers about rows hold its steady clock.

--- a/bamboocove/platform/standin_store.py
+++ b/bamboocove/platform/standin_store.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+from bisect import bisect_right
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -9,6 +10,7 @@
 
 from bamboocove.transport.calls import CallServer
 from bamboocove.transport.exchanges import Exchange
+from bamboocove.transport.framing import Headers
 
 MAX_BODY_BYTES = 1 << 20
 PAGE_SIZE = 500
@@ -46,6 +48,9 @@
     changes : list of (str, str, bytes or None, int)
         All changes in order: table, key, value and version. A watch returns each of
         them, also several of one row.
+    era : int
+        Number in the header field ``Store-Era`` of all responses; incremented by each
+        restore from a copy.
     """
 
     clock: Any
@@ -57,10 +62,14 @@
     bytes_per_s: float = 0.0
     rows: dict[tuple[str, str], tuple[bytes | None, int]] = field(factory=dict)
     changes: list[tuple[str, str, bytes | None, int]] = field(factory=list)
+    era: int = 0
+    _first_revision: int = field(init=False)
+    _changed_at: list[float] = field(factory=list)
     _oldest_revision: int = 0
     _watches: list[tuple[Exchange, dict[str, str]]] = field(factory=list)
 
     def __attrs_post_init__(self) -> None:
+        self._first_revision = self.revision
         self.server = CallServer(self._receive, MAX_BODY_BYTES, self.clock)
         self.port: Any = None
 
@@ -86,6 +95,7 @@
         self.revision += 1
         self.rows[table, key] = (value, self.revision)
         self.changes.append((table, key, value, self.revision))
+        self._changed_at.append(self.clock.seconds())
         watches, self._watches = self._watches, []
         for exchange, query in watches:
             self._serve_watch(exchange, query)
@@ -98,6 +108,26 @@
     def drop_history(self) -> None:
         """Drop the history, so that watches of earlier versions get status 410."""
         self._oldest_revision = self.revision
+        self._cut_watches()
+
+    def restore(self, seconds: float) -> None:
+        """Go back to the state of some seconds ago, as from a copy of that age.
+
+        The changes since then are lost, and their versions are given out again.
+        """
+        copied_at = self.clock.seconds() - seconds
+        count = bisect_right(self._changed_at, copied_at)
+        del self.changes[count:], self._changed_at[count:]
+        self.rows = {
+            (table, key): (value, revision)
+            for table, key, value, revision in self.changes
+        }
+        self.revision = self.changes[-1][-1] if self.changes else self._first_revision
+        self._oldest_revision = min(self._oldest_revision, self.revision)
+        self.era += 1
+        self._cut_watches()
+
+    def _cut_watches(self) -> None:
         watches, self._watches = self._watches, []
         for exchange, _ in watches:
             exchange.abort()
@@ -116,7 +146,7 @@
         if self.fault == "silent":
             return
         if isinstance(self.fault, int):
-            exchange.respond(self.fault, [])
+            exchange.respond(self.fault, self._make_headers())
             return
         url = urlsplit(exchange.target.decode())
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
@@ -131,7 +161,10 @@
         elif url.path == "/api/rows-feed":
             self._serve_watch(exchange, query)
         else:
-            exchange.respond(404, [])
+            exchange.respond(404, self._make_headers())
+
+    def _make_headers(self) -> Headers:
+        return [(b"store-era", b"%d" % self.era)]
 
     def _make_row(self, table: str, key: str) -> dict[str, Any]:
         return _format_row(table, key, *self.rows[table, key])
@@ -151,12 +184,13 @@
             "rows": rows,
             "hasMore": len(keys) > self.page_size,
             "ver": self.revision,
+            "nowS": self.clock.seconds(),
         }
 
     def _serve_watch(self, exchange: Exchange, query: dict[str, str]) -> None:
         after = int(query["after"])
-        if after < self._oldest_revision:
-            self._respond(exchange, 410, {"ver": self.revision})
+        if after < self._oldest_revision or after > self.revision:
+            self._respond(exchange, 410, self._format_changes([]))
             return
         rows = [
             _format_row(*change)
@@ -164,7 +198,7 @@
             if change[0] == query["table"] and change[-1] > after
         ]
         if rows or not int(query.get("waitMs", 0)):
-            self._respond(exchange, 200, {"rows": rows, "ver": self.revision})
+            self._respond(exchange, 200, self._format_changes(rows))
             return
         watch = (exchange, query)
         self._watches.append(watch)
@@ -182,7 +216,11 @@
     def _end_watch(self, watch: tuple[Exchange, dict[str, str]]) -> None:
         if watch in self._watches:
             self._watches.remove(watch)
-            self._respond(watch[0], 200, {"rows": [], "ver": self.revision})
+            self._respond(watch[0], 200, self._format_changes([]))
+
+    def _format_changes(self, rows: list[dict[str, Any]]) -> dict[str, Any]:
+        now_s = self.clock.seconds()
+        return {"rows": rows, "ver": self.revision, "nowS": now_s}
 
     def _apply_transaction(
         self, document: dict[str, Any]
@@ -212,9 +250,9 @@
             return
         body = json.dumps(document).encode()
         if not self.bytes_per_s:
-            exchange.respond(status, [], body)
+            exchange.respond(status, self._make_headers(), body)
             return
-        exchange.start(status, [], len(body))
+        exchange.start(status, self._make_headers(), len(body))
         self._send_slowly(exchange, body)
 
     def _send_slowly(self, exchange: Exchange, body: bytes) -> None:
