Key store reads, watches and conditions by era

Versions of the store are issued again after a restore from a copy. A watch from an earlier position went on in the new era and missed changes, a condition could hold by chance, and a late answer brought lost rows back. The client reads Store-Era in each answer: a higher era voids known revisions and makes a watch STALE, an answer of a lower era is discarded, and a write across a restore is STORE_UNKNOWN.

--- a/bamboocove/platform/rows.py
+++ b/bamboocove/platform/rows.py
@@ -7,6 +7,7 @@
 
 from attrs import frozen
 
+from bamboocove.coordination.order_numbers import make_order_number
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.platform.documents import decode_config, decode_move_order
 from bamboocove.sidecar.logs import log
@@ -152,7 +153,9 @@
     return rows
 
 
-def make_update(rows: list[Row], revision: int, is_full_read: bool) -> OperatorUpdate:
+def make_update(
+    rows: list[Row], revision: int, is_full_read: bool, era: int
+) -> OperatorUpdate:
     """Return the configuration and the move orders among the rows of the operator."""
     config = None
     orders: list[MoveOrder] = []
@@ -162,7 +165,7 @@
         if row.key == CONFIG_KEY:
             config = decode_config(row.value)
         elif row.key.startswith(ORDER_PREFIX):
-            order = decode_move_order(row.value, row.revision)
+            order = decode_move_order(row.value, make_order_number(era, row.revision))
             if isinstance(order, ErrorResult):
                 log("store.row-unreadable", key=row.key, reason=order.reason)
             else:
@@ -170,4 +173,4 @@
     if isinstance(config, ErrorResult):
         log("store.row-unreadable", key=CONFIG_KEY, reason=config.reason)
         config = None
-    return OperatorUpdate(config, tuple(orders), revision, is_full_read)
+    return OperatorUpdate(config, tuple(orders), revision, is_full_read, era)
--- a/bamboocove/platform/store.py
+++ b/bamboocove/platform/store.py
@@ -5,10 +5,8 @@
 from urllib.parse import quote, urlencode
 
 from bamboocove.errors import ErrorKind, ErrorResult
-from bamboocove.platform.documents import encode_move_status
 from bamboocove.platform.rows import (
     HTTP_PRECONDITION_FAILED,
-    ORDER_PREFIX,
     Row,
     decode_records,
     format_transaction,
@@ -18,6 +16,8 @@
     parse_response,
     parse_rows,
 )
+from bamboocove.platform.rule_rows import RULES_TABLE, make_writes, merge_stored
+from bamboocove.platform.store_era import StoreEra
 from bamboocove.sidecar.logs import log
 from bamboocove.sidecar.store import OperatorUpdate
 from bamboocove.state.codec import decode, encode
@@ -48,12 +48,9 @@
 # Responses from this size on are logged, in bytes. One that takes longer to cross a
 # slow network link than the client waits never arrives.
 LOGGED_RESPONSE_BYTES = 64 * 1024
-# Only the operator writes OPERATOR_TABLE; nodes write the status of moves to
-# STATUS_TABLE.
+# Only the operator writes OPERATOR_TABLE.
 OPERATOR_TABLE = "op"
-STATUS_TABLE = "status"
 HOSTS_TABLE = "bamboocove-hosts"
-RULES_TABLE = "bamboocove-rules"
 TRANSACTION_PATH = "/api/rows-tx"
 # Tries of a write whose row has another revision than expected.
 MAX_CONFLICTS = 3
@@ -81,6 +78,16 @@
         self.calls = 0
         # Revisions of the rows of hosts that were written, or found in their place.
         self._revisions_by_host: dict[str, int] = {}
+        self._era = StoreEra(self._revisions_by_host.clear)
+
+    @property
+    def era(self) -> int | None:
+        """Newest known era of the store; None until it is known."""
+        return self._era.number
+
+    def learn_era(self, era: int) -> None:
+        """Discard what was read in earlier eras, and answers of these that are late."""
+        self._era.learn(era)
 
     def close(self) -> None:
         """Close idle connections."""
@@ -95,7 +102,7 @@
         result = await self._read_table(OPERATOR_TABLE)
         if isinstance(result, ErrorResult):
             return result
-        return make_update(*result, is_full_read=True)
+        return make_update(*result, True, self.era or 0)
 
     async def watch_operator(
         self,
@@ -118,8 +125,9 @@
         -------
         update : OperatorUpdate or ErrorResult
             The changes, none if the wait ended without any; ``STALE`` if the store
-            no longer holds the changes since the revision.
+            does not hold the changes since the revision, or was restored.
         """
+        era = self._era.number
         query = {
             "table": OPERATOR_TABLE,
             "after": revision,
@@ -131,9 +139,11 @@
         )
         if isinstance(document, ErrorResult):
             return document
-        return make_update(
-            parse_rows(document), get_revision(document, revision), is_full_read=False
-        )
+        newest = get_revision(document, revision)
+        if era not in (None, self._era.number) or newest < revision:
+            reason = f"revision {revision} is not one of era {self.era} of the store"
+            return ErrorResult(ErrorKind.STALE, reason)
+        return make_update(parse_rows(document), newest, False, self.era or 0)
 
     async def read_hosts(self) -> list[HostRecord] | ErrorResult:
         """Read the records of all hosts."""
@@ -200,7 +210,7 @@
             [(HOSTS_TABLE, host_id, encode(record))],
             [],
         )
-        response = await self._request(b"POST", TRANSACTION_PATH, data, CALL_TIMEOUT_S)
+        response = await self._transact(data, self._era.number)
         if isinstance(response, ErrorResult):
             return response
         if response.status != HTTP_PRECONDITION_FAILED:
@@ -232,13 +242,14 @@
         result = await self._read_table(HOSTS_TABLE, record.host_id)
         if isinstance(result, ErrorResult):
             return result
+        era = self._era.number
         for row in result[0]:
             stored = decode(HostRecord, row.value or b"")
             if isinstance(stored, ErrorResult) or stored.age_key != record.age_key:
                 return False
             preconditions = [(HOSTS_TABLE, record.host_id, row.revision)]
             removals = [(HOSTS_TABLE, record.host_id)]
-            removed = await self._write(preconditions, [], removals)
+            removed = await self._write(preconditions, [], removals, era)
             return removed if isinstance(removed, ErrorResult) else True
         return False
 
@@ -260,22 +271,12 @@
         result = await self._read_table(RULES_TABLE, rule.service)
         if isinstance(result, ErrorResult):
             return result
-        expected_revision = 0
-        for row in result[0]:
-            stored = decode(VersionRule, row.value or b"")
-            if isinstance(stored, ErrorResult):
-                log("store.row-unreadable", key=row.key, reason=stored.reason)
-            elif stored.age_key >= rule.age_key:
-                return stored
-            expected_revision = row.revision
-        write_result = await self._write(
-            [(RULES_TABLE, rule.service, expected_revision)],
-            [
-                (RULES_TABLE, rule.service, encode(rule)),
-                (STATUS_TABLE, ORDER_PREFIX + rule.service, encode_move_status(rule)),
-            ],
-            [],
-        )
+        era = self._era.number
+        rule, revision, is_stored = merge_stored(result[0], rule)
+        if is_stored:
+            return rule
+        preconditions = [(RULES_TABLE, rule.service, revision)]
+        write_result = await self._write(preconditions, make_writes(rule), [], era)
         return rule if not isinstance(write_result, ErrorResult) else write_result
 
     async def _read_records(
@@ -294,6 +295,7 @@
         self, table: str, key: str | None = None
     ) -> tuple[list[Row], int] | ErrorResult:
         rows: list[Row] = []
+        era = None
         query: dict[str, Any] = {"table": table, "part": "", "limit": PAGE_SIZE}
         if key is not None:
             query.update({"from": key, "to": key + "\0"})
@@ -303,6 +305,10 @@
             if isinstance(document, ErrorResult):
                 return document
             page = parse_rows(document)
+            if not rows:
+                era = self._era.number
+            elif era != self._era.number:
+                return ErrorResult(ErrorKind.STALE, "the store was restored meanwhile")
             rows += page
             if not document.get("hasMore") or not page:
                 return rows, get_revision(document, 0)
@@ -313,12 +319,24 @@
         preconditions: list[tuple[str, str, int]],
         writes: list[tuple[str, str, bytes]],
         removals: list[tuple[str, str]],
+        era: int | None,
     ) -> int | ErrorResult:
+        """Apply a transaction whose preconditions were read in an era of the store."""
         data = format_transaction(preconditions, writes, removals)
-        document = await self._call(b"POST", TRANSACTION_PATH, data, CALL_TIMEOUT_S)
-        if isinstance(document, ErrorResult):
-            return document
-        return get_revision(document, 0)
+        result = await self._transact(data, era)
+        if not isinstance(result, ErrorResult):
+            result = parse_response(result)
+        return result if isinstance(result, ErrorResult) else get_revision(result, 0)
+
+    async def _transact(self, data: bytes, era: int | None) -> Response | ErrorResult:
+        error = self._era.check_conditions(era)
+        if error is not None:
+            return error
+        response = await self._request(b"POST", TRANSACTION_PATH, data, CALL_TIMEOUT_S)
+        if isinstance(response, ErrorResult):
+            return response
+        error = self._era.check_write(response, era)
+        return response if error is None else error
 
     async def _call(
         self,
@@ -331,7 +349,8 @@
         response = await self._request(method, target, body, timeout_s, on_progress)
         if isinstance(response, ErrorResult):
             return response
-        return parse_response(response)
+        error = self._era.check_read(response)
+        return parse_response(response) if error is None else error
 
     async def _request(
         self,
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -12,7 +12,7 @@
     number : int
         Stable number; 81x node, 82x configuration, 83x hosts and workers, 84x
         requests, 85x moves, 86x store, 87x memory, 88x reports of workers, 89x the log
-        itself.
+        itself, 93x a store that was restored from a copy.
     name : str
         Name in the log line.
     meaning : str
@@ -224,6 +224,18 @@
         "log.left-out",
         "the rate limit suppressed lines of an event in one second",
     ),
+    MeshEvent(
+        932,
+        "store.answer-late",
+        "an answer of the store from before a restore was discarded",
+        "if it repeats, an instance of the store from before the restore still runs",
+    ),
+    MeshEvent(
+        935,
+        "store.era-unreadable",
+        "the era that an answer of the store names is not a number; it was ignored",
+        "check the platform's store",
+    ),
 )
 
 EVENTS_BY_NAME = {event.name: event for event in _EVENTS}
--- a/bamboocove/sidecar/store.py
+++ b/bamboocove/sidecar/store.py
@@ -23,17 +23,27 @@
         Store revision up to which the update is complete.
     is_full_read : bool
         Whether all rows were read, not only those that changed.
+    era : int
+        Era of the store in which the revision was issued.
     """
 
     config: MeshConfig | None
     orders: tuple[MoveOrder, ...]
     revision: int
     is_full_read: bool
+    era: int = 0
 
 
 class Store(Protocol):
     """Operations on the store; each returns an ErrorResult if it fails."""
 
+    @property
+    def era(self) -> int | None:
+        """Newest known era of the store; None until it is known."""
+
+    def learn_era(self, era: int) -> None:
+        """Discard what was read in earlier eras, and answers of these that are late."""
+
     async def read_operator(self) -> OperatorUpdate | ErrorResult:
         """Read the configuration and all orders of the operator."""
 
--- a/bamboocove/sidecar/watch.py
+++ b/bamboocove/sidecar/watch.py
@@ -40,6 +40,9 @@
 # worker is probed and ready within it, so that one write holds both changes. Other
 # nodes are told at once over the links.
 DOWN_WRITE_DELAY_S = 0.3
+# Time over which all nodes spread the writes of their records after a restore of the
+# store, in seconds.
+REWRITE_S = 1.0
 # The store answers a watch call after 2 s at the latest. Without an answer for this
 # time, in seconds, changes may no longer be reaching this node.
 WATCH_TIMEOUT_S = 2.6
@@ -159,6 +162,11 @@
         if wakeup is not None:
             wakeup.callback(None)
 
+    def write_again(self) -> None:
+        """Write the record again, within a second, as the store may have lost it."""
+        self._written_age_key = None
+        self._clock.callLater(REWRITE_S * self._random(), self.publish)
+
     def wait_until_written(self, age_key: tuple[int, int]) -> Deferred:
         """Wait until the store holds the record of this host, or a newer one.
 
@@ -220,7 +228,8 @@
             log("store.reading", is_reading=self.is_reading, duty=duty.name.lower())
 
     async def _follow_operator(self) -> None:
-        revision = -1
+        # A revision has a meaning only within its era of the store.
+        revision, era = -1, 0
         failures = 0
         is_confirmed = False
         while self._is_running:
@@ -234,6 +243,10 @@
                 poll_s = STANDBY_POLL_INTERVAL_S if is_standby else DUTY_POLL_INTERVAL_S
                 await deferLater(self._clock, poll_s)
                 continue
+            if revision >= 0 and era != (self._store.era or 0):
+                revision = -1
+                await deferLater(self._clock, MIN_RETRY_DELAY_S * self._random())
+                continue
             if revision < 0 or self._is_behind():
                 self._read_version = self._get_config_version()
                 result = await self._store.read_operator()
@@ -259,7 +272,7 @@
                 # spreads their reads.
                 await deferLater(self._clock, MIN_RETRY_DELAY_S * self._random())
                 continue
-            revision = result.revision
+            revision, era = result.revision, result.era
             if result.config is not None:
                 version = result.config.version
                 self._read_version = max(self._read_version, version)
--- a/tests/sidecar/hosts.py
+++ b/tests/sidecar/hosts.py
@@ -32,6 +32,8 @@
 class MemoryStore:
     """In-memory store of the platform that can be made unavailable by ``is_down``."""
 
+    era = 0
+
     def __init__(self):
         self.config = None
         self.orders = {}
@@ -42,6 +44,9 @@
         self.calls = 0
         self.pending_watches = 0
 
+    def learn_era(self, era):
+        self.era = max(self.era, era)
+
     def put_config(self, config):
         self.revision += 1
         self.config = config
@@ -55,7 +60,7 @@
         if self.is_down:
             return UNAVAILABLE
         orders = tuple(self.orders.values())
-        return OperatorUpdate(self.config, orders, self.revision, True)
+        return OperatorUpdate(self.config, orders, self.revision, True, self.era)
 
     async def watch_operator(self, revision, must_wait=True, on_progress=None):
         # Like the platform's store, answers after a time even without a change.
--- a/tests/sidecar/test_store_watch.py
+++ b/tests/sidecar/test_store_watch.py
@@ -19,6 +19,8 @@
     ``watches`` holds the revision, the callback and the Deferred of each call.
     """
 
+    era = 0
+
     def __init__(self):
         self.config = make_config(1)
         self.revision = 10
