Write lost rows again after a restore of the store, and repeat no move

After a restore the store lacked the latest records and rules, and an order that was written again with another version was carried out again, or ignored for good if its version was lower. Nodes that do not call the store get StoreEraNotice. A rule takes over the number of an order of a later era with its target; an order that a later one replaced, brought back by the copy, is not carried out.

--- a/bamboocove/coordination/short_moves.py
+++ b/bamboocove/coordination/short_moves.py
@@ -4,8 +4,12 @@
 """
 
 import math
+from collections.abc import Iterable
+from zlib import crc32
 
-from attrs import frozen
+from attrs import evolve, frozen
+
+from bamboocove.state.mesh import MoveOrder, VersionRule
 
 # Share of the new version on each step. The first one is low so that a version
 # that turns bad within seconds gets far less than a tenth of all requests.
@@ -145,3 +149,23 @@
     [1, 1, 2, 5]
     """
     return max(1, math.ceil(share * old_ready - 1e-9))
+
+
+def compute_rank(service: str, own_id: str, reachable_ids: Iterable[str]) -> int:
+    """Return the position of a host among those that write a decision in turn."""
+    host_ids = sorted(
+        reachable_ids, key=lambda host_id: crc32(f"{service}/{host_id}".encode())
+    )
+    return host_ids.index(own_id) if own_id in host_ids else len(host_ids)
+
+
+def start_move(rule: VersionRule, order: MoveOrder) -> VersionRule:
+    """Return the rule of a service while a new order is carried out."""
+    return evolve(
+        rule,
+        current="" if rule.current == order.to_version else rule.current,
+        banned=tuple(v for v in rule.banned if v != order.to_version),
+        to_version=order.to_version,
+        order_revision=order.revision,
+        state="running",
+    )
--- a/bamboocove/protocol/control_messages.py
+++ b/bamboocove/protocol/control_messages.py
@@ -1,4 +1,4 @@
-"""Messages between nodes on keys, quotas and evacuations."""
+"""Messages between nodes on keys, quotas, evacuations and the store."""
 
 from attrs import frozen
 
@@ -118,3 +118,16 @@
     store_era: int
     revision: int
     zones: list[str]
+
+
+@frozen
+class StoreEraNotice:
+    """Tells nodes that do not call the store which era it is in.
+
+    Parameters
+    ----------
+    store_era : int
+        Newest era that the sender knows.
+    """
+
+    store_era: int
--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -19,6 +19,7 @@
     QuotaGrant,
     QuotaHolder,
     QuotaRequest,
+    StoreEraNotice,
 )
 
 Headers = list[list[bytes]]
@@ -469,6 +470,7 @@
     QuotaGrant,
     QuotaHolder,
     EvacuationUpdate,
+    StoreEraNotice,
 )
 _FIELD_NAMES_BY_TYPE = {
     cls: tuple(f.name for f in fields(cls)) for cls in _MESSAGE_TYPES
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -51,6 +51,7 @@
 from bamboocove.sidecar.settings import HostSettings
 from bamboocove.sidecar.shutdown import drain
 from bamboocove.sidecar.store import OperatorUpdate, Store
+from bamboocove.sidecar.store_restore import StoreRestore
 from bamboocove.sidecar.watch import StoreWatch
 from bamboocove.sidecar.worker_reports import (
     MAX_REPORT_BYTES,
@@ -201,6 +202,7 @@
             self.inbound.watch.confirm_reports,
         )
         self.readers = ReaderRole(settings.host_id)
+        self.store_restore = StoreRestore(self)
         self.load_reporter = LoadReporter()
         self.dissemination = Dissemination(
             settings,
@@ -353,6 +355,7 @@
         self.hub.tick(now)
         self.inbound.tick(now)
         self.forwarding.tick(now)
+        self.store_restore.tick()
         self.moves.tick(now)
         self._report_load(now)
         if now >= self._next_sweep_at:
@@ -381,6 +384,7 @@
         update_gauges(self)
 
     def _on_operator_update(self, update: OperatorUpdate) -> None:
+        self.store_restore.tick()
         if update.config is not None:
             self.use_config(update.config, "store")
         now = self.clock.seconds()
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -224,12 +224,31 @@
         "log.left-out",
         "the rate limit suppressed lines of an event in one second",
     ),
+    MeshEvent(
+        931,
+        "store.era-changed",
+        "the store was restored from a copy: its latest changes are lost, and its "
+        "versions are issued again",
+        "check that the operator's rows are there; the nodes write theirs again",
+    ),
     MeshEvent(
         932,
         "store.answer-late",
         "an answer of the store from before a restore was discarded",
         "if it repeats, an instance of the store from before the restore still runs",
     ),
+    MeshEvent(
+        933,
+        "store.records-restored",
+        "this node writes the rules and the records of stopped hosts that a restored "
+        "store lacks",
+    ),
+    MeshEvent(
+        934,
+        "move.order-known",
+        "an order read again from a restored store is known and not carried out again",
+        "to repeat the move, write the order again",
+    ),
     MeshEvent(
         935,
         "store.era-unreadable",
--- a/bamboocove/sidecar/gauges.py
+++ b/bamboocove/sidecar/gauges.py
@@ -22,6 +22,7 @@
         "waiting": len(queue.waiting),
         "worker_limit_per_s": queue.limiter.limit_per_s,
         "store_reading": application.watch.is_reading,
+        "store_era": application.store.era or 0,
         "store_calls": application.store.calls,
         "log_lines_dropped": WRITER.dropped_lines,
         "memory_peak_bytes": getrusage(RUSAGE_SELF).ru_maxrss * 1024,
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from bamboocove.protocol.control_messages import StoreEraNotice
 from bamboocove.protocol.mesh_messages import (
     BodyGrant,
     BodyOffer,
@@ -33,7 +34,8 @@
 # Probability that a node that does not read the store offers its state to one peer
 # in an exchange (anti-entropy): repairs nodes that the readers' messages missed.
 REPAIR_PROBABILITY = 0.25
-# Probability that a reader also tells its zone the checksum of its host records.
+# Probability that a reader also tells its zone the checksum of its host records, and
+# the era of the store.
 HOSTS_OFFER_PROBABILITY = 0.25
 
 
@@ -56,6 +58,9 @@
         dissemination.broadcast_offer(offer)
         if application.random.random() < HOSTS_OFFER_PROBABILITY:
             dissemination.broadcast_in_zone(HostsOffer(application.fleet.digest))
+            notice = application.store_restore.make_notice()
+            if notice is not None:
+                dissemination.broadcast_in_zone(notice)
         return
     message: Any = offer
     if application.watch.unavailable_since is not None or not config_version:
@@ -120,6 +125,8 @@
             application.dissemination.request_if_behind(
                 link, message.config_version, application.config
             )
+    elif isinstance(message, StoreEraNotice):
+        application.store_restore.take_notice(message)
     elif isinstance(message, HostsOffer):
         application.hosts.repair_records(link, message)
     elif isinstance(message, HostsRequest):
@@ -160,7 +167,7 @@
         dissemination.load_relay.add_remote(relayed.loads_by_id)
     elif isinstance(relayed, OutcomeBatch):
         dissemination.outcome_batches.add_remote(relayed.items)
-    elif isinstance(relayed, CrashNotice | HostRecords | RulesUpdate):
+    elif isinstance(relayed, CrashNotice | HostRecords | RulesUpdate | StoreEraNotice):
         dissemination.relay(message)
     else:
         return
--- a/bamboocove/sidecar/metrics.py
+++ b/bamboocove/sidecar/metrics.py
@@ -48,6 +48,7 @@
                     "Requests per second that the worker takes; 0 without a limit.",
                 ),
                 ("store_reading", "1 if the node reads the store for its zone."),
+                ("store_era", "Era of the store; rises when it is restored."),
                 ("store_calls", "Calls to the store since the start."),
                 ("log_lines_dropped", "Log lines that could not be written."),
                 ("memory_peak_bytes", "Peak of the resident memory, in bytes."),
--- a/bamboocove/sidecar/moves.py
+++ b/bamboocove/sidecar/moves.py
@@ -6,11 +6,11 @@
 
 from collections.abc import Callable
 from typing import Any
-from zlib import crc32
 
 from attrs import evolve
 
 from bamboocove.coordination.error_evidence import ErrorEvidence
+from bamboocove.coordination.order_numbers import is_same_order
 from bamboocove.coordination.outcome_batches import (
     format_tallies,
     get_tallies,
@@ -20,7 +20,9 @@
     MoveObservation,
     MoveProgress,
     advance,
+    compute_rank,
     is_complete,
+    start_move,
 )
 from bamboocove.coordination.version_comparison import (
     compare_versions,
@@ -28,7 +30,7 @@
     is_shown_harmless,
     merge_tallies,
 )
-from bamboocove.errors import ErrorResult
+from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.events import run_logged
 from bamboocove.protocol.mesh_messages import OutcomeReport, RulesUpdate
 from bamboocove.sidecar.fleet import Fleet
@@ -113,30 +115,27 @@
     # Orders, rules and outcomes from the store and from other nodes.
 
     def apply_order(self, order: MoveOrder, now: float) -> bool:
-        """Start the move of an operator's order; return whether the order is new."""
+        """Start the move of an operator's order; return whether the number is new."""
         known = self.rule_table.get(order.service)
+        if self.rule_table.adopt(order):
+            log("move.order-known", service=order.service, revision=order.revision)
+            self._started_at_by_service.setdefault(order.service, now)
+            self._on_renumbered(order.service, now)
+            return True
         if known is not None and known.order_revision >= order.revision:
             if known.order_revision == order.revision:
                 self.rule_table.orders_by_service.setdefault(order.service, order)
                 self._started_at_by_service.setdefault(order.service, now)
             return False
+        if self.rule_table.is_superseded(
+            order.service, order.to_version, order.revision
+        ):
+            return False
         rule = known or VersionRule(
             order.service, self._fleet.get_oldest_version(order.service)
         )
-        banned = tuple(v for v in rule.banned if v != order.to_version)
-        current = rule.current
-        if current == order.to_version:
-            current = ""
-        rule = evolve(
-            rule,
-            current=current,
-            banned=banned,
-            to_version=order.to_version,
-            order_revision=order.revision,
-            state="running",
-        )
         self.rule_table.orders_by_service[order.service] = order
-        self.rule_table.merge(rule, is_confirmed=False)
+        self.rule_table.merge(start_move(rule, order), is_confirmed=False)
         self._reset_move(order.service, now)
         log(
             "move.ordered",
@@ -147,6 +146,11 @@
         )
         return True
 
+    def _on_renumbered(self, service: str, now: float) -> None:
+        """Write the rule in turn, and report all outcomes under its new number."""
+        self._decided_at_by_service[service] = now
+        self._next_full_outcomes_at = 0.0
+
     def _reset_move(self, service: str, now: float) -> None:
         self.rule_table.progress_by_service[service] = MoveProgress()
         self._error_evidence_by_service[service] = ErrorEvidence()
@@ -165,7 +169,11 @@
     def apply_rule(self, rule: VersionRule, is_confirmed: bool, now: float) -> None:
         """Put a rule from the store or from another node in force if it is newer."""
         known = self.rule_table.get(rule.service)
-        if not self.rule_table.merge(rule, is_confirmed):
+        is_newer = self.rule_table.merge(rule, is_confirmed)
+        number = self.rule_table.rules_by_service[rule.service].order_revision
+        if known is not None and known.order_revision != number:
+            self._on_renumbered(rule.service, now)
+        if not is_newer:
             return
         log(
             "move.rule",
@@ -174,7 +182,7 @@
             to=rule.to_version,
             is_confirmed=is_confirmed,
         )
-        if known is None or known.order_revision != rule.order_revision:
+        if known is None or not is_same_order(known, rule.to_version, number):
             self._reset_move(rule.service, now)
         if rule.state != "running":
             self.rule_table.progress_by_service.pop(rule.service, None)
@@ -187,7 +195,7 @@
                 [to_plain(rule), rule_table.confirmed_by_service.get(service) == rule]
                 for service, rule in rule_table.rules_by_service.items()
             ],
-            [to_plain(order) for order in rule_table.orders_by_service.values()],
+            [to_plain(order) for order in rule_table.list_orders()],
         )
 
     def apply_rules_message(self, message: RulesUpdate, now: float) -> None:
@@ -212,7 +220,8 @@
         known = self.rule_table.get(rule.service)
         if known is None or not is_confirmed:
             return False
-        return known.order_revision == rule.order_revision and known.state == "running"
+        is_same = is_same_order(known, rule.to_version, rule.order_revision)
+        return is_same and known.state == "running"
 
     def record_outcomes(self, outcomes: OutcomeReport) -> None:
         """Add the outcomes of a host or an availability zone to those of the move."""
@@ -349,17 +358,9 @@
     # Writes to the store.
 
     def _is_write_turn(self, service: str, now: float) -> bool:
-        host_ids = [
-            host_id
-            for host_id in self._fleet.records_by_id
-            if self._fleet.is_reachable(host_id)
-        ]
-        host_ids.sort(key=lambda host_id: crc32(f"{service}/{host_id}".encode()))
-        rank = (
-            host_ids.index(self._host_id)
-            if self._host_id in host_ids
-            else len(host_ids)
-        )
+        fleet = self._fleet
+        reachable_ids = (h for h in fleet.records_by_id if fleet.is_reachable(h))
+        rank = compute_rank(service, self._host_id, reachable_ids)
         progress = self.rule_table.progress_by_service.get(service)
         decided_at = self._decided_at_by_service.get(service, now)
         if progress is not None and progress.share >= 1.0:
@@ -379,6 +380,9 @@
         result = await self._store.write_rule(rule)
         if isinstance(result, ErrorResult):
             log("move.write-failed", service=rule.service, reason=str(result))
+            if result.kind is ErrorKind.STORE_UNKNOWN:
+                # The write may have replaced a newer rule after a restore.
+                self.rule_table.confirmed_by_service.pop(rule.service, None)
             self._clock.callLater(
                 WRITE_RETRY_DELAY_S, self._services_being_written.discard, rule.service
             )
