--- a/bamboocove/sidecar/store_restore.py
+++ b/bamboocove/sidecar/store_restore.py
@@ -79,25 +79,26 @@
             return
         application.dissemination.broadcast(StoreEraNotice(era))
         first_s = CHECK_SPREAD_S * application.random.random()
-        for delay_s in (first_s, first_s + SECOND_CHECK_DELAY_S):
-            application.clock.callLater(delay_s, self._start_check, era)
+        second_s = first_s + SECOND_CHECK_DELAY_S
+        for delay_s, is_last in ((first_s, False), (second_s, True)):
+            application.clock.callLater(delay_s, self._start_check, era, is_last)
 
-    def _start_check(self, era: int) -> None:
+    def _start_check(self, era: int, is_last: bool) -> None:
         application = self.application
         is_reading = application.watch.is_reading and not application.is_draining
         if era == self.era and is_reading:
-            run_logged(self._check(era))
+            run_logged(self._check(era, is_last))
 
-    async def _check(self, era: int) -> None:
+    async def _check(self, era: int, is_last: bool) -> None:
         application = self.application
         rules = await application.store.read_rules()
         records = await application.store.read_hosts()
         if isinstance(rules, ErrorResult) or isinstance(records, ErrorResult):
             delay_s = RETRY_DELAY_S * (1.0 + application.random.random())
-            application.clock.callLater(delay_s, self._start_check, era)
+            application.clock.callLater(delay_s, self._start_check, era, is_last)
             return
         services = self._restore_rules(rules)
-        hosts = await self._restore_records(records)
+        hosts = await self._restore_records(records, is_last)
         if services or hosts:
             log("store.records-restored", services=services, hosts=hosts)
 
@@ -108,15 +109,20 @@
             application.moves.apply_rule(rule, True, application.clock.seconds())
         return application.rule_table.forget_unstored(rules)
 
-    async def _restore_records(self, stored: list[HostRecord]) -> list[str]:
-        """Write the newer records of hosts that do not; return these hosts."""
+    async def _restore_records(
+        self, stored: list[HostRecord], includes_running: bool
+    ) -> list[str]:
+        """Write the newer records of stopped hosts, or of all; return these hosts."""
         application = self.application
         age_keys_by_id = {record.host_id: record.age_key for record in stored}
         restored = []
         for record in list(application.fleet.records_by_id.values()):
             if (
                 record.zone != application.settings.zone
-                or application.fleet.is_reachable(record.host_id)
+                or (
+                    application.fleet.is_reachable(record.host_id)
+                    and not includes_running
+                )
                 or age_keys_by_id.get(record.host_id, (-1, -1)) >= record.age_key
             ):
                 continue
