--- a/bamboocove/platform/rows.py
+++ b/bamboocove/platform/rows.py
@@ -8,6 +8,7 @@
 
 from attrs import frozen
 
+from bamboocove.coordination.order_numbers import make_order_number
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.platform.documents import decode_config, decode_move_order
 from bamboocove.sidecar.logs import log
@@ -179,6 +180,7 @@
     rows: list[Row],
     revision: int,
     is_full_read: bool,
+    era: int = 0,
     store_time_s: float | None = None,
     asked_at: float = 0.0,
 ) -> OperatorUpdate:
@@ -199,7 +201,7 @@
             else:
                 config = decoded
         elif row.key.startswith(ORDER_PREFIX):
-            order = decode_move_order(row.value, row.revision)
+            order = decode_move_order(row.value, make_order_number(era, row.revision))
             if isinstance(order, ErrorResult):
                 log("store.row-unreadable", key=row.key, reason=order.reason)
             else:
@@ -209,6 +211,7 @@
         tuple(orders),
         revision,
         is_full_read,
+        era,
         evacuations=_find_evacuations(rows),
         store_time_s=store_time_s,
         asked_at=asked_at,
--- a/bamboocove/platform/store.py
+++ b/bamboocove/platform/store.py
@@ -6,10 +6,8 @@
 
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.platform.call_log import log_call
-from bamboocove.platform.documents import encode_move_status
 from bamboocove.platform.rows import (
     HTTP_PRECONDITION_FAILED,
-    ORDER_PREFIX,
     Row,
     decode_records,
     format_transaction,
@@ -20,7 +18,8 @@
     parse_response,
     parse_rows,
 )
-from bamboocove.sidecar.logs import log
+from bamboocove.platform.rule_rows import RULES_TABLE, make_writes, merge_stored
+from bamboocove.platform.store_era import StoreEra
 from bamboocove.sidecar.store import OperatorUpdate
 from bamboocove.state.codec import decode, encode
 from bamboocove.state.mesh import HostRecord, VersionRule
@@ -48,12 +47,9 @@
 WATCH_WAIT_S = 2.0
 WATCH_TIMEOUT_MARGIN_S = 0.8
 PAGE_SIZE = 500
-# Only the operator writes OPERATOR_TABLE; nodes write the status of moves to
-# STATUS_TABLE.
+# Only the operator writes OPERATOR_TABLE.
 OPERATOR_TABLE = "op"
-STATUS_TABLE = "status"
 HOSTS_TABLE = "bamboocove-hosts"
-RULES_TABLE = "bamboocove-rules"
 TRANSACTION_PATH = "/api/rows-tx"
 # Tries of a write whose row has another revision than expected.
 MAX_CONFLICTS = 3
@@ -93,6 +89,16 @@
         self.calls = 0
         # Revisions of the rows of hosts that were written, or found in their place.
         self._revisions_by_host: dict[str, int] = {}
+        self._era = StoreEra(self._revisions_by_host.clear)
+
+    @property
+    def era(self) -> int | None:
+        """Newest known era of the store; None until it is known."""
+        return self._era.number
+
+    def learn_era(self, era: int) -> None:
+        """Discard what was read in earlier eras, and answers of these that are late."""
+        self._era.learn(era)
 
     def close(self) -> None:
         """Close idle connections."""
@@ -110,7 +116,14 @@
             return result
         rows, page = result
         store_time_s = get_store_time(page)
-        return make_update(rows, get_revision(page, 0), True, store_time_s, asked_at)
+        return make_update(
+            rows,
+            get_revision(page, 0),
+            True,
+            self.era or 0,
+            store_time_s,
+            asked_at,
+        )
 
     async def watch_operator(
         self,
@@ -133,8 +146,9 @@
         -------
         update : OperatorUpdate or ErrorResult
             The changes, none if the wait ended without any; ``STALE`` if the store
-            no longer holds the changes since the revision.
+            does not hold the changes since the revision, or was restored.
         """
+        era = self._era.number
         query = {
             "table": OPERATOR_TABLE,
             "after": revision,
@@ -146,10 +160,15 @@
         document = await self._call(b"GET", target, b"", timeout_s, on_progress)
         if isinstance(document, ErrorResult):
             return document
+        newest = get_revision(document, revision)
+        if era not in (None, self._era.number) or newest < revision:
+            reason = f"revision {revision} is not one of era {self.era} of the store"
+            return ErrorResult(ErrorKind.STALE, reason)
         return make_update(
             parse_rows(document),
-            get_revision(document, revision),
+            newest,
             False,
+            self.era or 0,
             get_store_time(document),
             asked_at,
         )
@@ -219,7 +238,7 @@
             [(HOSTS_TABLE, host_id, encode(record))],
             [],
         )
-        response = await self._request(b"POST", TRANSACTION_PATH, data, CALL_TIMEOUT_S)
+        response = await self._transact(data, self._era.number)
         if isinstance(response, ErrorResult):
             return response
         if response.status != HTTP_PRECONDITION_FAILED:
@@ -251,13 +270,14 @@
         result = await self._read_table(HOSTS_TABLE, record.host_id)
         if isinstance(result, ErrorResult):
             return result
+        era = self._era.number
         for row in result[0]:
             stored = decode(HostRecord, row.value or b"")
             if isinstance(stored, ErrorResult) or stored.age_key != record.age_key:
                 return False
             preconditions = [(HOSTS_TABLE, record.host_id, row.revision)]
             removals = [(HOSTS_TABLE, record.host_id)]
-            removed = await self._write(preconditions, [], removals)
+            removed = await self._write(preconditions, [], removals, era)
             return removed if isinstance(removed, ErrorResult) else True
         return False
 
@@ -279,22 +299,12 @@
         result = await self._read_table(RULES_TABLE, rule.service)
         if isinstance(result, ErrorResult):
             return result
-        expected_revision = 0
-        for row in result[0]:
-            stored = decode(VersionRule, row.value or b"")
-            if isinstance(stored, ErrorResult):
-                log("store.row-unreadable", key=row.key, reason=stored.reason)
-            elif stored.age_key >= rule.age_key:
-                return stored
-            expected_revision = row.revision
-        write_result = await self._write(
-            [(RULES_TABLE, rule.service, expected_revision)],
-            [
-                (RULES_TABLE, rule.service, encode(rule)),
-                (STATUS_TABLE, ORDER_PREFIX + rule.service, encode_move_status(rule)),
-            ],
-            [],
-        )
+        era = self._era.number
+        rule, revision, is_stored = merge_stored(result[0], rule)
+        if is_stored:
+            return rule
+        preconditions = [(RULES_TABLE, rule.service, revision)]
+        write_result = await self._write(preconditions, make_writes(rule), [], era)
         return rule if not isinstance(write_result, ErrorResult) else write_result
 
     async def _read_records(
@@ -322,6 +332,7 @@
         """
         rows: list[Row] = []
         first_page: dict = {}
+        era = None
         query: dict[str, Any] = {"table": table, "part": "", "limit": PAGE_SIZE}
         if key is not None:
             query.update({"from": key, "to": key + "\0"})
@@ -332,6 +343,10 @@
                 return document
             first_page = first_page or document
             page = parse_rows(document)
+            if not rows:
+                era = self._era.number
+            elif era != self._era.number:
+                return ErrorResult(ErrorKind.STALE, "the store was restored meanwhile")
             rows += page
             if not document.get("hasMore") or not page:
                 return rows, first_page
@@ -342,12 +357,24 @@
         preconditions: list[tuple[str, str, int]],
         writes: list[tuple[str, str, bytes]],
         removals: list[tuple[str, str]],
+        era: int | None,
     ) -> int | ErrorResult:
+        """Apply a transaction whose preconditions were read in an era of the store."""
         data = format_transaction(preconditions, writes, removals)
-        document = await self._call(b"POST", TRANSACTION_PATH, data, CALL_TIMEOUT_S)
-        if isinstance(document, ErrorResult):
-            return document
-        return get_revision(document, 0)
+        result = await self._transact(data, era)
+        if not isinstance(result, ErrorResult):
+            result = parse_response(result)
+        return result if isinstance(result, ErrorResult) else get_revision(result, 0)
+
+    async def _transact(self, data: bytes, era: int | None) -> Response | ErrorResult:
+        error = self._era.check_conditions(era)
+        if error is not None:
+            return error
+        response = await self._request(b"POST", TRANSACTION_PATH, data, CALL_TIMEOUT_S)
+        if isinstance(response, ErrorResult):
+            return response
+        error = self._era.check_write(response, era)
+        return response if error is None else error
 
     async def _call(
         self,
@@ -360,7 +387,8 @@
         response = await self._request(method, target, body, timeout_s, on_progress)
         if isinstance(response, ErrorResult):
             return response
-        return parse_response(response)
+        error = self._era.check_read(response)
+        return parse_response(response) if error is None else error
 
     async def _request(
         self,
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -54,6 +54,7 @@
 from bamboocove.sidecar.settings import HostSettings
 from bamboocove.sidecar.shutdown import drain
 from bamboocove.sidecar.store import OperatorUpdate, Store
+from bamboocove.sidecar.store_restore import StoreRestore
 from bamboocove.sidecar.watch import StoreWatch
 from bamboocove.sidecar.worker_reports import (
     MAX_REPORT_BYTES,
@@ -210,6 +211,7 @@
             lambda: self.key_proofs.may_wait(),
         )
         self.readers = ReaderRole(settings.host_id)
+        self.store_restore = StoreRestore(self)
         self.load_reporter = LoadReporter()
         self.dissemination = Dissemination(
             settings,
@@ -364,6 +366,7 @@
         self.hub.tick(now)
         self.inbound.tick(now)
         self.forwarding.tick(now)
+        self.store_restore.tick()
         self.moves.tick(now)
         self.key_proofs.tick()
         self._report_load(now)
@@ -393,6 +396,7 @@
         update_gauges(self)
 
     def _on_operator_update(self, update: OperatorUpdate) -> None:
+        self.store_restore.tick()
         # First, since a node serves as soon as it has a configuration.
         self.evacuation.apply_update(update)
         if update.config is not None:
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -12,7 +12,8 @@
     number : int
         Stable number; 81x node, 82x configuration, 83x hosts and workers, 84x
         requests, 85x moves, 86x store, 87x memory, 88x reports of workers, 89x the log
-        itself, 90x keys of accounts, 92x evacuations and cold workers.
+        itself, 90x keys of accounts, 92x evacuations and cold workers, 93x a store that
+        was restored from a copy.
     name : str
         Name in the log line.
     meaning : str
@@ -265,6 +266,37 @@
         "back; what does not fit is dropped",
         "if it repeats, compare the clocks of the host and the store",
     ),
+    MeshEvent(
+        931,
+        "store.era-changed",
+        "the store was restored from a copy: its latest changes are lost, and its "
+        "versions are issued again",
+        "check that the operator's rows are there; the nodes write theirs again",
+    ),
+    MeshEvent(
+        932,
+        "store.answer-late",
+        "an answer of the store from before a restore was discarded",
+        "if it repeats, an instance of the store from before the restore still runs",
+    ),
+    MeshEvent(
+        933,
+        "store.records-restored",
+        "this node writes the rules and the records of stopped hosts that a restored "
+        "store lacks",
+    ),
+    MeshEvent(
+        934,
+        "move.order-known",
+        "an order read again from a restored store is known and not carried out again",
+        "to repeat the move, write the order again",
+    ),
+    MeshEvent(
+        935,
+        "store.era-unreadable",
+        "the era that an answer of the store names is not a number; it was ignored",
+        "check the platform's store",
+    ),
 )
 
 EVENTS_BY_NAME = {event.name: event for event in _EVENTS}
--- a/bamboocove/sidecar/gauges.py
+++ b/bamboocove/sidecar/gauges.py
@@ -27,6 +27,7 @@
         "worker_cold_limit_per_s": application.inbound.cold.limit_per_s,
         "cold_workers": len(application.fleet.get_cold_ids()),
         "evacuated_zones": len(application.fleet.evacuated_zones),
+        "store_era": application.store.era or 0,
         "store_calls": application.store.calls,
         "log_lines_dropped": WRITER.dropped_lines,
         "memory_peak_bytes": getrusage(RUSAGE_SELF).ru_maxrss * 1024,
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -2,7 +2,12 @@
 
 from typing import Any
 
-from bamboocove.protocol.control_messages import ClockQuery, ClockReply, ConfigProof
+from bamboocove.protocol.control_messages import (
+    ClockQuery,
+    ClockReply,
+    ConfigProof,
+    StoreEraNotice,
+)
 from bamboocove.protocol.mesh_messages import (
     BodyGrant,
     BodyOffer,
@@ -35,7 +40,8 @@
 # Probability that a node that does not read the store offers its state to one peer
 # in an exchange (anti-entropy): repairs nodes that the readers' messages missed.
 REPAIR_PROBABILITY = 0.25
-# Probability that a reader also tells its zone the checksum of its host records.
+# Probability that a reader also tells its zone the checksum of its host records, and
+# the era of the store.
 HOSTS_OFFER_PROBABILITY = 0.25
 
 
@@ -60,6 +66,9 @@
         application.evacuation.repeat()
         if application.random.random() < HOSTS_OFFER_PROBABILITY:
             dissemination.broadcast_in_zone(HostsOffer(application.fleet.digest))
+            notice = application.store_restore.make_notice()
+            if notice is not None:
+                dissemination.broadcast_in_zone(notice)
         return
     message: Any = offer
     if application.watch.unavailable_since is not None or not config_version:
@@ -124,6 +133,8 @@
             application.dissemination.request_if_behind(
                 link, message.config_version, application.config
             )
+    elif isinstance(message, StoreEraNotice):
+        application.store_restore.take_notice(message)
     elif isinstance(message, HostsOffer):
         application.hosts.repair_records(link, message)
     elif isinstance(message, HostsRequest):
@@ -169,7 +180,8 @@
     elif isinstance(relayed, OutcomeBatch):
         dissemination.outcome_batches.add_remote(relayed.items)
     elif isinstance(
-        relayed, CrashNotice | EvacuationUpdate | HostRecords | RulesUpdate
+        relayed,
+        CrashNotice | EvacuationUpdate | HostRecords | RulesUpdate | StoreEraNotice,
     ):
         dissemination.relay(message)
     else:
--- a/bamboocove/sidecar/metrics.py
+++ b/bamboocove/sidecar/metrics.py
@@ -58,6 +58,7 @@
                 ("cold_workers", "Known workers that are cold and limited."),
                 ("evacuated_zones", "Availability zones under evacuation."),
                 ("store_reading", "1 if the node reads the store for its zone."),
+                ("store_era", "Era of the store; rises when it is restored."),
                 ("store_calls", "Calls to the store since the start."),
                 ("log_lines_dropped", "Log lines that could not be written."),
                 ("memory_peak_bytes", "Peak of the resident memory, in bytes."),
--- a/bamboocove/sidecar/store.py
+++ b/bamboocove/sidecar/store.py
@@ -25,7 +25,7 @@
     is_full_read : bool
         Whether all rows were read, not only those that changed.
     era : int
-        Era of the store.
+        Era of the store in which the revision was issued.
     evacuations : tuple of EvacuationChange
         Zones whose order of evacuation was read, or removed, oldest first.
     store_time_s : float or None
@@ -48,6 +48,13 @@
 class Store(Protocol):
     """Operations on the store; each returns an ErrorResult if it fails."""
 
+    @property
+    def era(self) -> int | None:
+        """Newest known era of the store; None until it is known."""
+
+    def learn_era(self, era: int) -> None:
+        """Discard what was read in earlier eras, and answers of these that are late."""
+
     async def read_operator(self) -> OperatorUpdate | ErrorResult:
         """Read the configuration and all orders of the operator."""
 
--- a/tests/sidecar/hosts.py
+++ b/tests/sidecar/hosts.py
@@ -38,6 +38,8 @@
     While ``is_silent``, reads and watches of the operator's rows end by their time-out.
     """
 
+    era = 0
+
     def __init__(self):
         self.config = None
         self.orders = {}
@@ -51,6 +53,9 @@
         self.calls = 0
         self.pending_watches = 0
 
+    def learn_era(self, era):
+        self.era = max(self.era, era)
+
     def put_config(self, config):
         self.revision += 1
         self.config = config
@@ -80,6 +85,7 @@
             orders,
             self.revision,
             True,
+            self.era,
             store_time_s=reactor.seconds(),
             asked_at=asked_at,
             evacuations=zones,
--- a/tests/sidecar/test_key_revocation.py
+++ b/tests/sidecar/test_key_revocation.py
@@ -148,7 +148,9 @@
     def get_age_after(config, is_full_read):
         now = read_boot_time()
         store_s = reactor.seconds()
-        update = OperatorUpdate(config, (), 9, is_full_read, 0, store_s, now)
+        update = OperatorUpdate(
+            config, (), 9, is_full_read, store_time_s=store_s, asked_at=now
+        )
         proofs.record_update(update)
         return proofs.get_age()
 
