--- a/soak/cluster.py
+++ b/soak/cluster.py
@@ -40,6 +40,8 @@
 # pause is short so that one meets a node that has just opened its ports.
 SIGN_OFF_INTERVAL_S = 0.005
 SIGN_OFF_S = 5.0
+# When the operator looks at a restored store and writes lost rows again.
+OPERATOR_DELAY_S = 1.0
 # Rows that another writer left among those of the hosts and the operator.
 ODD_ROWS_BY_KEY = {
     "nested": b'{"a":' * 10_000,
@@ -121,6 +123,7 @@
     config_version: int = 0
     newest_route: int = 0
     _routes: list[int] = field(factory=list)
+    _operator_rows: dict[str, bytes] = field(factory=dict)
     _worker_count: int = 0
 
     def start_store(self) -> None:
@@ -295,14 +298,28 @@
             "services": services,
             "limits": {"idleTimeoutS": 60},
         }
-        self.store.put("op", "config", json.dumps(document).encode())
+        self._put_operator_row("config", document)
         change = ConfigChange(self.newest_route, removed, self.clock.seconds())
         self.journal.changes.append(change)
 
     def request_rollout(self, service: str, version: str, duration_s: float) -> None:
         """Write a rollout order for a service to the store."""
         order = {"service": service, "to": version, "durationS": duration_s}
-        self.store.put("op", f"rollout/{service}", json.dumps(order).encode())
+        self._put_operator_row(f"rollout/{service}", order)
+
+    def _put_operator_row(self, key: str, document: dict[str, Any]) -> None:
+        self._operator_rows[key] = json.dumps(document).encode()
+        self.store.put("op", key, self._operator_rows[key])
+
+    def restore_store(self, seconds: float) -> None:
+        """Restore the store from a copy; the operator soon writes lost rows again."""
+        self.store.restore(seconds)
+        self.clock.callLater(OPERATOR_DELAY_S, self._write_lost_rows)
+
+    def _write_lost_rows(self) -> None:
+        for key, value in self._operator_rows.items():
+            if self.store.get("op", key) != value:
+                self.store.put("op", key, value)
 
     def get_rollout_state(self, service: str) -> str:
         """Return the reported state of the rollout of a service, or an empty string."""
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,7 @@
 
 from bamboocove.events import run_logged
 from bamboocove.platform.standin_worker import WorkerFaults
-from soak.cluster import SERVICES, Cluster, Host
+from soak.cluster import OPERATOR_DELAY_S, SERVICES, Cluster, Host
 
 # Mean time between two faults; many last longer, so that they overlap.
 MEAN_INTERVAL_S = 1.2
@@ -23,16 +23,12 @@
 MAX_REPEATS = 4
 MAX_REPEAT_DELAY_S = 1.2
 FAULTY_ERROR_RATE = 0.6
-# Rate limits that workers name: how many, for how long, and the range of the rates,
-# which is well below what a worker gets.
-LIMITS = 3
-LIMIT_S = 11.0
+# Range of the rate limits that workers name, well below what a worker gets.
 MIN_LIMIT_PER_S, MAX_LIMIT_PER_S = 0.5, 4.0
 STORE_ERROR_STATUSES = (429, 503)
 PLANNED_KINDS = ("stop", "stop", "stop", "hang_up", "drain_worker", "change_config")
-# Workers that sign off as their node starts again: how many, and when after the kill.
-SIGN_OFFS = 3
-MAX_SIGN_OFF_DELAY_S = 1.5
+# Greatest age of the copy from which the store is restored, in seconds.
+MAX_COPY_AGE_S = 8.0
 # When a node gets no processor after it was told to stop, and for how long.
 STARVE_WITHIN_S = 2.4
 MAX_STARVE_S = 1.0
@@ -123,38 +119,6 @@
     return events
 
 
-def plan_limits(random: Random, duration_s: float) -> list[FaultEvent]:
-    """Return the events of a run in which workers name rate limits.
-
-    They have a source of their own, so that kept seeds play the same faults.
-    """
-    return [
-        FaultEvent(
-            random.uniform(0.0, 0.6 * duration_s),
-            "limit_worker",
-            LIMIT_S,
-            random.random(),
-        )
-        for _ in range(LIMITS)
-    ]
-
-
-def plan_sign_offs(random: Random, duration_s: float) -> list[FaultEvent]:
-    """Return the events of a run in which workers sign off as their node starts again.
-
-    They have a source of their own, so that kept seeds play the same faults.
-    """
-    return [
-        FaultEvent(
-            random.uniform(0.0, 0.6 * duration_s),
-            "sign_off_worker",
-            random.uniform(0.0, MAX_SIGN_OFF_DELAY_S),
-            random.random(),
-        )
-        for _ in range(SIGN_OFFS)
-    ]
-
-
 def inject_fault(cluster: Cluster, event: FaultEvent) -> None:
     """Inject the fault of one event now."""
     hosts = list(cluster.hosts_by_id.values())
@@ -283,6 +247,16 @@
     cluster.store.drop_history()
 
 
+def _restore_store(cluster: Cluster, host: Host, event: FaultEvent) -> None:
+    # Rows are missing until the operator and the nodes have written them again.
+    length_s = event.duration_s + OPERATOR_DELAY_S + 1.0
+    cluster.record_disruption("restore_store", "store", length_s)
+    store = cluster.store
+    store.fault = STORE_ERROR_STATUSES[-1]
+    cluster.restore_store(MAX_COPY_AGE_S * event.draw)
+    _restore_at_end(cluster, event, "fault", lambda: setattr(store, "fault", None))
+
+
 def _crash_worker(cluster: Cluster, host: Host, event: FaultEvent) -> None:
     cluster.record_disruption(
         "crash_worker", f"worker of {host.host_id}", event.duration_s
@@ -361,8 +335,9 @@
 }
 
 # Kinds that are planned apart from those above, see ``plan_limits``,
-# ``plan_sign_offs`` and ``plan_work``.
+# ``plan_sign_offs``, ``plan_restores`` and ``plan_work``.
 SEPARATE_INJECTORS_BY_KIND = {
+    "restore_store": _restore_store,
     "limit_worker": _limit_worker,
     "sign_off_worker": _sign_off_worker,
     "starve": _starve,
--- a/soak/run.py
+++ b/soak/run.py
@@ -17,12 +17,11 @@
 from soak.faults import (
     inject_fault,
     plan_faults,
-    plan_limits,
-    plan_sign_offs,
     plan_work,
     roll_out_version,
 )
 from soak.records import Journal
+from soak.separate_plans import plan_limits, plan_restores, plan_sign_offs
 from soak.traffic import LoadGenerator, is_ready
 
 # Time for all nodes to become ready before the load starts.
@@ -130,6 +129,8 @@
         events += plan_limits(Random(f"{options.seed}/limits"), options.duration_s)
         sign_off_random = Random(f"{options.seed}/sign-offs")
         events += plan_sign_offs(sign_off_random, options.duration_s)
+        restore_random = Random(f"{options.seed}/restores")
+        events += plan_restores(restore_random, options.duration_s)
     rollout_at = random.uniform(0.0, 0.6) * options.duration_s
     cluster.start_store()
     for number in range(options.hosts):
