Renumber an order together with its rule

A node that learned the number of a later era by a rule kept the order under the number of the earlier era, and sent that on.

--- a/bamboocove/sidecar/rules.py
+++ b/bamboocove/sidecar/rules.py
@@ -102,7 +102,12 @@
             return
         aliases = self.aliases_by_service.setdefault(service, [])
         aliases.append(known.order_revision)
-        if not is_same_order(known, rule.to_version, rule.order_revision):
+        if is_same_order(known, rule.to_version, rule.order_revision):
+            order = self.orders_by_service.get(service)
+            if order is not None and order.revision == known.order_revision:
+                order = evolve(order, revision=rule.order_revision)
+                self.orders_by_service[service] = order
+        else:
             superseded = self.superseded_by_service.setdefault(service, [])
             superseded += [(known.to_version, number) for number in aliases]
             aliases.clear()
--- a/tests/sidecar/test_restore_machine.py
+++ b/tests/sidecar/test_restore_machine.py
@@ -260,6 +260,9 @@
             stored = decode(VersionRule, self.standin.get("bamboocove-rules", "a"))
             assert stored.to_version == f"v{self.target}"
             assert [node.rule for node in self.nodes] == [stored] * 3
+            for node in self.nodes:
+                order = node.rule_table.orders_by_service["a"]
+                assert order.revision == stored.order_revision
             assert not is_ended or stored.state in FINAL_STATES
 
 
