Test that a watch position of an earlier era is not used

A standby that hears of the era from a reader still has a position of the earlier era. With the comparison of the eras in StoreWatch taken out by hand, the test fails.

Passed: tests/sidecar/test_store_watch.py.

--- a/tests/sidecar/test_store_watch.py
+++ b/tests/sidecar/test_store_watch.py
@@ -29,7 +29,7 @@
 
     async def read_operator(self):
         self.reads += 1
-        return OperatorUpdate(self.config, (), self.revision, True)
+        return OperatorUpdate(self.config, (), self.revision, True, self.era)
 
     async def watch_operator(self, revision, must_wait=True, on_progress=None):
         if not must_wait:
@@ -124,6 +124,21 @@
     assert [revision for revision, *_ in node.store.watches] == [30]
 
 
+def test_node_that_begins_to_watch_in_a_new_era_reads_all_rows(node):
+    """Guards against a watch from a version that was issued again meanwhile."""
+    node.is_reader = False
+    node.store.watches.pop()[-1].callback(OperatorUpdate(None, (), 10, False))
+    node.advance(1.0)
+    # Another node has told this one of the era.
+    node.store.era = 1
+    node.store.revision = 8
+    node.is_reader = True
+    reads = node.store.reads
+    node.advance(1.0)
+    assert node.store.reads == reads + 1
+    assert [revision for revision, *_ in node.store.watches] == [8]
+
+
 def test_node_that_begins_to_watch_reads_nothing_that_it_has(node):
     """Guards against a read of the whole configuration by each new reader."""
     node.is_reader = False
