Decide by bytes and spare capacity which requests leave their zone

Cause: a constant of 0.03 s decided whether a request leaves the zone of its caller, for an answer of 300 bytes and an upload of 60 KB alike, and every request followed the latest report.

Change: coordination/zone_traffic.py weighs, by route, what the caller saves against the bytes of request and answer. A share limits how many requests leave; it rises while the own zone is clearly slower or misses the objective, and falls slowly. Requests go only to far workers with room, less to zones with waits, unless the own zone has no usable worker. Counters by route and reason are new metrics.

--- a/bamboocove/coordination/placement.py
+++ b/bamboocove/coordination/placement.py
@@ -10,9 +10,16 @@
 
 from attrs import define, field
 
-# A response from another availability zone must be faster by this many seconds to
-# justify the traffic between zones.
-ZONE_PENALTY_S = 0.03
+from bamboocove.coordination.zone_traffic import (
+    HEADROOM_FRACTION,
+    INITIAL_BYTES,
+    MAX_FAR_WAIT_FRACTION,
+    NO_WORKER,
+    REFUSED_IN_ZONE,
+    RouteTraffic,
+    compute_cost,
+)
+
 # Fraction of the latency objective below which a faster response has little
 # value: the request then stays in its zone even if a worker elsewhere is faster.
 FAST_ENOUGH_FRACTION = 0.4
@@ -188,6 +195,22 @@
     return sum(known) / len(known) if known else INITIAL_SERVICE_S
 
 
+@define
+class _FarZone:
+    """Best hosts of another zone, and how many of its workers have room.
+
+    ``view`` has room, ``any_view`` may be busy; each comes with its score.
+    """
+
+    workers: int = 0
+    free: int = 0
+    view: HostView | None = None
+    score: float = float("inf")
+    expected_s: float = float("inf")
+    any_view: HostView | None = None
+    any_score: float = float("inf")
+
+
 def pick_host(
     views: Sequence[HostView],
     route: str,
@@ -197,6 +220,7 @@
     now: float,
     random: Callable[[], float],
     excluded: Collection[str] = (),
+    traffic: RouteTraffic | None = None,
 ) -> HostView | None:
     """Return the host with the best score for a request.
 
@@ -218,34 +242,110 @@
         Returns a float from 0 to 1.
     excluded : collection of str
         Identifiers of hosts that already refused or failed this request.
+    traffic : RouteTraffic or None
+        Traffic between zones of the route; told why the request leaves the zone.
+        Without it each request that saves enough leaves.
 
     Returns
     -------
     view : HostView or None
         None if no host is eligible.
     """
-    best = None
-    best_score = 0.0
+    near = None
+    near_score = near_s = float("inf")
+    has_near_worker = False
+    far_by_zone: dict[str, _FarZone] = {}
     default_s = compute_mean_service_time(views, route)
     # While a worker waits for its own call, one of its slots stays occupied, so
     # for such calls every faster response counts.
     fast_enough_s = FAST_ENOUGH_FRACTION * target_s if priority >= 0 else 0.0
     for view in views:
-        if view.suspended_until > now or view.host_id in excluded:
+        if view.suspended_until > now:
+            continue
+        is_near = view.zone == zone
+        if is_near:
+            has_near_worker = True
+        else:
+            far = far_by_zone.get(view.zone)
+            if far is None:
+                far = far_by_zone[view.zone] = _FarZone()
+            far.workers += 1
+        if view.host_id in excluded or (
+            view.busy_until > now and priority >= view.busy_priority
+        ):
             continue
-        if view.busy_until > now and priority >= view.busy_priority:
+        expected_s = estimate_response_time(view, route, priority, default_s, now)
+        if expected_s < fast_enough_s:
+            expected_s = fast_enough_s - FAST_ENOUGH_WEIGHT * (
+                fast_enough_s - expected_s
+            )
+        if view.report.failure_permille:
+            expected_s += estimate_failure_rate(view, now) * FAILURE_COST * target_s
+        score = expected_s * (1.0 + SCORE_JITTER * random())
+        if is_near:
+            if score < near_score:
+                near, near_score = view, score
+            if expected_s < near_s:
+                near_s = expected_s
             continue
-        score = estimate_response_time(view, route, priority, default_s, now)
-        if score < fast_enough_s:
-            score = fast_enough_s - FAST_ENOUGH_WEIGHT * (fast_enough_s - score)
-        score += estimate_failure_rate(view, now) * FAILURE_COST * target_s
-        score *= 1.0 + SCORE_JITTER * random()
-        if view.zone != zone:
-            score += ZONE_PENALTY_S
-        if best is None or score < best_score:
-            best = view
-            best_score = score
-    return best
+        if has_room(view, priority, now):
+            far.free += 1
+            if score < far.score:
+                far.view, far.score, far.expected_s = view, score, expected_s
+        if score < far.any_score:
+            far.any_view, far.any_score = view, score
+    if traffic is not None:
+        traffic.reason = ""
+    if not far_by_zone:
+        return near
+    if near is not None:
+        far = min(far_by_zone.values(), key=lambda item: item.score)
+        is_better = _is_better(
+            far, near_s, target_s, bool(excluded), now, random, traffic
+        )
+        return far.view if is_better else near
+    far = min(far_by_zone.values(), key=lambda item: (item.view is None, item.score))
+    if traffic is not None:
+        traffic.reason = REFUSED_IN_ZONE if has_near_worker else NO_WORKER
+    if far.view is not None:
+        return far.view
+    far = min(far_by_zone.values(), key=lambda item: item.any_score)
+    view = far.any_view
+    if view is None or not has_near_worker or priority < 0:
+        return view
+    wait_s = estimate_wait(view, priority, now)
+    return view if wait_s <= MAX_FAR_WAIT_FRACTION * target_s else None
+
+
+def has_room(view: HostView, priority: int, now: float) -> bool:
+    """Return whether a worker has more free slots than its own zone may need soon."""
+    if now - view.reported_at > REPORT_MAX_AGE_S:
+        slots, used = view.slots, view.in_flight
+    else:
+        report = view.report
+        if report.get_wait(priority):
+            return False
+        slots = report.slots
+        used = max(report.running + view.sent_since_report, view.in_flight)
+    return slots - used > HEADROOM_FRACTION * slots
+
+
+def _is_better(
+    far: _FarZone,
+    near_s: float,
+    target_s: float,
+    is_refused: bool,
+    now: float,
+    random: Callable[[], float],
+    traffic: RouteTraffic | None,
+) -> bool:
+    """Return whether a request that its own zone could take goes to another zone."""
+    if traffic is None:
+        return near_s - far.expected_s > compute_cost(INITIAL_BYTES, target_s)
+    traffic.update_share(near_s, far.expected_s, target_s, now)
+    return far.view is not None and traffic.may_leave(
+        near_s, far.expected_s, far.free / far.workers, target_s, is_refused, random
+    )
 
 
 def compute_retry_after(
--- a/bamboocove/sidecar/metrics.py
+++ b/bamboocove/sidecar/metrics.py
@@ -1,5 +1,7 @@
 """Prometheus metrics of a node: counters, gauges and a latency histogram."""
 
+from collections.abc import Iterator
+
 from prometheus_client import (
     CollectorRegistry,
     Counter,
@@ -7,16 +9,27 @@
     Histogram,
     generate_latest,
 )
+from prometheus_client.core import CounterMetricFamily
+
+from bamboocove.coordination.zone_traffic import ZoneTraffic
 
 # Upper bounds of the latency buckets, in seconds.
 LATENCY_BUCKETS = (0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2)
 
 
 class MeshMetrics:
-    """Metrics of one process; docs/OPERATIONS.md lists their names and units."""
+    """Metrics of one process; docs/OPERATIONS.md lists their names and units.
+
+    Attributes
+    ----------
+    zone_traffic : ZoneTraffic
+        Requests and bytes that left the zone.
+    """
 
     def __init__(self) -> None:
+        self.zone_traffic = ZoneTraffic()
         self._registry = CollectorRegistry()
+        self._registry.register(self)
         self._latency = Histogram(
             "bamboocove_answer_seconds",
             "Time from a request to the worker's answer, by route.",
@@ -56,6 +69,26 @@
             )
         }
 
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Return the counters of traffic between zones, for the registry."""
+        requests = CounterMetricFamily(
+            "bamboocove_left_zone",
+            "Requests sent to another zone, by route and reason.",
+            labels=["service", "route", "reason"],
+        )
+        size = CounterMetricFamily(
+            "bamboocove_left_zone_bytes",
+            "Bytes of bodies sent to and received from other zones, by route.",
+            labels=["service", "route"],
+        )
+        for key, traffic in self.zone_traffic.routes_by_key.items():
+            for reason, number in traffic.requests_by_reason.items():
+                requests.add_metric([*key, reason], number)
+            if traffic.bytes_left:
+                size.add_metric(key, traffic.bytes_left)
+        yield requests
+        yield size
+
     def record_response(self, route: str, status: int, seconds: float) -> None:
         """Record the status and the latency of a worker's response."""
         self._latency.labels(route).observe(seconds)
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -16,6 +16,7 @@
     may_retry,
 )
 from bamboocove.coordination.worker_queue import INTERNAL_PRIORITY
+from bamboocove.coordination.zone_traffic import ZoneTraffic
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.protocol.mesh_messages import (
     ANSWERED,
@@ -134,6 +135,7 @@
         )
         self.crashes = CrashTable()
         self.budgets = RetryBudgets()
+        self._traffic = metrics.zone_traffic = ZoneTraffic()
         self.responder = Responder(
             self.router,
             self._attempts,
@@ -265,6 +267,7 @@
             if request.earlier_attempt is None:
                 self.responder.respond_stopping(request)
             return
+        traffic = self._traffic.get(request.service, request.route.name)
         while True:
             views = self._candidates.select(request)
             view = None
@@ -278,6 +281,7 @@
                     now,
                     self._random,
                     request.excluded_host_ids,
+                    traffic,
                 )
             if view is None:
                 self.responder.refuse_unplaced(request, views)
@@ -285,6 +289,8 @@
             request.hosts_tried += 1
             request.passed_at = now
             if self._attempts.start(request, view, now):
+                if view.zone != self.settings.zone:
+                    traffic.count_left()
                 return
             request.excluded_host_ids.add(view.host_id)
             self._fleet.suspend(view.host_id, now)
@@ -330,6 +336,11 @@
         if reply.outcome == ANSWERED:
             service_s = reply.service_ms / 1000
             attempt.view.record_service_time(request.route.name, service_s)
+        self._traffic.get(request.service, request.route.name).record_reply(
+            len(reply.body) + (0 if attempt.is_offered else len(request.body)),
+            attempt.view.zone != self.settings.zone,
+            reply.outcome == ANSWERED,
+        )
         is_earlier = attempt is request.earlier_attempt
         self._attempts.close(attempt)
         if request.is_ended:
--- a/tests/coordination/test_load_reports.py
+++ b/tests/coordination/test_load_reports.py
@@ -52,15 +52,19 @@
     def arrive(self, now):
         self.schedule(now + self.random.expovariate(self.rate), self.arrive)
         self.requests += 1
-        self.place(now, now, self.random.randrange(SENDERS), set())
+        self.place(now, now, self.draw_sender(), set())
+
+    def draw_sender(self):
+        return self.random.randrange(SENDERS)
+
+    def pick(self, sender, views, excluded, now):
+        draw = self.random.random
+        return pick_host(views, "r", PRIORITY, self.target_s, "a", now, draw, excluded)
 
     def place(self, now, arrived_at, sender, excluded):
         if len(excluded) == MAX_HOSTS_TRIED:
             return
-        views = self.views[sender]
-        view = pick_host(
-            views, "r", PRIORITY, self.target_s, "a", now, self.random.random, excluded
-        )
+        view = self.pick(sender, self.views[sender], excluded, now)
         if view is None:
             return
         view.in_flight += 1
@@ -92,13 +96,17 @@
             self.schedule(now + service_s * self.speeds[host], self.end, host, entry)
 
     def end(self, now, host, entry):
-        arrived_at, _, view = entry.payload
+        arrived_at, sender, view = entry.payload
         self.queues[host].finish(entry, now, True)
         self.start(now, host)
         view.in_flight -= 1
         view.update_report(self.report(host, now), now)
         view.record_service_time("r", now - entry.started_at)
         self.in_time += now - arrived_at <= self.target_s
+        self.on_answered(now, arrived_at, sender, view)
+
+    def on_answered(self, now, arrived_at, sender, view):
+        pass
 
     def tick(self, now):
         self.schedule(now + 0.1, self.tick)
