Predict waits at other hosts from measured service times

Cause: placement counted each waiting request as 50 ms, although requests of some routes take 190 to 750 ms, and took a report as complete although it was made before a node's own latest requests had arrived.

Change: estimate_wait uses the mean service time of the host over all routes, or that of the service, and counts the requests of this node in flight. Until the first response it is a fraction of the objective.

--- a/bamboocove/coordination/placement.py
+++ b/bamboocove/coordination/placement.py
@@ -27,8 +27,9 @@
 FAST_ENOUGH_WEIGHT = 0.15
 # Queue reports older than this are ignored, in seconds.
 REPORT_MAX_AGE_S = 0.5
-# Service time assumed until the first response of a route, in seconds.
-INITIAL_SERVICE_S = 0.05
+# Service time assumed until the first response of a service, as a fraction of the
+# latency objective: objectives are a few times the usual service time.
+INITIAL_SERVICE_FRACTION = 0.25
 # Weight of the newest sample in the moving averages of the service time.
 SERVICE_TIME_WEIGHT = 0.2
 # Relative increase of a worker's service time from idle to all slots in use.
@@ -106,6 +107,9 @@
         Until then the worker is slow because it has just started.
     service_s_by_route : dict of str to float
         Moving averages of the service time, in seconds.
+    mean_service_s : float
+        The same over all routes; 0 without samples. Requests of all of them wait in
+        one queue.
     """
 
     host_id: str
@@ -122,6 +126,7 @@
     suspended_until: float = 0.0
     cold_until: float = 0.0
     service_s_by_route: dict[str, float] = field(factory=dict)
+    mean_service_s: float = 0.0
 
     def update_report(self, report: QueueReport, now: float) -> None:
         """Store a new report of the host's queue."""
@@ -141,23 +146,36 @@
         mean_s = self.service_s_by_route.get(route, seconds)
         mean_s += SERVICE_TIME_WEIGHT * (seconds - mean_s)
         self.service_s_by_route[route] = mean_s
+        mean_s = self.mean_service_s or seconds
+        self.mean_service_s = mean_s + SERVICE_TIME_WEIGHT * (seconds - mean_s)
 
 
-def estimate_wait(view: HostView, priority: int, now: float) -> float:
-    """Return the predicted queueing time at a host, in seconds."""
-    age = now - view.reported_at
-    if age > REPORT_MAX_AGE_S:
-        free = view.slots - view.in_flight
-        wait_s = 0.0
-    else:
+def estimate_wait(view: HostView, priority: int, default_s: float, now: float) -> float:
+    """Return the predicted queueing time at a host, in seconds.
+
+    ``default_s`` is the service time assumed for a host without samples.
+    """
+    slots = view.slots
+    # Requests of this node are all at the host, whatever the last report says: it was
+    # made before the latest ones arrived there.
+    used = view.in_flight
+    wait_s = 0.0
+    if now - view.reported_at <= REPORT_MAX_AGE_S:
         report = view.report
-        free = report.slots - report.running - view.sent_since_report
+        slots = report.slots
         wait_s = report.get_wait(priority)
+        sent = view.sent_since_report
         if wait_s:
-            free = -view.sent_since_report
-    if free <= 0:
-        wait_s += (1 - free) * INITIAL_SERVICE_S / max(1, view.slots)
-    return wait_s
+            # The report counts all requests before these.
+            wait_s += sent * (view.mean_service_s or default_s) / (1 + slots)
+        elif report.running + sent > used:
+            used = report.running + sent
+    beyond_slots = used + 1 - slots
+    if beyond_slots <= 0:
+        return wait_s
+    # Requests that run for some time already end evenly spread over a service time.
+    own_s = beyond_slots * (view.mean_service_s or default_s) / (1 + slots)
+    return own_s if own_s > wait_s else wait_s
 
 
 def estimate_response_time(
@@ -175,7 +193,7 @@
         running = view.report.running + view.sent_since_report
     utilization = min(1.0, running / max(1, view.slots))
     service_s *= 1.0 + SATURATION_SLOWDOWN * utilization * utilization
-    return estimate_wait(view, priority, now) + service_s
+    return estimate_wait(view, priority, default_s, now) + service_s
 
 
 def estimate_failure_rate(view: HostView, now: float) -> float:
@@ -185,14 +203,20 @@
     return weight * view.report.failure_permille / 1000
 
 
-def compute_mean_service_time(views: Iterable[HostView], route: str) -> float:
-    """Return the mean service time of a route over the hosts with samples."""
+def compute_mean_service_time(
+    views: Iterable[HostView], route: str, target_s: float
+) -> float:
+    """Return the mean service time of a route over the hosts with samples.
+
+    Without samples of the route it is that of the service, or a fraction of the
+    latency objective ``target_s``.
+    """
     known = [
         view.service_s_by_route[route]
         for view in views
         if route in view.service_s_by_route
-    ]
-    return sum(known) / len(known) if known else INITIAL_SERVICE_S
+    ] or [view.mean_service_s for view in views if view.mean_service_s]
+    return sum(known) / len(known) if known else INITIAL_SERVICE_FRACTION * target_s
 
 
 @define
@@ -255,7 +279,7 @@
     near_score = near_s = float("inf")
     has_near_worker = False
     far_by_zone: dict[str, _FarZone] = {}
-    default_s = compute_mean_service_time(views, route)
+    default_s = compute_mean_service_time(views, route, target_s)
     # While a worker waits for its own call, one of its slots stays occupied, so
     # for such calls every faster response counts.
     fast_enough_s = FAST_ENOUGH_FRACTION * target_s if priority >= 0 else 0.0
@@ -313,7 +337,7 @@
     view = far.any_view
     if view is None or not has_near_worker or priority < 0:
         return view
-    wait_s = estimate_wait(view, priority, now)
+    wait_s = estimate_wait(view, priority, default_s, now)
     return view if wait_s <= MAX_FAR_WAIT_FRACTION * target_s else None
 
 
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -397,7 +397,7 @@
         """Retry on another host after a worker did not execute the request."""
         request.excluded_host_ids.add(request.host_id)
         request.last_reason = "the worker did not take the request"
-        wait_s = estimate_wait(request.view, request.priority, now)
+        wait_s = estimate_wait(request.view, request.priority, 0.0, now)
         request.may_return_soon = wait_s == 0.0
         if self._may_retry(request, now) and self.budgets.spend(request.service):
             request.hosts_tried = 1
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from bamboocove.coordination.placement import (
     HostView,
     QueueReport,
@@ -110,3 +112,38 @@
     view.record_refusal(0, 0.2, 0.1)
     view.record_refusal(2, 0.2, 0.1)
     assert not is_picked(0, 0.15)
+
+
+@pytest.mark.parametrize("has_reports", [True, False])
+def test_burst_is_divided_by_the_time_that_queued_requests_take(has_reports):
+    """Guards against a queue at the faster worker that outlasts the objective.
+
+    With 50 ms for each waiting request, the fast worker got all of them, and the last
+    one waited 2.25 s.
+    """
+    fast, slow = make_view("fast", slots=3), make_view("slow", slots=3)
+    for _ in range(9):
+        fast.record_service_time("r", 0.45)
+        slow.record_service_time("r", 1.05)
+    if has_reports:
+        for view in (fast, slow):
+            view.update_report(QueueReport(0, 3, 0, (0,)), 0.0)
+    draw = random.Random(1).random
+    for _ in range(18):
+        picked = pick_host([fast, slow], "r", 0, 2.5, "a", 0.0, draw)
+        picked.in_flight += 1
+        picked.sent_since_report += 1
+    last_fast_s = (fast.in_flight - 1) // 3 * 0.45
+    last_slow_s = (slow.in_flight - 1) // 3 * 1.05
+    assert max(last_fast_s, last_slow_s) <= 1.8
+    assert last_slow_s + 1.05 <= 2.5
+
+
+def test_requests_on_the_way_count_although_a_report_has_come_since():
+    """Guards against a report that was made before a node's own requests arrived."""
+    near, other = make_view("x", slots=3), make_view("y", slots=3)
+    near.in_flight = 6
+    for view in (near, other):
+        view.update_report(QueueReport(2, 3, 0, (0,)), 0.0)
+        view.record_service_time("r", 0.2)
+    assert count_picks([near, other])["y"] == 1000
