Count how slow a worker's machine is, and hand waiting requests back

Cause: workers of some services are 2.5 times as slow for some hundred milliseconds. The measured service times follow only afterwards, so requests queued at the slow worker while others of the zone were idle.

Change: the fourth figure of X-Server-Load is kept for 0.5 s beside the worker and scales predicted and reported waits; a node reports a slow machine even if it is idle. A request that waits longer than half a service time is handed back (REFUSED) if a worker of the zone has room; the node that placed it chooses again and marks it, so that it stays at the next host. Handed back requests do not exclude the host and do not use up the limit of hosts tried.

--- a/bamboocove/coordination/worker_queue.py
+++ b/bamboocove/coordination/worker_queue.py
@@ -14,6 +14,7 @@
 
 from attrs import define, field
 
+from bamboocove.coordination.machine_load import MachineLoad
 from bamboocove.coordination.rate_limit import RateLimiter
 
 # Priority of calls from other workers. Refusing one wastes the work already done
@@ -98,6 +99,8 @@
         Data that the owner of the queue needs to start the request.
     started_at : float
         When the request was sent to the worker; 0 while it waits.
+    may_hand_back : bool
+        Whether it may be placed on another host while it waits.
     """
 
     route: str
@@ -106,6 +109,7 @@
     deadline: float
     payload: Any
     started_at: float = 0.0
+    may_hand_back: bool = False
     base_priority: float = field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -124,6 +128,8 @@
         Measured service times of the worker.
     limiter : RateLimiter
         Rate of requests that the worker takes.
+    machine_load : MachineLoad
+        How slow the worker's machine is at this moment.
     running : set of QueuedRequest
         Requests that occupy a slot.
     waiting : list of QueuedRequest
@@ -133,6 +139,7 @@
     slots: int
     service_times: ServiceTimes = field(factory=ServiceTimes)
     limiter: RateLimiter = field(factory=RateLimiter)
+    machine_load: MachineLoad = field(factory=MachineLoad)
     running: set[QueuedRequest] = field(factory=set)
     waiting: list[QueuedRequest] = field(factory=list)
     _admitted_by_priority: dict[float, float] = field(factory=dict)
@@ -145,18 +152,25 @@
     def _predict_wait_at(self, ahead: int, now: float) -> float:
         position = ahead + 1
         beyond_slots = position - (self.slots - len(self.running))
-        slot_wait_s = max(0, beyond_slots) * self.service_times.mean_s
+        service_s = self.service_times.mean_s * self.machine_load.get_slowdown(now)
+        slot_wait_s = max(0, beyond_slots) * service_s
         return max(
             slot_wait_s / max(1, self.slots), self.limiter.predict_wait(position, now)
         )
 
     def predict_reported_wait(self, priority: float, now: float) -> float:
-        """Return the queueing time of a new request that other nodes are to expect."""
+        """Return the queueing time of a new request that other nodes are to expect.
+
+        It includes what the request itself takes longer on a machine that is slow at
+        this moment, since reports have no other field for that.
+        """
         ahead = sum(request.priority <= priority for request in self.waiting)
-        return max(
+        wait_s = max(
             self._predict_wait_at(ahead, now),
             self.limiter.predict_named_wait(ahead + 1, now),
         )
+        slowdown = self.machine_load.get_slowdown(now)
+        return wait_s + max(0.0, slowdown - 1.0) * self.service_times.mean_s
 
     def count_usable_slots(self) -> int:
         """Return the slots that can be in use at a time, below a rate limit too."""
--- a/bamboocove/platform/headers.py
+++ b/bamboocove/platform/headers.py
@@ -6,9 +6,14 @@
 from bamboocove.transport.framing import Headers, get_header
 
 LIMIT_FIELD = b"server-limit"
+LOAD_FIELD = b"x-server-load"
 LEAVING_FIELD = b"server-leaving"
 # Decimal numbers with more digits are not taken for a rate.
 _DECIMAL = re.compile(rb"\d{1,12}(\.\d{1,12})?")
+# Figures of a load, which may be named, and the one that tells how long work takes.
+_LOAD_SEPARATOR = re.compile(rb"[\s,;/]+")
+_LOAD_FIGURE = re.compile(rb"(?:[\w-]+[=:])?(\d{1,6}(?:\.\d{1,6})?)")
+_SLOWNESS_INDEX = 3
 # What a worker that names 0 is taken to name: 0 stands for no limit elsewhere.
 _LEAST_LIMIT_PER_S = 1e-6
 
@@ -56,10 +61,38 @@
     return get_header(headers, LEAVING_FIELD) == b"1"
 
 
+def read_slowness(headers: Headers) -> float | None:
+    """Return how long work takes on a worker's machine, relative to the usual time.
+
+    Returns
+    -------
+    factor : float or None
+        None if the worker does not tell, or the figure is not a number.
+
+    Examples
+    --------
+    >>> read_slowness([(b"x-server-load", b"2, 0, 3, 250")])
+    2.5
+    >>> [
+    ...     read_slowness([(b"x-server-load", value)])
+    ...     for value in (b"", b"2,0,3", b"2,0,3,-250", b"2,0,3,nan", b"1,2,3,4e9")
+    ... ]
+    [None, None, None, None, None]
+    """
+    value = get_header(headers, LOAD_FIELD)
+    if value is None:
+        return None
+    figures = _LOAD_SEPARATOR.split(value.strip())
+    if len(figures) <= _SLOWNESS_INDEX:
+        return None
+    figure = _LOAD_FIGURE.fullmatch(figures[_SLOWNESS_INDEX])
+    return float(figure[1]) / 100 if figure else None
+
+
 # X-Deadline-Ms holds the remaining time, not an absolute deadline.
 # X-Not-Executed and status 421 both mean that the worker has not run the request.
-# X-Server-Load reports running requests, waiting requests and slots of a worker; it
-# is not read, because the node on the same host tracks these figures itself.
+# X-Server-Load reports running requests, waiting requests and slots of a worker, which
+# the node on the same host tracks itself, and how long work takes there (100 = usual).
 DIALECT = Dialect(
     attempt_id=b"x-attempt-id",
     time_left_ms=b"x-deadline-ms",
@@ -72,6 +105,7 @@
     answering_worker_id=b"x-instance-id",
     read_limit=read_limit,
     is_leaving=is_leaving,
+    read_slowness=read_slowness,
     get_parent=get_parent_id,
     readiness_path=b"/api/ready",
     worker_path=b"/api/instances/",
--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -189,6 +189,11 @@
     load: list[int]
 
 
+# Header field of a ``Forward`` that was handed back once, and which is not to be handed
+# back again. It never reaches a worker. It is no message field, since nodes of an
+# earlier release would drop the message.
+PLACED_AGAIN_FIELD = b"bamboocove-placed-again"
+
 # The worker responded.
 ANSWERED = 0
 # The node refused the request, which never reached the worker.
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -16,9 +16,11 @@
 from bamboocove.coordination.body_grants import BodyGrants
 from bamboocove.coordination.byte_budget import ByteBudget, compute_budget
 from bamboocove.coordination.drain_window import NOT_DRAINING, estimate_lag
+from bamboocove.coordination.hand_back import pick_hand_back
 from bamboocove.coordination.load_reports import LoadReporter
 from bamboocove.coordination.readers import ReaderRole
 from bamboocove.coordination.record_repair import RecordRepair
+from bamboocove.coordination.worker_queue import QueuedRequest
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.events import run_logged
 from bamboocove.lifecycle import LifecycleHooks, make_lifecycle
@@ -144,6 +146,7 @@
             ),
             self.body_budget,
         )
+        self.inbound.pick_hand_back = self._pick_hand_back
         self.inbound.watch.is_confirmed = settings.is_first_start
         self.hosts = HostDirectory(
             settings,
@@ -366,9 +369,19 @@
             self._next_exchange_at = now + EXCHANGE_INTERVAL_S
             exchange_state(self)
 
+    def _pick_hand_back(self, now: float) -> QueuedRequest | None:
+        worker, queue = self.inbound.worker, self.inbound.queue
+        if worker is None or not queue.waiting:
+            return None
+        views = self.fleet.get_linked_views(worker.service)
+        same = [view for view in views if view.version == worker.version]
+        settings = self.settings
+        return pick_hand_back(queue, same, settings.host_id, settings.zone, now)
+
     def _report_load(self, now: float) -> None:
         queue = self.inbound.queue
-        counts = len(queue.running), len(queue.waiting), queue.count_usable_slots()
+        waiting = len(queue.waiting) or queue.machine_load.is_slow(now)
+        counts = len(queue.running), waiting, queue.count_usable_slots()
         if self.load_reporter.should_report(*counts, now):
             self.dissemination.send_load(self.inbound.make_load())
         self.dissemination.send_collected(now)
--- a/bamboocove/sidecar/dialect.py
+++ b/bamboocove/sidecar/dialect.py
@@ -37,6 +37,9 @@
     is_leaving : callable
         Takes the header fields of a worker's response; returns whether the worker is
         about to leave.
+    read_slowness : callable
+        Takes the header fields of a worker's response; returns how long work takes on
+        its machine at this moment, as a multiple of the usual time, or None.
     get_parent : callable
         Takes the attempt identifier of a call made by a worker; returns that of the
         request that the worker was running then, or empty bytes if the identifier
@@ -60,6 +63,7 @@
     answering_worker_id: bytes
     read_limit: Callable[[Headers], float | None]
     is_leaving: Callable[[Headers], bool]
+    read_slowness: Callable[[Headers], float | None]
     get_parent: Callable[[bytes], bytes]
     readiness_path: bytes
     worker_path: bytes
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -9,8 +9,10 @@
 
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.drain_window import NOT_DRAINING, SlowestResponses
+from bamboocove.coordination.hand_back import HANDED_BACK
+from bamboocove.coordination.machine_load import MachineLoad
 from bamboocove.coordination.version_comparison import Tally
-from bamboocove.coordination.worker_queue import WorkerQueue
+from bamboocove.coordination.worker_queue import QueuedRequest, WorkerQueue
 from bamboocove.protocol.mesh_messages import (
     ANSWERED,
     LOST,
@@ -103,6 +105,9 @@
             self._on_limit,
             self._on_change,
         )
+        self.queue.machine_load = self.watch.machine_load
+        # Takes the time; returns the waiting request to hand back now, or None.
+        self.pick_hand_back: Callable[[float], QueuedRequest | None] = lambda now: None
         self._responses = WorkerResponses(
             address,
             dialect,
@@ -158,7 +163,8 @@
         self._pool.close()
         self._failure_average = 0.0
         self.tallies_by_route = {}
-        self.queue = WorkerQueue(1)
+        self.watch.machine_load = MachineLoad()
+        self.queue = WorkerQueue(1, machine_load=self.watch.machine_load)
         self.crash_reports.reset()
 
     def _on_limit(self, limit_per_s: float) -> None:
@@ -190,6 +196,9 @@
                 self.queue.discard(entry)
                 self._end(entry.payload, REFUSED, reason="waited too long")
         self._refuse_late(now)
+        entry = self.pick_hand_back(now)
+        if entry is not None:
+            self._end(entry.payload, REFUSED, reason=HANDED_BACK)
         self.watch.tick(now)
 
     def submit(
--- a/bamboocove/sidecar/inbound_request.py
+++ b/bamboocove/sidecar/inbound_request.py
@@ -6,10 +6,12 @@
 from attrs import define, field
 
 from bamboocove.coordination.body_queue import PIECE_BYTES
+from bamboocove.coordination.hand_back import MAX_BODY_BYTES
 from bamboocove.coordination.worker_queue import QueuedRequest
 from bamboocove.protocol.mesh_messages import (
     ANSWERED,
     LOST,
+    PLACED_AGAIN_FIELD,
     BodyOffer,
     Forward,
     Reply,
@@ -193,12 +195,18 @@
     message: Forward | BodyOffer, request: InboundRequest | None, now: float
 ) -> QueuedRequest:
     """Return an entry for the queue of the worker, at a time in seconds."""
+    may_hand_back = (
+        isinstance(message, Forward)
+        and len(message.body) <= MAX_BODY_BYTES
+        and get_header(message.headers, PLACED_AGAIN_FIELD) is None
+    )
     return QueuedRequest(
         message.route,
         message.priority,
         now + message.target_left_ms / 1000,
         now + message.left_ms / 1000,
         request,
+        may_hand_back=may_hand_back,
     )
 
 
@@ -208,13 +216,14 @@
     """Return the HTTP request for the worker as bytes, including the body."""
     forward = request.forward
     left_ms = max(1, int((request.deadline - now) * 1000))
+    fields = [item for item in forward.headers if item[0] != PLACED_AGAIN_FIELD]
     length = b""
     if forward.body or forward.method in (b"POST", b"PUT", b"PATCH"):
         length = b"content-length: %d\r\n" % len(forward.body)
     return b"%b %b HTTP/1.1\r\n%b%b%b: %d\r\n%b: %b\r\n%b: %b\r\n\r\n%b" % (
         forward.method,
         forward.target,
-        format_fields(forward.headers),
+        format_fields(fields),
         length,
         dialect.time_left_ms,
         left_ms,
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -5,6 +5,7 @@
 
 from bamboocove.coordination.body_queue import may_keep
 from bamboocove.coordination.byte_budget import ByteBudget
+from bamboocove.coordination.hand_back import HANDED_BACK
 from bamboocove.coordination.placement import (
     QueueReport,
     estimate_wait,
@@ -22,6 +23,7 @@
     ANSWERED,
     CRASHED,
     LOST,
+    PLACED_AGAIN_FIELD,
     REFUSED,
     SHED,
     TIMED_OUT,
@@ -333,6 +335,8 @@
         running, slots, failures, *waits = reply.load
         report = QueueReport(running, slots, failures, tuple(waits))
         attempt.view.update_report(report, now)
+        if reply.outcome == REFUSED and reply.body == HANDED_BACK.encode():
+            request.headers.append([PLACED_AGAIN_FIELD, b"1"])
         if reply.outcome == ANSWERED:
             service_s = reply.service_ms / 1000
             attempt.view.record_service_time(request.route.name, service_s)
@@ -385,6 +389,11 @@
     def _on_refused(self, request: OutboundRequest, reply: Reply, now: float) -> None:
         request.last_reason = reply.body.decode("latin-1")
         request.may_return_soon = False
+        if request.last_reason == HANDED_BACK:
+            # The host still takes the request, if no other one turns out to be better.
+            request.hosts_tried = max(1, request.hosts_tried - 1)
+            self._dispatch(request, now)
+            return
         request.excluded_host_ids.add(request.host_id)
         if reply.outcome == WRONG_WORKER:
             self._fleet.suspend(request.host_id, now)
--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -7,6 +7,7 @@
 from attrs import define, evolve, field
 
 from bamboocove.coordination.departures import LEAVING_STATES, DepartedStarts
+from bamboocove.coordination.machine_load import MachineLoad
 from bamboocove.errors import ErrorResult
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.logs import log
@@ -66,6 +67,8 @@
         Called without arguments when ``departed`` has changed.
     worker : MeshWorker or None
         Last known state of the worker.
+    machine_load : MachineLoad
+        How slow its machine is at this moment.
     health_path : str
         Path of the worker's health check; without one it is not probed.
     departed : DepartedStarts
@@ -85,6 +88,7 @@
     on_limit: Callable[[float], None]
     on_departed: Callable[[], None]
     worker: MeshWorker | None = None
+    machine_load: MachineLoad = field(factory=MachineLoad)
     health_path: str = ""
     departed: DepartedStarts = field(factory=DepartedStarts)
     is_confirmed: bool = False
@@ -240,6 +244,7 @@
         now : float
             Seconds of the local clock.
         """
+        self._update_machine_load(headers, now)
         limit_per_s = self.dialect.read_limit(headers)
         if limit_per_s is None:
             limit_per_s = self.worker.limit_per_s
@@ -250,6 +255,11 @@
         if self.dialect.is_leaving(headers) and self.worker.state != "gone":
             self.set_state("draining")
 
+    def _update_machine_load(self, headers: Headers, now: float) -> None:
+        slowness = self.dialect.read_slowness(headers)
+        if slowness is not None:
+            self.machine_load.record(slowness, now)
+
     def _publish_limit(self, now: float) -> None:
         limit_per_s, published = self.worker.limit_per_s, self._published_limit_per_s
         is_changed = abs(limit_per_s - published) > LIMIT_TOLERANCE * published
@@ -299,6 +309,8 @@
             result.headers
         ):
             self.update_from_response(result.headers, self.clock.seconds())
+        else:
+            self._update_machine_load(result.headers, self.clock.seconds())
         if self.worker.state == "down":
             self.set_state("ready")
 
