End requests that reached no worker with 503, as soon as that is known

Causes: a request that waited in a queue was refused at the first look after its deadline, so that the refusal could come after the origin had given up with 504; one in the origin's own queue got 504 whenever its node was late; a refused request was placed again with no time left. A request of a lost zone was retried at another host of that zone, whose link was lost next, and ended with 502.

Change: a waiting request is refused once less than half of its service time, or 0.05 s, is left, with which it cannot be started any more. The origin looks at what a worker may have got, not at which message is open. After a host of another zone was lost or fell silent, workers of the own zone go first.

--- a/bamboocove/coordination/worker_queue.py
+++ b/bamboocove/coordination/worker_queue.py
@@ -308,8 +308,7 @@
             if self.limiter.predict_wait(1, now):
                 break
             request = self.waiting.pop(0)
-            min_s = MIN_REMAINING_FRACTION * self.service_times.get(request.route)
-            if request.deadline - now < min_s:
+            if request.deadline - now < self._compute_min_left(request):
                 expired.append(request)
                 continue
             self.limiter.take(now)
@@ -318,6 +317,22 @@
             return request, expired
         return None, expired
 
+    def take_expired(self, min_s: float, now: float) -> list[QueuedRequest]:
+        """Remove and return the waiting requests that can no longer be started.
+
+        ``min_s`` is the least time until the deadline with which one may go on waiting,
+        in seconds.
+        """
+        return self.take_waiting(
+            lambda request: (
+                request.deadline - now < self._compute_min_left(request, min_s)
+            )
+        )
+
+    def _compute_min_left(self, request: QueuedRequest, min_s: float = 0.0) -> float:
+        service_s = self.service_times.get(request.route)
+        return max(min_s, MIN_REMAINING_FRACTION * service_s)
+
     def take_waiting(
         self, is_taken: Callable[[QueuedRequest], bool] = lambda request: True
     ) -> list[QueuedRequest]:
--- a/bamboocove/sidecar/candidates.py
+++ b/bamboocove/sidecar/candidates.py
@@ -4,9 +4,10 @@
 
 from attrs import define, field
 
-from bamboocove.coordination.placement import HostView
+from bamboocove.coordination.placement import HostView, pick_host
 from bamboocove.coordination.route_table import VersionSplitter
 from bamboocove.coordination.short_moves import count_workers_used
+from bamboocove.coordination.zone_traffic import RouteTraffic
 from bamboocove.sidecar.fleet import Fleet
 from bamboocove.sidecar.outbound_request import OutboundRequest
 from bamboocove.sidecar.rules import RuleTable
@@ -48,6 +49,38 @@
             return allowed
         return self._select_during_move(request, rule, allowed)
 
+    def pick(
+        self,
+        request: OutboundRequest,
+        views: list[HostView],
+        zone: str,
+        traffic: RouteTraffic,
+        now: float,
+    ) -> HostView | None:
+        """Return the best of the selected hosts for a request of this zone, or None.
+
+        A request that a host of another zone was lost with goes to hosts of the own
+        zone, as long as there are any.
+        """
+        choices = [views]
+        if request.stays_in_zone:
+            choices.insert(0, [view for view in views if view.zone == zone])
+        for choice in choices:
+            view = pick_host(
+                choice,
+                request.route.name,
+                request.priority,
+                request.route.target_s,
+                zone,
+                now,
+                self.random,
+                request.excluded_host_ids,
+                traffic,
+            )
+            if view is not None:
+                return view
+        return None
+
     def _count_old(self, rule: VersionRule) -> int:
         """Count the workers of all hosts, linked or not, that the move replaces."""
         return sum(
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -47,6 +47,11 @@
 # Kernel's buffer of a connection to the worker: what waits there while the node does
 # not read counts as memory of the host, too. Ample without a network between.
 RECEIVE_BUFFER_BYTES = 128 * 1024
+# A request that still waits this long before its deadline is refused, in seconds: the
+# node that placed it must have the refusal before it gives up, and can only then tell
+# its caller that no worker got it. The queue is looked through every 0.1 s, and that
+# node waits for 0.12 s longer than the deadline.
+REFUSAL_LEAD_S = 0.05
 STOPPING_REASON = "the node beside the worker stops too soon"
 
 
@@ -191,10 +196,8 @@
         for request in self._requests:
             if request.held_bytes:
                 self._sender.release_written_body(request)
-        for entry in list(self.queue.waiting):
-            if entry.deadline <= now:
-                self.queue.discard(entry)
-                self._end(entry.payload, REFUSED, reason="waited too long")
+        for entry in self.queue.take_expired(REFUSAL_LEAD_S, now):
+            self._end(entry.payload, REFUSED, reason="waited too long")
         self._refuse_late(now)
         entry = self.pick_hand_back(now)
         if entry is not None:
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -9,7 +9,6 @@
 from bamboocove.coordination.placement import (
     QueueReport,
     estimate_wait,
-    pick_host,
 )
 from bamboocove.coordination.retry_limits import (
     CrashTable,
@@ -246,11 +245,6 @@
             self.responder.respond_stopping(request)
             return
         self.budgets.earn(request.service)
-        if request.deadline - now < MIN_ATTEMPT_S:
-            self.responder.refuse(
-                request, ErrorKind.DEADLINE_BEFORE_DISPATCH, "no time is left"
-            )
-            return
         if self.crashes.has_suspects(now):
             request.fingerprint = identify_request(request, self.settings.service)
             if self.crashes.is_blocked(request.fingerprint, now):
@@ -264,6 +258,13 @@
 
         Answers with an error if no host is left, or if the node stops too soon.
         """
+        if request.deadline - now < MIN_ATTEMPT_S and not self.responder.may_be_sent(
+            request
+        ):
+            self.responder.refuse(
+                request, ErrorKind.DEADLINE_BEFORE_DISPATCH, "no time is left"
+            )
+            return
         if now >= self.router.drain_window.end_at:
             # A host that was silent may still answer, until the node stops.
             if request.earlier_attempt is None:
@@ -274,16 +275,8 @@
             views = self._candidates.select(request)
             view = None
             if request.hosts_tried < MAX_HOSTS_TRIED:
-                view = pick_host(
-                    views,
-                    request.route.name,
-                    request.priority,
-                    request.route.target_s,
-                    self.settings.zone,
-                    now,
-                    self._random,
-                    request.excluded_host_ids,
-                    traffic,
+                view = self._candidates.pick(
+                    request, views, self.settings.zone, traffic, now
                 )
             if view is None:
                 self.responder.refuse_unplaced(request, views)
@@ -423,6 +416,7 @@
         self, request: OutboundRequest, reason: str, now: float, is_crash: bool = False
     ) -> None:
         request.may_have_run = True
+        request.stays_in_zone |= request.view.zone != self.settings.zone
         request.excluded_host_ids.add(request.host_id)
         if is_crash:
             request.fingerprint = identify_request(request, self.settings.service)
@@ -449,14 +443,14 @@
         if request.is_ended:
             return
         is_offered = request.attempt is not None and request.attempt.is_offered
-        may_have_run = request.may_have_run or request.earlier_attempt is not None
+        may_be_sent = self.responder.may_be_sent(request)
         if request.received_at is None:
             reason = "its body did not arrive in time"
             self.responder.refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, reason)
             return
         self._attempts.cancel_all(request)
-        if is_offered and not may_have_run:
-            reason = "no room for its body in time"
+        if not may_be_sent:
+            reason = "no room for its body in time" if is_offered else "waited too long"
             self.responder.refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, reason)
             return
         reason = "no answer in time"
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -80,6 +80,9 @@
         all, its answer counts.
     may_have_run : bool
         Whether a worker may have run the request without a response arriving.
+    stays_in_zone : bool
+        Whether workers of the own zone go first, whatever they cost, because a host of
+        another zone was lost or fell silent. All links to that zone may be lost soon.
     fallback_reply : Reply or None
         Error response of a worker, delivered if no retry succeeds.
     last_reason : str
@@ -114,6 +117,7 @@
     timer: Any = None
     fingerprint: str = ""
     may_have_run: bool = False
+    stays_in_zone: bool = False
     is_ended: bool = False
     fallback_reply: Reply | None = None
     last_reason: str = ""
--- a/bamboocove/sidecar/silent_hosts.py
+++ b/bamboocove/sidecar/silent_hosts.py
@@ -160,6 +160,8 @@
             request.sent += 1
             if self.can_retry(request, now) and self.budgets.spend(request.service):
                 request.earlier_attempt, request.attempt = attempt, None
+                own_zone = self.attempts.get_settings().zone
+                request.stays_in_zone |= attempt.view.zone != own_zone
                 request.excluded_host_ids.add(host_id)
                 request.hosts_tried = 1
                 log_repeated(request, host_id, lost="silent")
