--- a/bamboocove/sidecar/gauges.py
+++ b/bamboocove/sidecar/gauges.py
@@ -21,6 +21,10 @@
         "running": len(queue.running),
         "waiting": len(queue.waiting),
         "worker_limit_per_s": queue.limiter.limit_per_s,
+        "machine_slowdown": queue.machine_load.get_slowdown(
+            application.clock.seconds()
+        ),
+        "handed_back": application.inbound.handed_back,
         "store_reading": application.watch.is_reading,
         "store_calls": application.store.calls,
         "log_lines_dropped": WRITER.dropped_lines,
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -137,6 +137,7 @@
         self._running_ids = self._sender.running_ids
         self.tallies_by_route: dict[str, Tally] = {}
         self.is_draining = False
+        self.handed_back = 0
         self.drain_window = NOT_DRAINING
         self._slowest = SlowestResponses()
 
@@ -201,6 +202,7 @@
         self._refuse_late(now)
         entry = self.pick_hand_back(now)
         if entry is not None:
+            self.handed_back += 1
             self._end(entry.payload, REFUSED, reason=HANDED_BACK)
         self.watch.tick(now)
 
--- a/bamboocove/sidecar/metrics.py
+++ b/bamboocove/sidecar/metrics.py
@@ -60,6 +60,11 @@
                     "worker_limit_per_s",
                     "Requests per second that the worker takes; 0 without a limit.",
                 ),
+                (
+                    "machine_slowdown",
+                    "Time that work takes now, relative to the usual one.",
+                ),
+                ("handed_back", "Waiting requests handed back since the start."),
                 ("store_reading", "1 if the node reads the store for its zone."),
                 ("store_calls", "Calls to the store since the start."),
                 ("log_lines_dropped", "Log lines that could not be written."),
