--- a/bamboocove/coordination/placement.py
+++ b/bamboocove/coordination/placement.py
@@ -10,9 +10,16 @@
 
 from attrs import define, field
 
-# A response from another availability zone must be faster by this many seconds to
-# justify the traffic between zones.
-ZONE_PENALTY_S = 0.03
+from bamboocove.coordination.zone_traffic import (
+    HEADROOM_FRACTION,
+    INITIAL_BYTES,
+    MAX_FAR_WAIT_FRACTION,
+    NO_WORKER,
+    REFUSED_IN_ZONE,
+    RouteTraffic,
+    compute_cost,
+)
+
 # Fraction of the latency objective below which a faster response has little
 # value: the request then stays in its zone even if a worker elsewhere is faster.
 FAST_ENOUGH_FRACTION = 0.4
@@ -20,8 +27,9 @@
 FAST_ENOUGH_WEIGHT = 0.15
 # Queue reports older than this are ignored, in seconds.
 REPORT_MAX_AGE_S = 0.5
-# Service time assumed until the first response of a route, in seconds.
-INITIAL_SERVICE_S = 0.05
+# Service time assumed until the first response of a service, as a fraction of the
+# latency objective: objectives are a few times the usual service time.
+INITIAL_SERVICE_FRACTION = 0.25
 # Weight of the newest sample in the moving averages of the service time.
 SERVICE_TIME_WEIGHT = 0.2
 # Relative increase of a worker's service time from idle to all slots in use.
@@ -102,6 +110,9 @@
         it is not, or takes any number.
     service_s_by_route : dict of str to float
         Moving averages of the service time, in seconds.
+    mean_service_s : float
+        The same over all routes; 0 without samples. Requests of all of them wait in
+        one queue.
     """
 
     host_id: str
@@ -119,6 +130,7 @@
     cold_until: float = 0.0
     cold_per_s: float = 0.0
     service_s_by_route: dict[str, float] = field(factory=dict)
+    mean_service_s: float = 0.0
 
     def update_report(self, report: QueueReport, now: float) -> None:
         """Store a new report of the host's queue."""
@@ -138,23 +150,36 @@
         mean_s = self.service_s_by_route.get(route, seconds)
         mean_s += SERVICE_TIME_WEIGHT * (seconds - mean_s)
         self.service_s_by_route[route] = mean_s
+        mean_s = self.mean_service_s or seconds
+        self.mean_service_s = mean_s + SERVICE_TIME_WEIGHT * (seconds - mean_s)
 
 
-def estimate_wait(view: HostView, priority: int, now: float) -> float:
-    """Return the predicted queueing time at a host, in seconds."""
-    age = now - view.reported_at
-    sent = view.sent_since_report if age <= REPORT_MAX_AGE_S else view.in_flight
-    if age > REPORT_MAX_AGE_S:
-        free = view.slots - view.in_flight
-        wait_s = 0.0
-    else:
+def estimate_wait(view: HostView, priority: int, default_s: float, now: float) -> float:
+    """Return the predicted queueing time at a host, in seconds.
+
+    ``default_s`` is the service time assumed for a host without samples.
+    """
+    slots = view.slots
+    # Requests of this node are all at the host, whatever the last report says: it was
+    # made before the latest ones arrived there.
+    used = view.in_flight
+    sent = view.in_flight
+    wait_s = 0.0
+    if now - view.reported_at <= REPORT_MAX_AGE_S:
         report = view.report
-        free = report.slots - report.running - view.sent_since_report
+        slots = report.slots
         wait_s = report.get_wait(priority)
+        sent = view.sent_since_report
         if wait_s:
-            free = -view.sent_since_report
-    if free <= 0:
-        wait_s += (1 - free) * INITIAL_SERVICE_S / max(1, view.slots)
+            # The report counts all requests before these.
+            wait_s += sent * (view.mean_service_s or default_s) / (1 + slots)
+        elif report.running + sent > used:
+            used = report.running + sent
+    beyond_slots = used + 1 - slots
+    if beyond_slots > 0:
+        # Requests that run for some time already end evenly spread over a service time.
+        own_s = beyond_slots * (view.mean_service_s or default_s) / (1 + slots)
+        wait_s = max(wait_s, own_s)
     if view.cold_per_s:
         # The next one waits for the limit, however many slots are free.
         wait_s += sent / view.cold_per_s
@@ -176,7 +201,7 @@
         running = view.report.running + view.sent_since_report
     utilization = min(1.0, running / max(1, view.slots))
     service_s *= 1.0 + SATURATION_SLOWDOWN * utilization * utilization
-    return estimate_wait(view, priority, now) + service_s
+    return estimate_wait(view, priority, default_s, now) + service_s
 
 
 def estimate_failure_rate(view: HostView, now: float) -> float:
@@ -186,14 +211,36 @@
     return weight * view.report.failure_permille / 1000
 
 
-def compute_mean_service_time(views: Iterable[HostView], route: str) -> float:
-    """Return the mean service time of a route over the hosts with samples."""
+def compute_mean_service_time(
+    views: Iterable[HostView], route: str, target_s: float
+) -> float:
+    """Return the mean service time of a route over the hosts with samples.
+
+    Without samples of the route it is that of the service, or a fraction of the
+    latency objective ``target_s``.
+    """
     known = [
         view.service_s_by_route[route]
         for view in views
         if route in view.service_s_by_route
-    ]
-    return sum(known) / len(known) if known else INITIAL_SERVICE_S
+    ] or [view.mean_service_s for view in views if view.mean_service_s]
+    return sum(known) / len(known) if known else INITIAL_SERVICE_FRACTION * target_s
+
+
+@define
+class _FarZone:
+    """Best hosts of another zone, and how many of its workers have room.
+
+    ``view`` has room, ``any_view`` may be busy; each comes with its score.
+    """
+
+    workers: int = 0
+    free: int = 0
+    view: HostView | None = None
+    score: float = float("inf")
+    expected_s: float = float("inf")
+    any_view: HostView | None = None
+    any_score: float = float("inf")
 
 
 def pick_host(
@@ -205,6 +252,7 @@
     now: float,
     random: Callable[[], float],
     excluded: Collection[str] = (),
+    traffic: RouteTraffic | None = None,
 ) -> HostView | None:
     """Return the host with the best score for a request.
 
@@ -226,34 +274,110 @@
         Returns a float from 0 to 1.
     excluded : collection of str
         Identifiers of hosts that already refused or failed this request.
+    traffic : RouteTraffic or None
+        Traffic between zones of the route; told why the request leaves the zone.
+        Without it each request that saves enough leaves.
 
     Returns
     -------
     view : HostView or None
         None if no host is eligible.
     """
-    best = None
-    best_score = 0.0
-    default_s = compute_mean_service_time(views, route)
+    near = None
+    near_score = near_s = float("inf")
+    has_near_worker = False
+    far_by_zone: dict[str, _FarZone] = {}
+    default_s = compute_mean_service_time(views, route, target_s)
     # While a worker waits for its own call, one of its slots stays occupied, so
     # for such calls every faster response counts.
     fast_enough_s = FAST_ENOUGH_FRACTION * target_s if priority >= 0 else 0.0
     for view in views:
-        if view.suspended_until > now or view.host_id in excluded:
+        if view.suspended_until > now:
             continue
-        if view.busy_until > now and priority >= view.busy_priority:
+        is_near = view.zone == zone
+        if is_near:
+            has_near_worker = True
+        else:
+            far = far_by_zone.get(view.zone)
+            if far is None:
+                far = far_by_zone[view.zone] = _FarZone()
+            far.workers += 1
+        if view.host_id in excluded or (
+            view.busy_until > now and priority >= view.busy_priority
+        ):
             continue
-        score = estimate_response_time(view, route, priority, default_s, now)
-        if score < fast_enough_s:
-            score = fast_enough_s - FAST_ENOUGH_WEIGHT * (fast_enough_s - score)
-        score += estimate_failure_rate(view, now) * FAILURE_COST * target_s
-        score *= 1.0 + SCORE_JITTER * random()
-        if view.zone != zone:
-            score += ZONE_PENALTY_S
-        if best is None or score < best_score:
-            best = view
-            best_score = score
-    return best
+        expected_s = estimate_response_time(view, route, priority, default_s, now)
+        if expected_s < fast_enough_s:
+            expected_s = fast_enough_s - FAST_ENOUGH_WEIGHT * (
+                fast_enough_s - expected_s
+            )
+        if view.report.failure_permille:
+            expected_s += estimate_failure_rate(view, now) * FAILURE_COST * target_s
+        score = expected_s * (1.0 + SCORE_JITTER * random())
+        if is_near:
+            if score < near_score:
+                near, near_score = view, score
+            if expected_s < near_s:
+                near_s = expected_s
+            continue
+        if has_room(view, priority, now):
+            far.free += 1
+            if score < far.score:
+                far.view, far.score, far.expected_s = view, score, expected_s
+        if score < far.any_score:
+            far.any_view, far.any_score = view, score
+    if traffic is not None:
+        traffic.reason = ""
+    if not far_by_zone:
+        return near
+    if near is not None:
+        far = min(far_by_zone.values(), key=lambda item: item.score)
+        is_better = _is_better(
+            far, near_s, target_s, bool(excluded), now, random, traffic
+        )
+        return far.view if is_better else near
+    far = min(far_by_zone.values(), key=lambda item: (item.view is None, item.score))
+    if traffic is not None:
+        traffic.reason = REFUSED_IN_ZONE if has_near_worker else NO_WORKER
+    if far.view is not None:
+        return far.view
+    far = min(far_by_zone.values(), key=lambda item: item.any_score)
+    view = far.any_view
+    if view is None or not has_near_worker or priority < 0:
+        return view
+    wait_s = estimate_wait(view, priority, default_s, now)
+    return view if wait_s <= MAX_FAR_WAIT_FRACTION * target_s else None
+
+
+def has_room(view: HostView, priority: int, now: float) -> bool:
+    """Return whether a worker has more free slots than its own zone may need soon."""
+    if now - view.reported_at > REPORT_MAX_AGE_S:
+        slots, used = view.slots, view.in_flight
+    else:
+        report = view.report
+        if report.get_wait(priority):
+            return False
+        slots = report.slots
+        used = max(report.running + view.sent_since_report, view.in_flight)
+    return slots - used > HEADROOM_FRACTION * slots
+
+
+def _is_better(
+    far: _FarZone,
+    near_s: float,
+    target_s: float,
+    is_refused: bool,
+    now: float,
+    random: Callable[[], float],
+    traffic: RouteTraffic | None,
+) -> bool:
+    """Return whether a request that its own zone could take goes to another zone."""
+    if traffic is None:
+        return near_s - far.expected_s > compute_cost(INITIAL_BYTES, target_s)
+    traffic.update_share(near_s, far.expected_s, target_s, now)
+    return far.view is not None and traffic.may_leave(
+        near_s, far.expected_s, far.free / far.workers, target_s, is_refused, random
+    )
 
 
 def compute_retry_after(
--- a/bamboocove/coordination/worker_queue.py
+++ b/bamboocove/coordination/worker_queue.py
@@ -16,6 +16,7 @@
 from attrs import define, field
 
 from bamboocove.coordination.fair_shares import SHARED, FairShares
+from bamboocove.coordination.machine_load import MachineLoad
 from bamboocove.coordination.rate_limit import RateLimiter
 
 # Priority of calls from other workers. Refusing one wastes the work already done
@@ -103,6 +104,8 @@
         known yet.
     started_at : float
         When the request was sent to the worker; 0 while it waits.
+    may_hand_back : bool
+        Whether it may be placed on another host while it waits.
     virtual_start, service_s : float
         Place among the accounts of its priority, see ``fair_shares``, and the expected
         service time in seconds with which it was counted there.
@@ -115,6 +118,7 @@
     payload: Any
     account: str | None = SHARED
     started_at: float = 0.0
+    may_hand_back: bool = False
     base_priority: float = field(init=False)
     virtual_start: float = field(init=False, default=0.0)
     service_s: float = field(init=False, default=0.0)
@@ -144,6 +148,8 @@
         Rate of requests that it takes while it is cold, a hard bound.
     shares : FairShares or None
         Order of the accounts within a priority; None if there are no accounts.
+    machine_load : MachineLoad
+        How slow the worker's machine is at this moment.
     running : set of QueuedRequest
         Requests that occupy a slot.
     waiting : list of QueuedRequest
@@ -157,6 +163,7 @@
         factory=lambda: RateLimiter(burst=1.0, reserve_fraction=0.0, min_per_s=0.0)
     )
     shares: FairShares | None = None
+    machine_load: MachineLoad = field(factory=MachineLoad)
     running: set[QueuedRequest] = field(factory=set)
     waiting: list[QueuedRequest] = field(factory=list)
     _admitted_by_priority: dict[float, float] = field(factory=dict)
@@ -169,7 +176,8 @@
     def _predict_wait_at(self, ahead: int, now: float) -> float:
         position = ahead + 1
         beyond_slots = position - (self.slots - len(self.running))
-        slot_wait_s = max(0, beyond_slots) * self.service_times.mean_s
+        service_s = self.service_times.mean_s * self.machine_load.get_slowdown(now)
+        slot_wait_s = max(0, beyond_slots) * service_s
         return max(
             slot_wait_s / max(1, self.slots), self.predict_limit_wait(position, now)
         )
@@ -190,13 +198,19 @@
         return self.cold_limiter.predict_wait(position, now) > 0.0
 
     def predict_reported_wait(self, priority: float, now: float) -> float:
-        """Return the queueing time of a new request that other nodes are to expect."""
+        """Return the queueing time of a new request that other nodes are to expect.
+
+        It includes what the request itself takes longer on a machine that is slow at
+        this moment, since reports have no other field for that.
+        """
         ahead = sum(request.priority <= priority for request in self.waiting)
-        return max(
+        wait_s = max(
             self._predict_wait_at(ahead, now),
             self.limiter.predict_named_wait(ahead + 1, now),
             self.cold_limiter.predict_named_wait(ahead + 1, now),
         )
+        slowdown = self.machine_load.get_slowdown(now)
+        return wait_s + max(0.0, slowdown - 1.0) * self.service_times.mean_s
 
     def count_usable_slots(self) -> int:
         """Return the slots that can be in use at a time, below a rate limit too."""
@@ -379,8 +393,7 @@
             request = self.waiting.pop(0)
             if self.shares is not None and request.priority >= 0:
                 self.shares.advance(request.virtual_start)
-            min_s = MIN_REMAINING_FRACTION * self.service_times.get(request.route)
-            if request.deadline - now < min_s:
+            if request.deadline - now < self._compute_min_left(request):
                 self._return_share(request)
                 expired.append(request)
                 continue
@@ -391,6 +404,22 @@
             return request, expired
         return None, expired
 
+    def take_expired(self, min_s: float, now: float) -> list[QueuedRequest]:
+        """Remove and return the waiting requests that can no longer be started.
+
+        ``min_s`` is the least time until the deadline with which one may go on waiting,
+        in seconds.
+        """
+        return self.take_waiting(
+            lambda request: (
+                request.deadline - now < self._compute_min_left(request, min_s)
+            )
+        )
+
+    def _compute_min_left(self, request: QueuedRequest, min_s: float = 0.0) -> float:
+        service_s = self.service_times.get(request.route)
+        return max(min_s, MIN_REMAINING_FRACTION * service_s)
+
     def take_waiting(
         self, is_taken: Callable[[QueuedRequest], bool] = lambda request: True
     ) -> list[QueuedRequest]:
--- a/bamboocove/sidecar/gauges.py
+++ b/bamboocove/sidecar/gauges.py
@@ -23,6 +23,10 @@
         "running": len(queue.running),
         "waiting": len(queue.waiting),
         "worker_limit_per_s": queue.limiter.limit_per_s,
+        "machine_slowdown": queue.machine_load.get_slowdown(
+            application.clock.seconds()
+        ),
+        "handed_back": application.inbound.handed_back,
         "store_reading": application.watch.is_reading,
         "worker_cold_limit_per_s": application.inbound.cold.limit_per_s,
         "cold_workers": len(application.fleet.get_cold_ids()),
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -10,8 +10,10 @@
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.drain_window import NOT_DRAINING, SlowestResponses
 from bamboocove.coordination.fair_shares import SHARED, get_share_key, make_shares
+from bamboocove.coordination.hand_back import HANDED_BACK
+from bamboocove.coordination.machine_load import MachineLoad
 from bamboocove.coordination.version_comparison import Tally
-from bamboocove.coordination.worker_queue import WorkerQueue
+from bamboocove.coordination.worker_queue import QueuedRequest, WorkerQueue
 from bamboocove.protocol.mesh_messages import (
     ANSWERED,
     LOST,
@@ -55,6 +57,11 @@
 # not read counts as memory of the host, too. Ample without a network between.
 RECEIVE_BUFFER_BYTES = 128 * 1024
 WRONG_WORKER_REASON = "worker is not ready for this"
+# A request that still waits this long before its deadline is refused, in seconds: the
+# node that placed it must have the refusal before it gives up, and can only then tell
+# its caller that no worker got it. The queue is looked through every 0.1 s, and that
+# node waits for 0.12 s longer than the deadline.
+REFUSAL_LEAD_S = 0.05
 
 
 class InboundProxy:
@@ -121,6 +128,9 @@
             self.cold.update,
             self._on_change,
         )
+        self.queue.machine_load = self.watch.machine_load
+        # Takes the time; returns the waiting request to hand back now, or None.
+        self.pick_hand_back: Callable[[float], QueuedRequest | None] = lambda now: None
         self._responses = WorkerResponses(
             address,
             dialect,
@@ -146,6 +156,7 @@
         self.tallies_by_route: dict[str, Tally] = {}
         self.is_draining = False
         self._is_evacuated = False
+        self.handed_back = 0
         self.drain_window = NOT_DRAINING
         self._slowest = SlowestResponses()
 
@@ -199,7 +210,12 @@
         self._pool.close()
         self._failure_average = 0.0
         self.tallies_by_route = {}
-        self.queue = WorkerQueue(1, shares=make_shares(self._accounts_by_name))
+        self.watch.machine_load = MachineLoad()
+        self.queue = WorkerQueue(
+            1,
+            machine_load=self.watch.machine_load,
+            shares=make_shares(self._accounts_by_name),
+        )
         self.crash_reports.reset()
 
     def _on_limit(self, limit_per_s: float) -> None:
@@ -235,11 +251,13 @@
         for request in self._requests:
             if request.held_bytes:
                 self._sender.release_written_body(request)
-        for entry in list(self.queue.waiting):
-            if entry.deadline <= now:
-                self.queue.discard(entry)
-                self._end(entry.payload, REFUSED, reason=self._get_late_reason(now))
+        for entry in self.queue.take_expired(REFUSAL_LEAD_S, now):
+            self._end(entry.payload, REFUSED, reason=self._get_late_reason(now))
         self._refuse_late(now)
+        entry = self.pick_hand_back(now)
+        if entry is not None:
+            self.handed_back += 1
+            self._end(entry.payload, REFUSED, reason=HANDED_BACK)
         self.cold.tick()
         self.watch.tick(now)
 
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -5,10 +5,10 @@
 
 from bamboocove.coordination.body_queue import may_keep
 from bamboocove.coordination.byte_budget import ByteBudget
+from bamboocove.coordination.hand_back import HANDED_BACK
 from bamboocove.coordination.placement import (
     QueueReport,
     estimate_wait,
-    pick_host,
 )
 from bamboocove.coordination.retry_limits import (
     CrashTable,
@@ -16,11 +16,13 @@
     may_retry,
 )
 from bamboocove.coordination.worker_queue import INTERNAL_PRIORITY
+from bamboocove.coordination.zone_traffic import ZoneTraffic
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.protocol.mesh_messages import (
     ANSWERED,
     CRASHED,
     LOST,
+    PLACED_AGAIN_FIELD,
     REFUSED,
     SHED,
     TIMED_OUT,
@@ -135,6 +137,7 @@
         )
         self.crashes = CrashTable()
         self.budgets = RetryBudgets()
+        self._traffic = metrics.zone_traffic = ZoneTraffic()
         self.responder = Responder(
             self.router,
             self._attempts,
@@ -251,11 +254,6 @@
             self.responder.respond_with_error(request, error, retry_after_s)
             return
         self.budgets.earn(request.service)
-        if request.deadline - now < MIN_ATTEMPT_S:
-            self.responder.refuse(
-                request, ErrorKind.DEADLINE_BEFORE_DISPATCH, "no time is left"
-            )
-            return
         if self.crashes.has_suspects(now):
             request.fingerprint = identify_request(request, self.settings.service)
             if self.crashes.is_blocked(request.fingerprint, now):
@@ -269,24 +267,25 @@
 
         Answers with an error if no host is left, or if the node stops too soon.
         """
+        if request.deadline - now < MIN_ATTEMPT_S and not self.responder.may_be_sent(
+            request
+        ):
+            self.responder.refuse(
+                request, ErrorKind.DEADLINE_BEFORE_DISPATCH, "no time is left"
+            )
+            return
         if now >= self.router.drain_window.end_at:
             # A host that was silent may still answer, until the node stops.
             if request.earlier_attempt is None:
                 self.responder.respond_stopping(request)
             return
+        traffic = self._traffic.get(request.service, request.route.name)
         while True:
             views = self._candidates.select(request)
             view = None
             if request.hosts_tried < MAX_HOSTS_TRIED:
-                view = pick_host(
-                    views,
-                    request.route.name,
-                    request.priority,
-                    request.route.target_s,
-                    self.settings.zone,
-                    now,
-                    self._random,
-                    request.excluded_host_ids,
+                view = self._candidates.pick(
+                    request, views, self.settings.zone, traffic, now
                 )
             if view is None:
                 self.responder.refuse_unplaced(request, views)
@@ -294,6 +293,8 @@
             request.hosts_tried += 1
             request.passed_at = now
             if self._attempts.start(request, view, now):
+                if view.zone != self.settings.zone:
+                    traffic.count_left()
                 return
             request.excluded_host_ids.add(view.host_id)
             self._fleet.suspend(view.host_id, now)
@@ -336,9 +337,16 @@
         running, slots, failures, *waits = reply.load
         report = QueueReport(running, slots, failures, tuple(waits))
         attempt.view.update_report(report, now)
+        if reply.outcome == REFUSED and reply.body == HANDED_BACK.encode():
+            request.headers.append([PLACED_AGAIN_FIELD, b"1"])
         if reply.outcome == ANSWERED:
             service_s = reply.service_ms / 1000
             attempt.view.record_service_time(request.route.name, service_s)
+        self._traffic.get(request.service, request.route.name).record_reply(
+            len(reply.body) + (0 if attempt.is_offered else len(request.body)),
+            attempt.view.zone != self.settings.zone,
+            reply.outcome == ANSWERED,
+        )
         is_earlier = attempt is request.earlier_attempt
         self._attempts.close(attempt)
         if request.is_ended:
@@ -383,6 +391,11 @@
     def _on_refused(self, request: OutboundRequest, reply: Reply, now: float) -> None:
         request.last_reason = reply.body.decode("latin-1")
         request.may_return_soon = False
+        if request.last_reason == HANDED_BACK:
+            # The host still takes the request, if no other one turns out to be better.
+            request.hosts_tried = max(1, request.hosts_tried - 1)
+            self._dispatch(request, now)
+            return
         request.excluded_host_ids.add(request.host_id)
         exclude_alike(request, self._fleet)
         if reply.outcome == WRONG_WORKER:
@@ -396,7 +409,7 @@
         """Retry on another host after a worker did not execute the request."""
         request.excluded_host_ids.add(request.host_id)
         request.last_reason = "the worker did not take the request"
-        wait_s = estimate_wait(request.view, request.priority, now)
+        wait_s = estimate_wait(request.view, request.priority, 0.0, now)
         request.may_return_soon = wait_s == 0.0
         if self._may_retry(request, now) and self.budgets.spend(request.service):
             request.hosts_tried = 1
@@ -413,6 +426,7 @@
         self, request: OutboundRequest, reason: str, now: float, is_crash: bool = False
     ) -> None:
         request.may_have_run = True
+        request.stays_in_zone |= request.view.zone != self.settings.zone
         request.excluded_host_ids.add(request.host_id)
         if is_crash:
             request.fingerprint = identify_request(request, self.settings.service)
@@ -439,14 +453,14 @@
         if request.is_ended:
             return
         is_offered = request.attempt is not None and request.attempt.is_offered
-        may_have_run = request.may_have_run or request.earlier_attempt is not None
+        may_be_sent = self.responder.may_be_sent(request)
         if request.received_at is None:
             reason = "its body did not arrive in time"
             self.responder.refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, reason)
             return
         self._attempts.cancel_all(request)
-        if is_offered and not may_have_run:
-            reason = "no room for its body in time"
+        if not may_be_sent:
+            reason = "no room for its body in time" if is_offered else "waited too long"
             self.responder.refuse(request, ErrorKind.DEADLINE_BEFORE_DISPATCH, reason)
             return
         reason = "no answer in time"
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -19,7 +19,7 @@
 )
 from bamboocove.coordination.worker_queue import INTERNAL_PRIORITY
 from bamboocove.errors import ErrorKind, ErrorResult
-from bamboocove.protocol.mesh_messages import Reply
+from bamboocove.protocol.mesh_messages import PLACED_AGAIN_FIELD, Reply
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.logs import log
 from bamboocove.state.mesh import ClientAccount, HostRoute, MeshConfig
@@ -80,6 +80,9 @@
         all, its answer counts.
     may_have_run : bool
         Whether a worker may have run the request without a response arriving.
+    stays_in_zone : bool
+        Whether workers of the own zone go first, whatever they cost, because a host of
+        another zone was lost or fell silent. All links to that zone may be lost soon.
     fallback_reply : Reply or None
         Error response of a worker, delivered if no retry succeeds.
     last_reason : str
@@ -114,6 +117,7 @@
     timer: Any = None
     fingerprint: str = ""
     may_have_run: bool = False
+    stays_in_zone: bool = False
     is_ended: bool = False
     fallback_reply: Reply | None = None
     last_reason: str = ""
@@ -196,6 +200,7 @@
             dialect.caller_service,
             dialect.key,
             dialect.account,
+            PLACED_AGAIN_FIELD,
         )
         self._table: PrefixTable = {}
         self._accounts = AccountTable()
