Decide who gets the tokens of a quota

Accounts have a rate and a burst, and requests of one account arrive at all nodes of all zones. The granter of a zone holds a lease in a row of the store, with a fencing token that also rises when the store is restored from a copy. The decisions do no input or output; nothing uses them yet.

--- a/bamboocove/platform/store.py
+++ b/bamboocove/platform/store.py
@@ -6,6 +6,7 @@
 
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.platform.documents import encode_move_status
+from bamboocove.platform.quota_rows import QuotaRows
 from bamboocove.platform.rows import (
     HTTP_PRECONDITION_FAILED,
     ORDER_PREFIX,
@@ -59,7 +60,7 @@
 MAX_CONFLICTS = 3
 
 
-class PlatformStore:
+class PlatformStore(QuotaRows):
     """Client through which the tasks of a node use the platform's store.
 
     All asynchronous methods return an ErrorResult instead of their result if a
--- a/bamboocove/protocol/control_messages.py
+++ b/bamboocove/protocol/control_messages.py
@@ -57,11 +57,14 @@
     number : int
         Chosen by the sender; the answer repeats it.
     counts_by_account : dict of str to int
-        Tokens asked for, by account.
+        Tokens asked for, by account; between granters in millionths of a token.
+    is_gift : bool
+        Whether the granter of another zone asks, for what its nodes need.
     """
 
     number: int
     counts_by_account: dict[str, int]
+    is_gift: bool = False
 
 
 @frozen
@@ -75,7 +78,8 @@
     fencing_token : int
         Fencing token of the granter's lease; 0 if the sender is no granter.
     counts_by_account : dict of str to int
-        Tokens granted, by account; at most as many as were asked for.
+        Tokens granted, by account, in the unit of the request; at most as many as were
+        asked for.
     waits_ms_by_account : dict of str to int
         Time until a further token, for accounts that got fewer, in milliseconds.
     """
--- a/bamboocove/sidecar/store.py
+++ b/bamboocove/sidecar/store.py
@@ -7,6 +7,7 @@
 
 from bamboocove.errors import ErrorResult
 from bamboocove.state.mesh import HostRecord, MeshConfig, MoveOrder, VersionRule
+from bamboocove.state.quotas import QuotaLeaseRow, StoredQuotaLease
 
 
 @frozen
@@ -66,3 +67,11 @@
 
     async def write_rule(self, rule: VersionRule) -> VersionRule | ErrorResult:
         """Write a rule unless the store holds a newer one; return the stored rule."""
+
+    async def read_quota_lease(self, zone: str) -> StoredQuotaLease | ErrorResult:
+        """Read the lease of the granter of an availability zone."""
+
+    async def write_quota_lease(
+        self, zone: str, row: QuotaLeaseRow, version: int
+    ) -> StoredQuotaLease | ErrorResult:
+        """Write a lease if its row has a version; else return the row it has."""
