--- a/bamboocove/coordination/quota_buckets.py
+++ b/bamboocove/coordination/quota_buckets.py
@@ -97,7 +97,6 @@
 
     zone_count: int = 1
     buckets_by_account: dict[str, TokenBucket] = field(factory=dict)
-    _limits_by_account: dict[str, ClientAccount] = field(factory=dict)
 
     def use_limits(
         self, accounts_by_name: Mapping[str, ClientAccount], now: float
@@ -107,7 +106,8 @@
         Parameters
         ----------
         accounts_by_name : mapping of str to ClientAccount
-            All accounts; those without a limit are not counted.
+            All accounts; those without a limit are not counted. A bucket that is new
+            starts empty.
         now : float
             Present time. Tokens up to it are added at the previous rate.
         """
@@ -126,12 +126,6 @@
                 bucket.tokens = min(size, bucket.tokens)
             buckets[name] = bucket
         self.buckets_by_account = buckets
-        self._limits_by_account = {n: accounts_by_name[n] for n in buckets}
-
-    def clear(self, now: float) -> None:
-        """Empty all buckets, because the lease has begun anew."""
-        self.buckets_by_account = {}
-        self.use_limits(self._limits_by_account, now)
 
     def record_demand(self, name: str, count: int, now: float) -> None:
         """Record that nodes of the own zone asked for tokens."""
--- a/bamboocove/coordination/quota_client.py
+++ b/bamboocove/coordination/quota_client.py
@@ -102,12 +102,12 @@
             if zone != self.zone and self.is_reachable(granter.host_id)
         ]
 
-    def ask(self, now: float) -> Messages:
-        """Return the requests for the tokens that are needed now."""
+    def ask(self, now: float, names: Iterable[str] | None = None) -> Messages:
+        """Return the requests for the tokens that are needed now, see ``plan``."""
         zones = self._order_zones((), now)
         if not zones:
             return []
-        counts = self.stock.plan(now)
+        counts = self.stock.plan(now, names)
         return [self._send(counts, zones[0], (), now)] if counts else []
 
     def has_granter(self) -> bool:
@@ -117,6 +117,14 @@
             for granter in self.granters_by_zone.values()
         )
 
+    def is_valid(self, sender_id: str, message: QuotaGrant) -> bool:
+        """Return whether a granter sent an answer that is not known to be replaced."""
+        return not message.counts_by_account or any(
+            granter.host_id == sender_id
+            and message.fencing_token >= granter.fencing_token
+            for granter in self.granters_by_zone.values()
+        )
+
     def on_grant(self, sender_id: str, message: QuotaGrant, now: float) -> Answer:
         """Handle an answer; one of an earlier holder of a lease is dropped."""
         ask = self._asks_by_number.get(message.number)
--- a/bamboocove/coordination/quota_granter.py
+++ b/bamboocove/coordination/quota_granter.py
@@ -77,9 +77,9 @@
     _silent_until_by_id: dict[str, float] = field(factory=dict)
     _given_at: float = -math.inf
 
-    def clear(self, now: float) -> None:
+    def clear(self) -> None:
         """Forget all tokens and requests, because the lease ended or began."""
-        self.buckets.clear(now)
+        self.buckets.buckets_by_account = {}
         self._pending.clear()
         self._rounds_by_account.clear()
         self._accounts_by_number.clear()
--- a/bamboocove/coordination/quota_stock.py
+++ b/bamboocove/coordination/quota_stock.py
@@ -6,7 +6,7 @@
 
 import math
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from enum import Enum, auto
 
 from attrs import define, field
@@ -65,36 +65,25 @@
     """
 
     token_life_s: float
-    _limits_by_account: dict[str, tuple[float, float]] = field(factory=dict)
+    _accounts_by_name: Mapping[str, ClientAccount] = field(factory=dict)
     _stocks_by_account: dict[str, _AccountStock] = field(factory=dict)
 
-    @property
-    def has_limits(self) -> bool:
-        """Whether any account has a limit."""
-        return bool(self._limits_by_account)
-
     def use_limits(
         self, accounts_by_name: Mapping[str, ClientAccount], now: float
     ) -> None:
         """Apply the limits of a configuration; drop tokens of a changed limit."""
-        limits = {
-            name: (account.rate_per_s, account.burst)
-            for name, account in accounts_by_name.items()
-            if account.rate_per_s
-        }
-        for name in list(self._stocks_by_account):
-            if name not in limits:
+        before, self._accounts_by_name = self._accounts_by_name, accounts_by_name
+        for name, stock in list(self._stocks_by_account.items()):
+            if not self.is_limited(name):
                 del self._stocks_by_account[name]
-            elif limits[name] != self._limits_by_account.get(name):
-                stock = self._stocks_by_account[name]
+            elif _get_limit(before, name) != _get_limit(accounts_by_name, name):
                 stock.expiries.clear()
                 stock.denied_until = 0.0
                 stock.limited_at = now
-        self._limits_by_account = limits
 
     def is_limited(self, name: str) -> bool:
         """Return whether requests of an account are counted."""
-        return name in self._limits_by_account
+        return _get_limit(self._accounts_by_name, name)[0] > 0.0
 
     def arrive(self, name: str, now: float) -> Admission:
         """Count a request that has arrived, and say what becomes of it."""
@@ -133,18 +122,28 @@
         stock = self._stocks_by_account.get(name)
         return 0.0 if stock is None else max(0.0, stock.denied_until - now)
 
-    def plan(self, now: float) -> dict[str, tuple[int, int]]:
+    def plan(
+        self, now: float, names: Iterable[str] | None = None
+    ) -> dict[str, tuple[int, int]]:
         """Return the tokens to ask for now, and count them as asked for.
 
         ``on_answered`` or ``on_lost`` must follow for each plan.
 
+        Parameters
+        ----------
+        names : iterable of str, optional
+            Accounts to look at; all that sent requests lately by default.
+
         Returns
         -------
         counts_by_account : dict of str to (int, int)
             Tokens to ask for, and how many of them requests wait for.
         """
         counts = {}
-        for name, stock in list(self._stocks_by_account.items()):
+        for name in list(self._stocks_by_account) if names is None else names:
+            stock = self._stocks_by_account.get(name)
+            if stock is None:
+                continue
             if now - stock.requested_at > IDLE_S and not stock.waiting:
                 del self._stocks_by_account[name]
                 continue
@@ -214,7 +213,7 @@
         expires_at = asked_at + self.token_life_s
         for name, (asked, needed) in counts_by_account.items():
             stock = self._stocks_by_account.get(name)
-            if stock is None or name not in self._limits_by_account:
+            if stock is None:
                 continue
             granted = max(0, min(asked, granted_by_account.get(name, 0)))
             if stock.limited_at <= asked_at and now < expires_at:
@@ -229,3 +228,10 @@
 def _drop_expired(stock: _AccountStock, now: float) -> None:
     while stock.expiries and stock.expiries[0] <= now:
         stock.expiries.popleft()
+
+
+def _get_limit(
+    accounts_by_name: Mapping[str, ClientAccount], name: str
+) -> tuple[float, float]:
+    account = accounts_by_name.get(name)
+    return (0.0, 0.0) if account is None else (account.rate_per_s, account.burst)
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -46,6 +46,7 @@
 from bamboocove.sidecar.metrics import MeshMetrics
 from bamboocove.sidecar.moves import MoveController
 from bamboocove.sidecar.outbound import OutboundProxy
+from bamboocove.sidecar.quotas import QuotaTask
 from bamboocove.sidecar.reply_offers import ReplyOffers
 from bamboocove.sidecar.rules import RuleTable
 from bamboocove.sidecar.settings import HostSettings
@@ -211,6 +212,7 @@
             self.watch,
             self.moves.record_outcomes,
         )
+        self.quotas = QuotaTask(self)
         self.hooks = LifecycleHooks(
             self._on_bootstrapping,
             lambda: log("node.serving", config=self.config.version),
@@ -354,6 +356,7 @@
         self.inbound.tick(now)
         self.forwarding.tick(now)
         self.moves.tick(now)
+        self.quotas.tick(now)
         self._report_load(now)
         if now >= self._next_sweep_at:
             self._next_sweep_at = now + SWEEP_INTERVAL_S
@@ -415,6 +418,7 @@
         if not before.version:
             self.outbound.router.configured_at = self.clock.seconds()
         self.config = config
+        self.quotas.use_config(config)
         for server in self.servers:
             # Callers reuse connections for as long as the configuration says.
             server.idle_timeout_s = max(IDLE_TIMEOUT_S, config.idle_timeout_s)
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -12,7 +12,7 @@
     number : int
         Stable number; 81x node, 82x configuration, 83x hosts and workers, 84x
         requests, 85x moves, 86x store, 87x memory, 88x reports of workers, 89x the log
-        itself.
+        itself, 91x quotas.
     name : str
         Name in the log line.
     meaning : str
@@ -224,6 +224,33 @@
         "log.left-out",
         "the rate limit suppressed lines of an event in one second",
     ),
+    MeshEvent(911, "quota.limits", "the limits of accounts have changed"),
+    MeshEvent(
+        912,
+        "quota.granter",
+        "this node begins or ends to grant the tokens of its zone",
+        "if it ends while the node runs, check the platform's store",
+    ),
+    MeshEvent(913, "quota.holder", "another host grants the tokens of a zone"),
+    MeshEvent(
+        914,
+        "quota.lease-failed",
+        "the lease of the zone's tokens could not be read or written; "
+        "it is tried again",
+        "if it repeats, check the platform's store",
+    ),
+    MeshEvent(
+        915,
+        "quota.exceeded",
+        "an account sends more than its quota and gets 429; at most every 5 s",
+        "raise `ratePerS`, or ask the account to send less",
+    ),
+    MeshEvent(
+        916,
+        "quota.unanswered",
+        "a request got 503 because no node that grants tokens answered",
+        "look for 912 in the zone, and check the store and the links between zones",
+    ),
 )
 
 EVENTS_BY_NAME = {event.name: event for event in _EVENTS}
--- a/bamboocove/sidecar/dissemination.py
+++ b/bamboocove/sidecar/dissemination.py
@@ -148,7 +148,8 @@
         """Return whether this node reads the store for its zone."""
         return self.get_duty() is Duty.READER
 
-    def _is_chosen_reader(self) -> bool:
+    def is_chosen_reader(self) -> bool:
+        """Return whether this node is one of the first readers of its zone."""
         rates_by_id = self._get_link_rates()
         chosen = choose_readers(rates_by_id, rates_by_id=rates_by_id)
         return self.settings.host_id in chosen
@@ -260,6 +261,13 @@
         """Send a message to all connected nodes of this zone."""
         self._send(self.get_zone_peer_ids(), encode_mesh_message(message))
 
+    def relay_to_zones(self, message: Any) -> None:
+        """Send a message to all nodes of other zones, through one reader of each."""
+        data = encode_mesh_message(RelayedMessage(encode_mesh_message(message)))
+        for zone, host_ids in self.get_connected_ids_by_zone().items():
+            if zone != self.settings.zone:
+                self._send(self._choose_readers(host_ids, 1), data)
+
     def relay(self, message: RelayedMessage) -> None:
         """Forward a message from another zone to all nodes of this zone."""
         self._send(self.get_zone_peer_ids(), message.data)
@@ -287,7 +295,7 @@
         """
         if not before.version or not self.is_reader():
             return
-        if source == "peer" and not self._is_chosen_reader():
+        if source == "peer" and not self.is_chosen_reader():
             return
         data = zlib.compress(encode(compute_change(before, config)))
         for zone, host_ids in self.get_connected_ids_by_zone().items():
--- a/bamboocove/sidecar/gauges.py
+++ b/bamboocove/sidecar/gauges.py
@@ -26,6 +26,8 @@
         "log_lines_dropped": WRITER.dropped_lines,
         "memory_peak_bytes": getrusage(RUSAGE_SELF).ru_maxrss * 1024,
         "body_bytes": application.body_budget.held,
+        "quota_granter": application.quotas.is_granter,
+        "quota_waiting": application.quotas.admission.waiting,
         "unsent_bytes": sum(c.unsent_bytes for c in application.connections),
     }
     for name, value in gauges.items():
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -2,6 +2,11 @@
 
 from typing import Any
 
+from bamboocove.protocol.control_messages import (
+    QuotaGrant,
+    QuotaHolder,
+    QuotaRequest,
+)
 from bamboocove.protocol.mesh_messages import (
     BodyGrant,
     BodyOffer,
@@ -91,6 +96,8 @@
     now = application.clock.seconds()
     if isinstance(message, Forward | BodyOffer | ReplyTerms | Cancel | None):
         application.forwarding.take(link, message)
+    elif isinstance(message, QuotaRequest | QuotaGrant | QuotaHolder):
+        application.quotas.take(link, host_id, message)
     elif isinstance(message, BodyGrant):
         # Requests are offered on links that this node dialled, replies on others.
         if link.outgoing:
@@ -160,7 +167,7 @@
         dissemination.load_relay.add_remote(relayed.loads_by_id)
     elif isinstance(relayed, OutcomeBatch):
         dissemination.outcome_batches.add_remote(relayed.items)
-    elif isinstance(relayed, CrashNotice | HostRecords | RulesUpdate):
+    elif isinstance(relayed, CrashNotice | HostRecords | RulesUpdate | QuotaHolder):
         dissemination.relay(message)
     else:
         return
@@ -171,6 +178,7 @@
     if message.config_version == 0:
         records = [to_plain(r) for r in application.fleet.records_by_id.values()]
         link.send_encoded(encode_mesh_message(HostRecords(records)))
+        application.quotas.send_holders(link)
     if application.config.version > message.config_version:
         link.send_encoded(
             application.dissemination.get_full_config_message(application.config)
--- a/bamboocove/sidecar/metrics.py
+++ b/bamboocove/sidecar/metrics.py
@@ -36,6 +36,18 @@
             ["kind"],
             registry=self._registry,
         )
+        self._quota_requests = Counter(
+            "bamboocove_quota_requests",
+            "Requests of accounts with a limit, by what became of them.",
+            ["outcome"],
+            registry=self._registry,
+        )
+        self._quota_tokens = Counter(
+            "bamboocove_quota_tokens",
+            "Tokens that this node granted to its zone, or gave to others.",
+            ["direction"],
+            registry=self._registry,
+        )
         self._gauges = {
             name: Gauge(f"bamboocove_{name}", text, registry=self._registry)
             for name, text in (
@@ -53,6 +65,8 @@
                 ("memory_peak_bytes", "Peak of the resident memory, in bytes."),
                 ("body_bytes", "Bytes of bodies that the node holds."),
                 ("unsent_bytes", "Bytes of answers that callers have not read."),
+                ("quota_granter", "1 if the node grants the tokens of its zone."),
+                ("quota_waiting", "Requests that wait for a token of their account."),
             )
         }
 
@@ -65,6 +79,14 @@
         """Count a request that the node ended itself, by kind of error."""
         self._own_answers.labels(kind).inc()
 
+    def count_quota_request(self, outcome: str) -> None:
+        """Count a request of a limited account by its outcome."""
+        self._quota_requests.labels(outcome).inc()
+
+    def count_quota_tokens(self, direction: str, count: float) -> None:
+        """Count tokens that were ``granted`` in the zone or ``given`` to others."""
+        self._quota_tokens.labels(direction).inc(count)
+
     def set_gauge(self, name: str, value: float) -> None:
         """Set one of the gauges."""
         self._gauges[name].set(value)
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -156,6 +156,8 @@
             self._may_retry,
             self._on_lost,
         )
+        # Takes a request and a callback; returns whether the request may go on now.
+        self.admit: Callable[[OutboundRequest, Callable], bool] = lambda *args: True
         self.on_host_lost = self._silent_hosts.on_host_lost
         self.on_host_suspect = self._silent_hosts.on_host_suspect
 
@@ -228,6 +230,8 @@
                 host=request.host_id,
             )
         self._metrics.count_failed_request(error.kind.value)
+        if not (request.sent or self.responder.may_be_sent(request)):
+            self.responder.on_not_run(request)
         self.responder.finish(request)
 
     # Placement of requests on hosts.
@@ -237,6 +241,8 @@
             return
         now = self._clock.seconds()
         request.received_at = now
+        if not self.admit(request, self._place):
+            return
         is_internal = request.priority == INTERNAL_PRIORITY
         if not self.router.may_take(request.route, now, request.deadline, is_internal):
             self.responder.respond_stopping(request)
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -86,6 +86,9 @@
         Reason of the latest refusal.
     may_return_soon : bool
         Whether the latest refusal came from a worker with free slots.
+    token_expires_at : float or None
+        Expiry of the token that the request took from the quota of its account, in
+        seconds of CLOCK_BOOTTIME; None if it took none.
     received_body : RequestBody or None
         The body, if the request has one, and the room that it holds.
     """
@@ -118,6 +121,7 @@
     fallback_reply: Reply | None = None
     last_reason: str = ""
     may_return_soon: bool = False
+    token_expires_at: float | None = None
     received_body: RequestBody | None = None
 
     @property
--- a/bamboocove/sidecar/outbound_responses.py
+++ b/bamboocove/sidecar/outbound_responses.py
@@ -8,7 +8,7 @@
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.placement import HostView, compute_retry_after
 from bamboocove.coordination.retry_limits import CrashTable
-from bamboocove.errors import ErrorKind, ErrorResult
+from bamboocove.errors import ERROR_RESPONSES, ErrorKind, ErrorResult
 from bamboocove.protocol.mesh_messages import Reply
 from bamboocove.sidecar.attempts import AttemptTable
 from bamboocove.sidecar.body_writer import send_body
@@ -46,6 +46,8 @@
         Called with each request that has ended.
     requests : set of OutboundRequest
         Requests that have no response yet.
+    on_not_run : callable
+        Called with each request that is refused and that no worker has run.
     """
 
     router: RequestRouter
@@ -57,6 +59,7 @@
     random: Callable[[], float]
     on_finished: Callable[[OutboundRequest], None]
     requests: set[OutboundRequest] = field(factory=set)
+    on_not_run: Callable[[OutboundRequest], None] = lambda request: None
 
     def get_retry_after(self, error: ErrorResult) -> float:
         """Return the delay after which a caller should retry, in seconds."""
@@ -114,6 +117,8 @@
         if request.fallback_reply is not None:
             self.deliver(request, request.fallback_reply, now)
             return
+        if ERROR_RESPONSES[error.kind].run == "not-run":
+            self.on_not_run(request)
         exchange = request.exchange
         exchange.on_closed = None
         self.finish(request)
--- a/tests/quota_cluster.py
+++ b/tests/quota_cluster.py
@@ -32,12 +32,11 @@
         numbers = itertools.count(1)
         now = cluster.now
         self.stock = QuotaStock(LIFE_S)
-        self.stock.use_limits(cluster.accounts, now)
+        self.stock.use_limits(dict(cluster.accounts), now)
         self.client = QuotaClient(
             zone, self.stock, numbers.__next__, lambda i: cluster.is_linked(host_id, i)
         )
         buckets = QuotaBuckets(len(cluster.zones))
-        buckets.use_limits(cluster.accounts, now)
         self.granter = QuotaGranter(buckets, TOLERANCE * WINDOW_S, numbers.__next__)
         self.lease = QuotaLease(host_id, incarnation, LIFE_S)
         self.term = 0
@@ -58,7 +57,8 @@
     def may_grant(self, now):
         if self.lease.term != self.term:
             self.term = self.lease.term
-            self.granter.clear(now)
+            self.granter.clear()
+            self.granter.buckets.use_limits(self.cluster.accounts, now)
         return self.lease.may_grant(now)
 
     def step_lease(self, now):
@@ -86,7 +86,7 @@
         else:
             self.held.append((name, now))
             self.update_waiting(name)
-            self.send(self.client.ask(now))
+            self.send(self.client.ask(now, [name]))
 
     def update_waiting(self, name):
         self.stock.set_waiting(name, sum(n == name for n, _ in self.held))
@@ -122,7 +122,7 @@
                 self.granter.on_request(sender_id, message, is_own, token, others, now)
             )
         else:
-            if self.may_grant(now):
+            if self.may_grant(now) and self.client.is_valid(sender_id, message):
                 token = self.lease.fencing_token
                 self.send(self.granter.on_gift(sender_id, message, token, now))
             answer = self.client.on_grant(sender_id, message, now)
@@ -258,8 +258,9 @@
     def change(self, name, **limits):
         self.accounts[name] = evolve(self.accounts[name], **limits)
         for node in self.nodes.values():
-            node.stock.use_limits(self.accounts, self.now)
-            node.granter.buckets.use_limits(self.accounts, self.now)
+            node.stock.use_limits(dict(self.accounts), self.now)
+            if node.granter.buckets.buckets_by_account:
+                node.granter.buckets.use_limits(self.accounts, self.now)
 
     def get_granter(self, zone):
         for node in self.nodes.values():
--- a/tests/sidecar/hosts.py
+++ b/tests/sidecar/hosts.py
@@ -22,6 +22,7 @@
     MoveOrder,
     ServiceShare,
 )
+from bamboocove.state.quotas import StoredQuotaLease
 from tests.callpath import Caller, Worker, run, run_reactor_until
 
 POLL_S = 0.02
@@ -38,6 +39,7 @@
         self.revision = 0
         self.hosts = {}
         self.rules = {}
+        self.quota_leases = {}
         self.is_down = False
         self.calls = 0
         self.pending_watches = 0
@@ -106,6 +108,19 @@
         self.rules[rule.service] = rule
         return rule
 
+    async def read_quota_lease(self, zone):
+        self.calls += 1
+        if self.is_down:
+            return UNAVAILABLE
+        return self.quota_leases.get(zone, StoredQuotaLease(None, 0))
+
+    async def write_quota_lease(self, zone, row, version):
+        stored = await self.read_quota_lease(zone)
+        if isinstance(stored, ErrorResult) or stored.version != version:
+            return stored
+        self.quota_leases[zone] = StoredQuotaLease(row, version + 1)
+        return StoredQuotaLease(row, version + 1, is_written=True)
+
 
 def make_config(version=1, *, attempts=2, timeout_s=1.0, **routes):
     """Return a configuration.
@@ -185,6 +200,7 @@
             ("127.0.0.1", 1),
             link_bytes_per_s=mesh.link_bytes_per_s,
             is_first_start=mesh.is_first_start,
+            regions_by_zone=mesh.regions_by_zone,
         )
         self.node = None
         self.start()
@@ -320,6 +336,7 @@
 
     is_first_start = False
     link_bytes_per_s = 0
+    regions_by_zone = {}
 
     def __init__(self):
         self.store = MemoryStore()
