--- a/bamboocove/coordination/quota_buckets.py
+++ b/bamboocove/coordination/quota_buckets.py
@@ -23,6 +23,11 @@
 # Time constant of the estimate of demand, in seconds; demand moves between zones
 # within a second.
 DEMAND_DECAY_S = 0.3
+# Smallest bucket, as the time in seconds whose rate it holds, and the part of the
+# tolerated number of requests that all zones may use for it. Nodes ask at intervals: of
+# 120 requests per second with a burst of 3, only 50 ran.
+MIN_SIZE_S = 0.1
+SLACK_FRACTION = 0.75
 # Part of a token by which repeated additions may miss a whole one.
 ROUNDING_ERROR = 1e-5
 
@@ -93,9 +98,12 @@
     ----------
     zone_count : int
         Number of zones that share each limit.
+    slack : float
+        Requests beyond the limit that a window may hold.
     """
 
     zone_count: int = 1
+    slack: float = 0.0
     buckets_by_account: dict[str, TokenBucket] = field(factory=dict)
 
     def use_limits(
@@ -112,11 +120,16 @@
             Present time. Tokens up to it are added at the previous rate.
         """
         buckets = {}
+        least_size = self.slack * SLACK_FRACTION / self.zone_count
         for name, account in accounts_by_name.items():
             if not account.rate_per_s:
                 continue
             rate_per_s = account.rate_per_s / self.zone_count
-            size = max(1.0, account.burst / self.zone_count)
+            size = max(
+                1.0,
+                account.burst / self.zone_count,
+                min(rate_per_s * MIN_SIZE_S, least_size),
+            )
             bucket = self.buckets_by_account.get(name)
             if bucket is None:
                 bucket = TokenBucket(rate_per_s, size, now)
--- a/bamboocove/sidecar/quotas.py
+++ b/bamboocove/sidecar/quotas.py
@@ -76,7 +76,7 @@
             self._is_reachable,
         )
         self._granter = QuotaGranter(
-            QuotaBuckets(max(1, len(settings.regions_by_zone))),
+            QuotaBuckets(max(1, len(settings.regions_by_zone)), bounds.quota_slack),
             tolerance_s,
             numbers.__next__,
         )
--- a/tests/coordination/test_quota_replay.py
+++ b/tests/coordination/test_quota_replay.py
@@ -66,6 +66,15 @@
     assert count_refused(cluster, 0.0, "small") == 0
 
 
+def test_account_with_a_small_burst_gets_its_rate():
+    """Guards against buckets that are full before a node asks again."""
+    cluster = start(make_account("big", 120.0, 3.0))
+    cluster.offer("big", spread(cluster, 5 * 120.0, "a"), 10.0)
+    cluster.run(10.0)
+    assert len(get_times(cluster)) >= 0.7 * 1200
+    assert get_excess(get_times(cluster), 120.0, 3.0) <= 0
+
+
 def test_zones_that_are_cut_apart_keep_their_parts():
     """Guards against the whole quota in each part of a network."""
     cluster = start()
--- a/tests/quota_cluster.py
+++ b/tests/quota_cluster.py
@@ -36,7 +36,7 @@
         self.client = QuotaClient(
             zone, self.stock, numbers.__next__, lambda i: cluster.is_linked(host_id, i)
         )
-        buckets = QuotaBuckets(len(cluster.zones))
+        buckets = QuotaBuckets(len(cluster.zones), cluster.slack)
         self.granter = QuotaGranter(buckets, TOLERANCE * WINDOW_S, numbers.__next__)
         self.lease = QuotaLease(host_id, incarnation, LIFE_S)
         self.term = 0
@@ -140,7 +140,10 @@
     ``ran`` holds the time of each request that ran, ``refused`` those that did not.
     """
 
-    def __init__(self, accounts, zones=("a", "b", "c"), nodes_per_zone=3, seed=1):
+    def __init__(
+        self, accounts, zones=("a", "b", "c"), nodes_per_zone=3, seed=1, slack=SLACK
+    ):
+        self.slack = slack
         self.accounts = {account.name: account for account in accounts}
         self.zones, self.now = zones, 100.0
         self.random = random.Random(seed)
@@ -269,9 +272,9 @@
         return None
 
 
-def get_excess(times, rate_per_s, burst, window_s=WINDOW_S):
+def get_excess(times, rate_per_s, burst, slack=SLACK, window_s=WINDOW_S):
     """Return by how many requests the fullest window exceeds the bound."""
-    bound = (rate_per_s * window_s + burst) * (1 + TOLERANCE) + SLACK
+    bound = (rate_per_s * window_s + burst) * (1 + TOLERANCE) + slack
     worst, first = 0, 0
     for last, time in enumerate(times):
         while times[first] < time - window_s:
