--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -14,6 +14,7 @@
 from bamboocove.platform.store import CALL_TIMEOUT_S, WATCH_WAIT_S, PlatformStore
 from bamboocove.state.codec import encode
 from bamboocove.state.mesh import HostRecord, MeshWorker, VersionRule
+from bamboocove.state.quotas import QuotaLeaseRow, StoredQuotaLease
 from bamboocove.transport.fetching import TransferLimits
 from tests.callpath import run
 from tests.platform.test_documents import CONFIG
@@ -310,3 +311,23 @@
     started_at = reactor.seconds()
     assert run(store.read_operator(), 8).kind is ErrorKind.STORE_UNAVAILABLE
     assert reactor.seconds() - started_at < 0.2 + 2 * CALL_TIMEOUT_S
+
+
+def test_lease_is_written_only_over_the_version_that_was_read(store):
+    """Guards against two hosts that both write themselves as granter of a zone."""
+    assert run(store.read_quota_lease("z-1")) == StoredQuotaLease(None, 0)
+    first, second = QuotaLeaseRow("h1", 1, 1), QuotaLeaseRow("h2", 1, 2)
+    written = run(store.write_quota_lease("z-1", first, 0))
+    assert written.is_written
+    refused = run(store.write_quota_lease("z-1", second, 0))
+    assert refused == StoredQuotaLease(first, written.version)
+    assert run(store.write_quota_lease("z-1", second, written.version)).is_written
+    assert run(store.read_quota_lease("z-1")).row == second
+    assert run(store.read_quota_lease("z")).row is None
+
+
+def test_lease_that_cannot_be_read_is_not_taken_for_none(standin, store):
+    """Guards against a second granter beside one whose row is unreadable."""
+    standin.put("bamboocove-quotas", "z", b"\xff")
+    stored = run(store.read_quota_lease("z"))
+    assert stored.row is not None and stored.version == standin.revision
