--- a/bamboocove/coordination/quota_buckets.py
+++ b/bamboocove/coordination/quota_buckets.py
@@ -20,6 +20,10 @@
 KEPT_S = 0.5
 # Largest part of a bucket that is kept for the own zone.
 MAX_KEPT_FRACTION = 0.5
+# Buckets that hold fewer tokens keep none: a demand of a few requests cannot be
+# estimated, and an account of 6.5 requests per second was refused while other zones
+# kept two tokens.
+MIN_KEPT_SIZE = 10.0
 # Time constant of the estimate of demand, in seconds; demand moves between zones
 # within a second.
 DEMAND_DECAY_S = 0.3
@@ -81,6 +85,8 @@
 
     def count_spare(self, now: float) -> float:
         """Return how many tokens the own zone does not need in the next ``KEPT_S``."""
+        if self.size < MIN_KEPT_SIZE:
+            return max(0.0, self.tokens)
         needed = self.demand.get(now) * KEPT_S
         kept = min(needed, self.size * MAX_KEPT_FRACTION)
         surplus = self.tokens + self.rate_per_s * KEPT_S - needed
--- a/bamboocove/coordination/quota_stock.py
+++ b/bamboocove/coordination/quota_stock.py
@@ -26,7 +26,7 @@
 REFILL_FRACTION = 0.6
 # Time for which a node asks for no tokens of an account after a refusal, at least, in
 # seconds. It bounds the messages of a node whose clients send too much.
-MIN_DENIAL_S = 0.05
+MIN_DENIAL_S = 0.1
 # Accounts without a request in this time are forgotten, in seconds.
 IDLE_S = 10.0
 
