--- a/bamboocove/coordination/quota_stock.py
+++ b/bamboocove/coordination/quota_stock.py
@@ -5,7 +5,6 @@
 """
 
 import math
-from collections import deque
 from collections.abc import Iterable, Mapping
 from enum import Enum, auto
 
@@ -28,7 +27,7 @@
 # seconds. It bounds the messages of a node whose clients send too much.
 MIN_DENIAL_S = 0.1
 # Accounts without a request in this time are forgotten, in seconds.
-IDLE_S = 10.0
+IDLE_S = 2.0
 
 
 class Admission(Enum):
@@ -43,8 +42,9 @@
 
 @define
 class _AccountStock:
-    # Expiry of each token, in the order in which the tokens were asked for.
-    expiries: deque[float] = field(factory=deque)
+    # Expiry of each token, in the order in which the tokens were asked for. A list,
+    # as an empty deque takes 0.6 KB, and accounts are many and tokens few.
+    expiries: list[float] = field(factory=list)
     demand: DemandRate = field(factory=DemandRate)
     requested_at: float = 0.0
     denied_until: float = 0.0
@@ -103,13 +103,13 @@
         if stock is None:
             return None
         _drop_expired(stock, now)
-        return stock.expiries.popleft() if stock.expiries else None
+        return stock.expiries.pop(0) if stock.expiries else None
 
     def give_back(self, name: str, expires_at: float, now: float) -> None:
         """Keep the token of a request that no worker ran, until its expiry."""
         stock = self._stocks_by_account.get(name)
         if stock is not None and now < expires_at:
-            stock.expiries.appendleft(expires_at)
+            stock.expiries.insert(0, expires_at)
 
     def set_waiting(self, name: str, count: int) -> None:
         """Set how many requests of an account wait for a token."""
@@ -147,7 +147,9 @@
             if now - stock.requested_at > IDLE_S and not stock.waiting:
                 del self._stocks_by_account[name]
                 continue
-            if now < stock.denied_until and not stock.waiting:
+            if not stock.waiting and (
+                now < stock.denied_until or stock.demand.value * STOCKED_S < MIN_STOCK
+            ):
                 continue
             _drop_expired(stock, now)
             expected = stock.demand.get(now) * STOCKED_S
@@ -227,7 +229,7 @@
 
 def _drop_expired(stock: _AccountStock, now: float) -> None:
     while stock.expiries and stock.expiries[0] <= now:
-        stock.expiries.popleft()
+        stock.expiries.pop(0)
 
 
 def _get_limit(
--- a/bamboocove/sidecar/quotas.py
+++ b/bamboocove/sidecar/quotas.py
@@ -334,7 +334,11 @@
         self._schedule_check()
 
     def _schedule_check(self) -> None:
-        is_waiting = self._client.is_waiting or self._granter.is_waiting
+        is_waiting = (
+            self._client.is_waiting
+            or self._granter.is_waiting
+            or self.admission.waiting
+        )
         if is_waiting and self._timer is None:
             self._timer = self._application.clock.callLater(
                 WAIT_CHECK_INTERVAL_S, self._on_timer
