--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -51,6 +51,7 @@
 from bamboocove.sidecar.metrics import MeshMetrics
 from bamboocove.sidecar.moves import MoveController
 from bamboocove.sidecar.outbound import OutboundProxy
+from bamboocove.sidecar.quotas import QuotaTask
 from bamboocove.sidecar.reply_offers import ReplyOffers
 from bamboocove.sidecar.rules import RuleTable
 from bamboocove.sidecar.settings import HostSettings
@@ -227,6 +228,7 @@
         )
         self.key_proofs = KeyProofs(self, self.get_boot_time)
         self.outbound.check_keys = self.key_proofs.check
+        self.quotas = QuotaTask(self)
         self.hooks = LifecycleHooks(
             self._on_bootstrapping,
             lambda: log("node.serving", config=self.config.version),
@@ -372,6 +374,7 @@
         self.store_restore.tick()
         self.moves.tick(now)
         self.key_proofs.tick()
+        self.quotas.tick(now)
         self._report_load(now)
         if now >= self._next_sweep_at:
             self._next_sweep_at = now + SWEEP_INTERVAL_S
@@ -452,6 +455,7 @@
         self.config = config
         if config.accounts_by_name != before.accounts_by_name:
             self.inbound.use_accounts(config.accounts_by_name)
+        self.quotas.use_config(config)
         for server in self.servers:
             # Callers reuse connections for as long as the configuration says.
             server.idle_timeout_s = max(IDLE_TIMEOUT_S, config.idle_timeout_s)
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -6,6 +6,9 @@
     ClockQuery,
     ClockReply,
     ConfigProof,
+    QuotaGrant,
+    QuotaHolder,
+    QuotaRequest,
     StoreEraNotice,
 )
 from bamboocove.protocol.mesh_messages import (
@@ -104,6 +107,8 @@
     now = application.clock.seconds()
     if isinstance(message, Forward | BodyOffer | ReplyTerms | Cancel | None):
         application.forwarding.take(link, message)
+    elif isinstance(message, QuotaRequest | QuotaGrant | QuotaHolder):
+        application.quotas.take(link, host_id, message)
     elif isinstance(message, BodyGrant):
         # Requests are offered on links that this node dialled, replies on others.
         if link.outgoing:
@@ -181,7 +186,12 @@
         dissemination.outcome_batches.add_remote(relayed.items)
     elif isinstance(
         relayed,
-        CrashNotice | EvacuationUpdate | HostRecords | RulesUpdate | StoreEraNotice,
+        CrashNotice
+        | EvacuationUpdate
+        | HostRecords
+        | QuotaHolder
+        | RulesUpdate
+        | StoreEraNotice,
     ):
         dissemination.relay(message)
     else:
@@ -196,6 +206,7 @@
     if message.config_version == 0:
         records = [to_plain(r) for r in application.fleet.records_by_id.values()]
         link.send_encoded(encode_mesh_message(HostRecords(records)))
+        application.quotas.send_holders(link)
     if application.config.version > message.config_version:
         link.send_encoded(
             application.dissemination.get_full_config_message(application.config)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,6 +15,7 @@
 from bamboocove.platform.store import CALL_TIMEOUT_S, WATCH_WAIT_S, PlatformStore
 from bamboocove.state.codec import encode
 from bamboocove.state.mesh import HostRecord, MeshWorker, VersionRule
+from bamboocove.state.quotas import QuotaLeaseRow, StoredQuotaLease
 from bamboocove.transport.fetching import TransferLimits
 from tests.callpath import run
 from tests.platform.test_documents import CONFIG
@@ -353,3 +354,23 @@
     standin.put("op", "config", b'{"version": 8}')
     update = run(store.watch_operator(10))
     assert update.config.version == 7
+
+
+def test_lease_is_written_only_over_the_version_that_was_read(store):
+    """Guards against two hosts that both write themselves as granter of a zone."""
+    assert run(store.read_quota_lease("z-1")) == StoredQuotaLease(None, 0)
+    first, second = QuotaLeaseRow("h1", 1, 1), QuotaLeaseRow("h2", 1, 2)
+    written = run(store.write_quota_lease("z-1", first, 0))
+    assert written.is_written
+    refused = run(store.write_quota_lease("z-1", second, 0))
+    assert refused == StoredQuotaLease(first, written.version)
+    assert run(store.write_quota_lease("z-1", second, written.version)).is_written
+    assert run(store.read_quota_lease("z-1")).row == second
+    assert run(store.read_quota_lease("z")).row is None
+
+
+def test_lease_that_cannot_be_read_is_not_taken_for_none(standin, store):
+    """Guards against a second granter beside one whose row is unreadable."""
+    standin.put("bamboocove-quotas", "z", b"\xff")
+    stored = run(store.read_quota_lease("z"))
+    assert stored.row is not None and stored.version == standin.revision
--- a/tests/sidecar/hosts.py
+++ b/tests/sidecar/hosts.py
@@ -23,6 +23,7 @@
     MoveOrder,
     ServiceShare,
 )
+from bamboocove.state.quotas import StoredQuotaLease
 from bamboocove.transport.monotonic_clock import read_boot_time
 from tests.callpath import Caller, Worker, run, run_reactor_until
 
@@ -47,6 +48,7 @@
         self.revision = 0
         self.hosts = {}
         self.rules = {}
+        self.quota_leases = {}
         self.is_down = False
         self.is_silent = False
         self.watch_s = WATCH_S
@@ -141,6 +143,19 @@
         self.rules[rule.service] = rule
         return rule
 
+    async def read_quota_lease(self, zone):
+        self.calls += 1
+        if self.is_down:
+            return UNAVAILABLE
+        return self.quota_leases.get(zone, StoredQuotaLease(None, 0))
+
+    async def write_quota_lease(self, zone, row, version):
+        stored = await self.read_quota_lease(zone)
+        if isinstance(stored, ErrorResult) or stored.version != version:
+            return stored
+        self.quota_leases[zone] = StoredQuotaLease(row, version + 1)
+        return StoredQuotaLease(row, version + 1, is_written=True)
+
 
 def make_config(version=1, *, attempts=2, timeout_s=1.0, **routes):
     """Return a configuration.
