--- a/tests/sidecar/test_quotas.py
+++ b/tests/sidecar/test_quotas.py
@@ -1,5 +1,7 @@
 """Quotas of accounts over a few nodes of two zones, from the caller to the worker."""
 
+import time
+
 import pytest
 from attrs import evolve
 
@@ -118,3 +120,16 @@
     assert not mesh.store.quota_leases
     assert count_granters(mesh) == 0
     mesh.close()
+
+
+def test_granters_work_again_soon_after_all_hosts_have_started(mesh):
+    """Guards against leases of ended processes that are waited for: a power cut."""
+    for host in mesh.hosts:
+        stop_at_once(host.node)
+    for host in mesh.hosts:
+        host.start(incarnation=2000)
+        assert host.report() == 200
+    started_at = time.monotonic()
+    run_reactor_until(lambda: count_granters(mesh) == 2, 5.0)
+    assert time.monotonic() - started_at < 2.2
+    run_reactor_until(lambda: call(mesh.hosts[0])[0] == 200, 3.0)
