--- a/tests/coordination/test_quota_replay.py
+++ b/tests/coordination/test_quota_replay.py
@@ -110,6 +110,27 @@
     assert get_excess(get_times(cluster), RATE, BURST) <= 0
 
 
+@pytest.mark.parametrize("fault", ["two granters", "late grants"])
+def test_tokens_of_an_old_granter_or_an_old_time_are_not_used(fault):
+    """Guards against a granter that does not notice that its lease has ended."""
+    cluster = start()
+    cluster.offer("big", spread(cluster, 7.5 * RATE), 15.0)
+    if fault == "late grants":
+        # There and back, messages take 0.18 s to 0.54 s, and tokens live for 0.4 s.
+        cluster.delay_s = 0.18
+    else:
+        # Its clock stands still, for all that the lease is concerned.
+        granter = cluster.get_granter("b")
+        granter.step_lease = lambda now: None
+        granter.lease._valid_until = float("inf")
+    cluster.run(15.0)
+    if fault == "two granters":
+        zone_b = [n for n in cluster.nodes.values() if n.zone == "b"]
+        assert sum(node.lease.may_grant(cluster.now) for node in zone_b) == 2
+    assert len(get_times(cluster)) > 100
+    assert get_excess(get_times(cluster), RATE, BURST) <= 0
+
+
 def test_limit_that_is_lowered_far_holds_at_once():
     """Guards against tokens of the earlier limit in buckets and stocks."""
     cluster = start()
