--- a/tests/coordination/test_load_reports.py
+++ b/tests/coordination/test_load_reports.py
@@ -142,8 +142,8 @@
 @pytest.mark.parametrize("hosts, slots", [(24, 5), (40, 9), (6, 12)])
 def test_reports_divert_requests_from_busy_workers(hosts, slots):
     """Guards against requests that queue at one worker while others are idle."""
-    # Single seeds differ by as much as the reports gain.
-    seeds = range(1, 9)
+    # The gain of three or eight seeds differs by as much as the bound leaves.
+    seeds = range(1, 17)
     late_without = sum(1 - simulate(False, seed, hosts, slots) for seed in seeds)
     late_with = sum(1 - simulate(True, seed, hosts, slots) for seed in seeds)
     assert late_with < 0.9 * late_without
