Move what applies the operator's data out of the application

Behaviour is unchanged; 34 tests of supervision, evacuation, accounts, start, store watch and quotas pass.

--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -20,14 +20,10 @@
 from bamboocove.coordination.load_reports import LoadReporter
 from bamboocove.coordination.readers import ReaderRole
 from bamboocove.coordination.record_repair import RecordRepair
-from bamboocove.coordination.regions import check_regions
 from bamboocove.coordination.worker_queue import QueuedRequest
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.events import run_logged
 from bamboocove.lifecycle import LifecycleHooks, make_lifecycle
-from bamboocove.protocol.mesh_messages import (
-    HostRecords,
-)
 from bamboocove.sidecar.crash_reports import CrashReports
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.dissemination import Dissemination
@@ -50,13 +46,14 @@
 from bamboocove.sidecar.messages import exchange_state, handle_message
 from bamboocove.sidecar.metrics import MeshMetrics
 from bamboocove.sidecar.moves import MoveController
+from bamboocove.sidecar.operator_data import OperatorData
 from bamboocove.sidecar.outbound import OutboundProxy
 from bamboocove.sidecar.quotas import QuotaTask
 from bamboocove.sidecar.reply_offers import ReplyOffers
 from bamboocove.sidecar.rules import RuleTable
 from bamboocove.sidecar.settings import HostSettings
 from bamboocove.sidecar.shutdown import drain
-from bamboocove.sidecar.store import OperatorUpdate, Store
+from bamboocove.sidecar.store import Store
 from bamboocove.sidecar.store_restore import StoreRestore
 from bamboocove.sidecar.watch import StoreWatch
 from bamboocove.sidecar.worker_reports import (
@@ -64,11 +61,10 @@
     DecodeWorker,
     make_report_handler,
 )
-from bamboocove.state.codec import to_plain
-from bamboocove.state.mesh import HostRecord, MeshConfig
+from bamboocove.state.mesh import MeshConfig
 from bamboocove.transport.calls import SWEEP_INTERVAL_S, CallServer
 from bamboocove.transport.monotonic_clock import read_boot_time
-from bamboocove.transport.server_connection import IDLE_TIMEOUT_S, ServerConnection
+from bamboocove.transport.server_connection import ServerConnection
 
 VERSION = "0.2"
 TICK_S = 0.1
@@ -132,6 +128,7 @@
         self.body_budget = ByteBudget(compute_budget(settings.memory_bytes))
         self.link_events = LinkEvents(self)
         self.evacuation = EvacuationControl(self)
+        self.operator_data = OperatorData(self)
         self.hub = LinkHub(
             self.clock,
             HubHandlers(
@@ -167,7 +164,7 @@
             self.incarnation,
             lambda: self.watch.publish(),
             lambda message: self.dissemination.broadcast(message),
-            self._forward_in_zone,
+            self.operator_data.forward_in_zone,
             self.rule_table.get_moving_versions,
             RecordRepair(self.random.random),
         )
@@ -204,9 +201,9 @@
             self.store,
             self.clock,
             self.random.random,
-            self._on_operator_update,
-            self._on_hosts,
-            self._on_rules,
+            self.operator_data.apply_update,
+            self.operator_data.apply_hosts,
+            self.operator_data.apply_rules,
             self.hosts.get_record,
             lambda: self.dissemination.get_duty(),
             lambda: self.config.version,
@@ -411,73 +408,9 @@
         self.hosts.update_links(now)
         update_gauges(self)
 
-    def _on_operator_update(self, update: OperatorUpdate) -> None:
-        self.store_restore.tick()
-        # First, since a node serves as soon as it has a configuration.
-        self.evacuation.apply_update(update)
-        if update.config is not None:
-            self.use_config(update.config, "store")
-        now = self.clock.seconds()
-        for order in update.orders:
-            if self.moves.apply_order(order, now):
-                self.dissemination.broadcast(self.moves.make_rules_message())
-        # Only after the update was applied: an exception leaves the proof out.
-        self.key_proofs.record_update(update)
-
     def use_config(self, config: MeshConfig, source: str) -> None:
-        """Put a configuration in force if it is valid and newer than the present one.
-
-        Parameters
-        ----------
-        config : MeshConfig
-            The configuration.
-        source : {"store", "peer"}
-            Where it came from.
-        """
-        before = self.config
-        if config.version <= before.version:
-            return
-        error = check_regions(config, self.settings.regions_by_zone)
-        if error is None:
-            error = self.outbound.router.use_config(config)
-        if error is not None:
-            log("config.refused", version=config.version, reason=error.reason)
-            return
-        log(
-            "config.applied",
-            version=config.version,
-            before=before.version,
-            routes=len(config.routes_by_name),
-            source=source,
-        )
-        if not before.version:
-            self.outbound.router.configured_at = self.clock.seconds()
-        self.config = config
-        if config.accounts_by_name != before.accounts_by_name:
-            self.inbound.use_accounts(config.accounts_by_name)
-        self.quotas.use_config(config)
-        for server in self.servers:
-            # Callers reuse connections for as long as the configuration says.
-            server.idle_timeout_s = max(IDLE_TIMEOUT_S, config.idle_timeout_s)
-        self.dissemination.propagate_config(before, config, source)
-        service = config.services_by_name.get(self.settings.service)
-        self.inbound.use_service(service, self.settings.bounds)
-        self.lifecycle.serve()
-
-    def _on_hosts(self, records: list[HostRecord]) -> None:
-        changed = self.hosts.merge_records(records)
-        if changed and self.dissemination.is_reader():
-            records = HostRecords([to_plain(record) for record in changed])
-            self.dissemination.broadcast_in_zone(records)
-
-    def _forward_in_zone(self, message: Any) -> None:
-        if self.dissemination.is_reader():
-            self.dissemination.broadcast_in_zone(message)
-
-    def _on_rules(self, rules: list) -> None:
-        now = self.clock.seconds()
-        for rule in rules:
-            self.moves.apply_rule(rule, True, now)
+        """Put a configuration in force, see ``OperatorData.use_config``."""
+        self.operator_data.use_config(config, source)
 
     def is_ready(self) -> bool:
         """Return whether callers on this host may send requests to this node."""
