Do not refuse an account that a granter does not know yet as over its quota

A granter with an earlier configuration had no bucket for a new account, and its nodes answered 429. They answer 503 now until it has the newer one.

--- a/bamboocove/coordination/quota_granter.py
+++ b/bamboocove/coordination/quota_granter.py
@@ -166,7 +166,8 @@
                 given //= PARTS_PER_TOKEN
             if given:
                 counts[name] = given
-            if given < count and not message.is_gift:
+            is_known = name in self.buckets.buckets_by_account
+            if given < count and is_known and not message.is_gift:
                 waits_ms[name] = self._get_wait_ms(name, now)
         return QuotaGrant(message.number, fencing_token, counts, waits_ms)
 
--- a/bamboocove/coordination/quota_stock.py
+++ b/bamboocove/coordination/quota_stock.py
@@ -201,7 +201,8 @@
         granted_by_account : mapping of str to int
             Tokens of the answer.
         waits_s_by_account : mapping of str to float
-            Time until a further token of accounts that got fewer, in seconds.
+            Time until a further token of accounts that got fewer, in seconds. Those
+            that the granter does not know yet are missing.
         asked_at : float
             When the tokens were asked for; their life counts from then.
 
@@ -220,8 +221,8 @@
             granted = max(0, min(asked, granted_by_account.get(name, 0)))
             if stock.limited_at <= asked_at and now < expires_at:
                 stock.expiries.extend([expires_at] * granted)
-            if granted < max(1, needed):
-                wait_s = max(MIN_DENIAL_S, waits_s_by_account.get(name, 0.0))
+            if granted < max(1, needed) and name in waits_s_by_account:
+                wait_s = max(MIN_DENIAL_S, waits_s_by_account[name])
                 stock.denied_until = now + wait_s
                 denied.append(name)
         return denied
--- a/bamboocove/sidecar/quotas.py
+++ b/bamboocove/sidecar/quotas.py
@@ -76,7 +76,7 @@
             self._is_reachable,
         )
         self._granter = QuotaGranter(
-            QuotaBuckets(max(1, len(settings.regions_by_zone)), bounds.quota_slack),
+            QuotaBuckets(slack=bounds.quota_slack),
             tolerance_s,
             numbers.__next__,
         )
@@ -140,7 +140,7 @@
         self._is_active = limited > 0
         self._client.stock.use_limits(accounts_by_name, now)
         if self._may_grant(now):
-            self._granter.buckets.use_limits(accounts_by_name, now)
+            self._use_limits(now)
         if not self._is_active:
             self._release()
         self.admission.settle_all()
@@ -170,9 +170,14 @@
         if lease.term != self._term:
             self._term = lease.term
             self._granter.clear()
-            self._granter.buckets.use_limits(self._accounts_by_name, now)
+            self._use_limits(now)
         return lease.may_grant(now)
 
+    def _use_limits(self, now: float) -> None:
+        buckets = self._granter.buckets
+        buckets.zone_count = max(1, len(self._application.settings.regions_by_zone))
+        buckets.use_limits(self._accounts_by_name, now)
+
     def _keep_lease(self, now: float) -> None:
         application = self._application
         is_granter = self._may_grant(now)
--- a/tests/coordination/test_quota_decisions.py
+++ b/tests/coordination/test_quota_decisions.py
@@ -59,6 +59,16 @@
     assert stock.take("big", 10.02) is None
 
 
+def test_account_that_a_granter_does_not_know_is_not_over_its_quota():
+    """Guards against 429 while the granter still has an earlier configuration."""
+    stock, counts = make_stock()
+    assert stock.on_answered(counts, {}, {}, 10.0, 10.01) == []
+    assert stock.arrive("big", 10.02) is Admission.UNKNOWN
+    stock.set_waiting("big", 0)
+    stock.on_answered(counts, {}, {"big": 0.3}, 10.0, 10.02)
+    assert stock.arrive("big", 10.31) is Admission.DENIED
+
+
 def test_gift_leaves_what_the_own_zone_needs():
     """Guards against zones that take each other's tokens by turns."""
     buckets = QuotaBuckets(3)
--- a/tests/sidecar/test_quotas.py
+++ b/tests/sidecar/test_quotas.py
@@ -108,6 +108,19 @@
     assert call(left)[0] == 200
 
 
+def test_granter_that_stops_gives_its_lease_back(mesh):
+    """Guards against a zone that waits for the lease of a host that was replaced."""
+    gone = next(h for h in mesh.hosts[:2] if h.node.quotas.is_granter)
+    left = next(h for h in mesh.hosts[:2] if h is not gone)
+    gone.node.drain()
+    stopped_at = time.monotonic()
+    run_reactor_until(lambda: left.node.quotas.is_granter, 5.0)
+    assert time.monotonic() - stopped_at < 3.5
+    run_reactor_until(lambda: gone.node.finished.called, 10.0)
+    mesh.hosts.remove(gone)
+    gone.worker.close()
+
+
 def test_nothing_is_done_while_no_account_has_a_limit():
     """Guards against store calls and messages in deployments without quotas."""
     mesh = HostMesh()
