Keep the order of waiting requests when the accounts change

A configuration with other accounts gave the worker's queue new shares, whose virtual time starts at 0. Requests that waited kept the times of the old ones, so each newcomer of their priority passed them until they were refused. The queue now orders them by the new shares.

test_fair_shares.py: 8 passed; the two new cases failed before.

--- a/bamboocove/coordination/worker_queue.py
+++ b/bamboocove/coordination/worker_queue.py
@@ -254,6 +254,19 @@
     def _uses_shares(self, request: QueuedRequest) -> bool:
         return self.shares is not None and request.base_priority != INTERNAL_PRIORITY
 
+    def use_shares(self, shares: FairShares | None) -> None:
+        """Change the shares, and order the waiting requests by them.
+
+        Virtual times of one ``FairShares`` mean nothing to another: new requests would
+        all pass those that wait.
+        """
+        self.shares = shares
+        for request in self.waiting:
+            request.virtual_start = 0.0
+            self._set_start(request)
+            self._count_share(request)
+        self.waiting.sort(key=lambda request: request.order)
+
     def _set_start(self, request: QueuedRequest) -> None:
         if not self._uses_shares(request):
             return
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -197,7 +197,7 @@
     def use_accounts(self, accounts_by_name: Mapping[str, ClientAccount]) -> None:
         """Share the worker among accounts; without any, by order of arrival."""
         self._accounts_by_name = accounts_by_name
-        self.queue.shares = make_shares(accounts_by_name)
+        self.queue.use_shares(make_shares(accounts_by_name))
 
     def _get_account(self, forward: Forward) -> str:
         if not self._accounts_by_name:
--- a/tests/coordination/test_fair_shares.py
+++ b/tests/coordination/test_fair_shares.py
@@ -9,7 +9,7 @@
 import pytest
 
 from bamboocove.coordination.fair_shares import make_shares
-from bamboocove.coordination.worker_queue import QueuedRequest
+from bamboocove.coordination.worker_queue import QueuedRequest, WorkerQueue
 from bamboocove.state.mesh import ClientAccount
 from tests.coordination.test_worker_queue import Simulation
 
@@ -70,3 +70,23 @@
     weights = {name: 1.0 for name in USUAL} | {"large": 20.0}
     served = play(1.3, weights, seed)
     assert min(served.values()) > 0.85, served
+
+
+@pytest.mark.parametrize("has_accounts_after", [True, False])
+def test_waiting_request_keeps_its_place_when_accounts_change(has_accounts_after):
+    """Guards against a new configuration that lets newcomers pass all that wait."""
+    accounts = {name: ClientAccount(name, (), None, 1.0) for name in ("x", "y")}
+    queue = WorkerQueue(1)
+    queue.use_shares(make_shares(accounts))
+    for now in range(100):
+        entry = QueuedRequest("r", 0, now + 9.0, now + 9.0, None, "x")
+        queue.offer(entry, now)
+        queue.start_next(now)
+        if now < 99:
+            queue.finish(entry, now + 0.2, True)
+    old = QueuedRequest("r", 0, 109.0, 109.0, None, "x")
+    new = QueuedRequest("r", 0, 109.0, 109.0, None, "x")
+    queue.offer(old, 99)
+    queue.use_shares(make_shares(accounts) if has_accounts_after else None)
+    queue.offer(new, 99)
+    assert queue.waiting == [old, new]
