Find the far worker with a short wait among all of them

A request that its own zone had refused, while no far worker had more than its reserve free, was refused if the far worker with the best expected response had a long wait, although a slower one had a free slot. The wait is now checked for each worker before the best one is chosen.

test_placement.py and test_zone_traffic.py: 24 passed; the new case failed before.

--- a/bamboocove/coordination/placement.py
+++ b/bamboocove/coordination/placement.py
@@ -229,18 +229,13 @@
 
 @define
 class _FarZone:
-    """Best hosts of another zone, and how many of its workers have room.
-
-    ``view`` has room, ``any_view`` may be busy; each comes with its score.
-    """
+    """Best host of another zone that has room, and how many of its workers do."""
 
     workers: int = 0
     free: int = 0
     view: HostView | None = None
     score: float = float("inf")
     expected_s: float = float("inf")
-    any_view: HostView | None = None
-    any_score: float = float("inf")
 
 
 def pick_host(
@@ -287,6 +282,10 @@
     near_score = near_s = float("inf")
     has_near_worker = False
     far_by_zone: dict[str, _FarZone] = {}
+    # Best hosts of all other zones, whether they have room or not.
+    any_far = short_far = None
+    any_score = short_score = float("inf")
+    max_wait_s = MAX_FAR_WAIT_FRACTION * target_s
     default_s = compute_mean_service_time(views, route, target_s)
     # While a worker waits for its own call, one of its slots stays occupied, so
     # for such calls every faster response counts.
@@ -324,8 +323,13 @@
             far.free += 1
             if score < far.score:
                 far.view, far.score, far.expected_s = view, score, expected_s
-        if score < far.any_score:
-            far.any_view, far.any_score = view, score
+        if score < any_score:
+            any_far, any_score = view, score
+        if (
+            score < short_score
+            and estimate_wait(view, priority, default_s, now) <= max_wait_s
+        ):
+            short_far, short_score = view, score
     if traffic is not None:
         traffic.reason = ""
     if not far_by_zone:
@@ -341,12 +345,7 @@
         traffic.reason = REFUSED_IN_ZONE if has_near_worker else NO_WORKER
     if far.view is not None:
         return far.view
-    far = min(far_by_zone.values(), key=lambda item: item.any_score)
-    view = far.any_view
-    if view is None or not has_near_worker or priority < 0:
-        return view
-    wait_s = estimate_wait(view, priority, default_s, now)
-    return view if wait_s <= MAX_FAR_WAIT_FRACTION * target_s else None
+    return short_far if has_near_worker and priority >= 0 else any_far
 
 
 def has_room(view: HostView, priority: int, now: float) -> bool:
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -147,3 +147,16 @@
         view.update_report(QueueReport(2, 3, 0, (0,)), 0.0)
         view.record_service_time("r", 0.2)
     assert count_picks([near, other])["y"] == 1000
+
+
+def test_request_refused_in_its_zone_finds_the_free_far_worker():
+    """Guards against a refusal because the fastest far worker has a long queue."""
+    near = make_view("near")
+    views = [near, make_view("busy", zone="b"), make_view("free", zone="b")]
+    views[1].record_service_time("r", 0.05)
+    views[1].update_report(QueueReport(12, 12, 0, (60,)), 0.0)
+    views[2].record_service_time("r", 0.2)
+    # Its last slot is the reserve of its own zone.
+    views[2].update_report(QueueReport(11, 12, 0, (0,)), 0.0)
+    picks = count_picks(views, times=100, excluded={"near"})
+    assert picks["free"] == 100
