Handle the other requests at a lost host after a program error

An exception for one request at a host that was lost or silent ended the loop over all of them, so the others stayed open until their deadlines. Each one is now ended or placed by itself.

--- a/bamboocove/sidecar/silent_hosts.py
+++ b/bamboocove/sidecar/silent_hosts.py
@@ -1,6 +1,7 @@
 """Requests at hosts that fall silent or are lost, which other hosts may still run."""
 
 from collections.abc import Callable
+from typing import Any
 
 from attrs import define
 
@@ -127,20 +128,33 @@
             read the others, which are placed on other hosts.
         """
         for attempt in self.attempts.find(host_id):
-            request = attempt.request
-            is_unread = has_replied and attempt.reply_size is None
-            is_earlier = attempt is request.earlier_attempt
-            if attempt.is_offered or is_unread and not is_earlier:
-                self._withdraw(attempt, now)
-                continue
-            self.attempts.close(attempt)
-            if is_earlier and is_unread:
-                self._on_earlier_refused(request, "the host stopped", now)
-            elif is_earlier:
-                self._on_earlier_lost(request)
-            else:
-                request.sent += 1
-                self.on_lost(request, "the host was lost", now)
+            self._attempt(attempt, self._end_lost, now, has_replied)
+
+    def _attempt(self, attempt: Attempt, step: Callable, *args: Any) -> None:
+        """Take a step for an attempt; end its request if that raises an exception.
+
+        The other requests at the host would otherwise wait until their deadlines.
+        """
+        try:
+            step(attempt, *args)
+        except Exception:
+            self.responder.end_failed(attempt.request)
+
+    def _end_lost(self, attempt: Attempt, now: float, has_replied: bool) -> None:
+        request = attempt.request
+        is_unread = has_replied and attempt.reply_size is None
+        is_earlier = attempt is request.earlier_attempt
+        if attempt.is_offered or is_unread and not is_earlier:
+            self._withdraw(attempt, now)
+            return
+        self.attempts.close(attempt)
+        if is_earlier and is_unread:
+            self._on_earlier_refused(request, "the host stopped", now)
+        elif is_earlier:
+            self._on_earlier_lost(request)
+        else:
+            request.sent += 1
+            self.on_lost(request, "the host was lost", now)
 
     def on_host_suspect(self, host_id: str, now: float) -> None:
         """Send idempotent requests of an unresponsive host to other hosts, too.
@@ -151,23 +165,26 @@
         """
         self.fleet.suspend(host_id, now)
         for attempt in self.attempts.find(host_id):
-            request = attempt.request
-            if attempt.is_offered:
-                self._withdraw(attempt, now)
-                continue
-            if not request.route.is_idempotent or request.earlier_attempt is not None:
-                continue
-            request.sent += 1
-            if self.can_retry(request, now) and self.budgets.spend(request.service):
-                request.earlier_attempt, request.attempt = attempt, None
-                own_zone = self.attempts.get_settings().zone
-                request.stays_in_zone |= attempt.view.zone != own_zone
-                request.excluded_host_ids.add(host_id)
-                request.hosts_tried = 1
-                log_repeated(request, host_id, lost="silent")
-                self.dispatch(request, now)
-            else:
-                request.sent -= 1
+            self._attempt(attempt, self._repeat, now)
+
+    def _repeat(self, attempt: Attempt, now: float) -> None:
+        request = attempt.request
+        if attempt.is_offered:
+            self._withdraw(attempt, now)
+            return
+        if not request.route.is_idempotent or request.earlier_attempt is not None:
+            return
+        request.sent += 1
+        if self.can_retry(request, now) and self.budgets.spend(request.service):
+            request.earlier_attempt, request.attempt = attempt, None
+            own_zone = self.attempts.get_settings().zone
+            request.stays_in_zone |= attempt.view.zone != own_zone
+            request.excluded_host_ids.add(attempt.host_id)
+            request.hosts_tried = 1
+            log_repeated(request, attempt.host_id, lost="silent")
+            self.dispatch(request, now)
+        else:
+            request.sent -= 1
 
     def _withdraw(self, attempt: Attempt, now: float) -> None:
         """Place a request that its host has not got on another one."""
--- a/tests/sidecar/test_silent_hosts.py
+++ b/tests/sidecar/test_silent_hosts.py
@@ -257,3 +257,24 @@
     status, fields, _ = read_response(connection)
     assert status == 503 and float(fields["retry-after"]) > 0
     assert sum(len(host.requests) for host in targets) == 2
+
+
+def test_program_error_for_one_request_does_not_delay_the_others(mesh):
+    """Guards against requests at a lost host that stay open until their deadline."""
+    caller, *targets = make_hosts(mesh)
+    targets[1].node.inbound.is_draining = True
+    calls = [
+        caller.open(format_call("/pay/1", "POST", attempt=name))
+        for name in ("first", "second")
+    ]
+    run_reactor_until(lambda: len(targets[0].requests) == 2)
+    silent_hosts = caller.node.outbound._silent_hosts
+    on_lost = silent_hosts.on_lost
+
+    def fail_once(*args):
+        silent_hosts.on_lost = on_lost
+        raise ValueError("odd")
+
+    silent_hosts.on_lost = fail_once
+    caller.node.outbound.on_host_lost(targets[0].host_id, reactor.seconds())
+    assert sorted(read_response(call)[0] for call in calls) == [502, 502]
