Shorten the wait for a rate limit when the limit rises

The timer of the waiting request kept the time that it was started with. A request that waited for a worker that had named 0 requests per second waited up to 4 s, unless another request arrived or ended, although the worker then named a higher rate.

test_limit_timer.py and test_worker_limits.py: 22 passed; the new test failed before.

--- a/bamboocove/sidecar/limit_timer.py
+++ b/bamboocove/sidecar/limit_timer.py
@@ -27,8 +27,13 @@
     def wait(self, queue: WorkerQueue, now: float) -> None:
         """Start the next request as soon as the worker's limits let it."""
         wait_s = queue.predict_limit_wait(1, now)
-        if wait_s and queue.waiting and self._timer is None:
+        if not wait_s or not queue.waiting:
+            return
+        if self._timer is None:
             self._timer = self.clock.callLater(wait_s, self._on_over)
+        elif self._timer.getTime() > now + wait_s:
+            # The limit was lower when the timer was started.
+            self._timer.reset(wait_s)
 
     def _on_over(self) -> None:
         self._timer = None
