Ask a host of another zone before a request is refused

A request is offered to four hosts. If four hosts of its own zone refused it, its caller got 503 although workers of other zones were idle: predictions prefer the own zone until its records tell that its hosts stop. The last host that is asked is now in another zone, if one has room there.

--- a/bamboocove/sidecar/candidates.py
+++ b/bamboocove/sidecar/candidates.py
@@ -13,6 +13,10 @@
 from bamboocove.sidecar.rules import RuleTable
 from bamboocove.state.mesh import VersionRule
 
+# Hosts that a request is offered to before its caller gets an error; after a
+# failed attempt the count starts again at 1.
+MAX_HOSTS_TRIED = 4
+
 
 @define
 class CandidateSelector:
@@ -60,12 +64,19 @@
         """Return the best of the selected hosts for a request of this zone, or None.
 
         A request that a host of another zone was lost with goes to hosts of the own
-        zone, as long as there are any.
+        zone, as long as there are any. Otherwise the last host that is asked is in
+        another zone if one has room: in a zone that is being stopped, all hosts may
+        refuse before their records tell it.
         """
-        choices = [views]
+        excluded = request.excluded_host_ids
+        choices = [(views, excluded)]
         if request.stays_in_zone:
-            choices.insert(0, [view for view in views if view.zone == zone])
-        for choice in choices:
+            near = [view for view in views if view.zone == zone]
+            choices.insert(0, (near, excluded))
+        elif request.hosts_tried == MAX_HOSTS_TRIED - 1:
+            near_ids = {view.host_id for view in views if view.zone == zone}
+            choices.insert(0, (views, excluded | near_ids))
+        for choice, excluded_ids in choices:
             view = pick_host(
                 choice,
                 request.route.name,
@@ -74,7 +85,7 @@
                 zone,
                 now,
                 self.random,
-                request.excluded_host_ids,
+                excluded_ids,
                 traffic,
             )
             if view is not None:
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -35,7 +35,7 @@
 )
 from bamboocove.sidecar.attempts import Attempt, AttemptTable
 from bamboocove.sidecar.body_receiver import BodyReceiver
-from bamboocove.sidecar.candidates import CandidateSelector
+from bamboocove.sidecar.candidates import MAX_HOSTS_TRIED, CandidateSelector
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.error_responses import send_error
 from bamboocove.sidecar.fleet import Fleet
@@ -59,9 +59,6 @@
 from bamboocove.transport.exchanges import Exchange
 from bamboocove.transport.framing import get_header
 
-# Hosts that a request is offered to before its caller gets an error; after a
-# failed attempt the count starts again at 1.
-MAX_HOSTS_TRIED = 4
 # Time in seconds for which a host that refused a request gets no request of the
 # same or a lower priority, unless a newer record of the host arrives.
 REFUSAL_BACKOFF_S = 0.05
