Take a worker that is warm earlier than it said for a warm one

Other nodes kept the end of the cold phase that was told first, and expected twice the service time of the worker until then, although its limit had ended.

--- a/bamboocove/sidecar/fleet.py
+++ b/bamboocove/sidecar/fleet.py
@@ -105,9 +105,12 @@
         else:
             view.slots = worker.slots
             view.busy_until = 0.0
-            view.cold_per_s = worker.cold_per_s
             if worker.cold_per_s:
                 view.cold_until = now + worker.cold_s
+            elif view.cold_per_s:
+                # It may be warm earlier than it has said.
+                view.cold_until = now
+            view.cold_per_s = worker.cold_per_s
         self._forget_cached_views()
         log(
             "host.record",
--- a/tests/sidecar/test_cold_workers.py
+++ b/tests/sidecar/test_cold_workers.py
@@ -118,3 +118,16 @@
     data = b'{"version": 1, "routes": {}, "services": {"pay": {"%s": -1}}}'
     error = decode_config(data % field.encode())
     assert "service pay" in error.reason
+
+
+def test_worker_that_is_warm_early_is_not_taken_for_a_slow_one(mesh):
+    """Guards against a warm worker that others avoid until the time first told."""
+    target, other = mesh.add(), mesh.add("front")
+    mesh.settle()
+    view = other.node.fleet.views_by_id[target.host_id]
+    assert target.report(cold_s=60.0) == 200
+    run_reactor_until(lambda: view.cold_per_s)
+    assert view.cold_until > reactor.seconds() + 50
+    assert target.report(cold_s=0.0) == 200
+    run_reactor_until(lambda: not view.cold_per_s)
+    assert view.cold_until <= reactor.seconds()
