Offer each request of an account to at least one worker

A host that refused a request gets none of its priority for 50 ms. While one account sends far more than its share, an origin has all hosts of a service on that list, and refused the requests of other accounts itself, although the worker's queue would have taken them first. If no other host is left, the first offer of a request with an account now ignores the list. Without accounts nothing changes. Not measured under load.

--- a/bamboocove/coordination/placement.py
+++ b/bamboocove/coordination/placement.py
@@ -248,6 +248,7 @@
     random: Callable[[], float],
     excluded: Collection[str] = (),
     traffic: RouteTraffic | None = None,
+    asks_busy: bool = False,
 ) -> HostView | None:
     """Return the host with the best score for a request.
 
@@ -272,6 +273,8 @@
     traffic : RouteTraffic or None
         Traffic between zones of the route; told why the request leaves the zone.
         Without it each request that saves enough leaves.
+    asks_busy : bool
+        Whether hosts that refused another request a moment ago may be asked.
 
     Returns
     -------
@@ -302,7 +305,7 @@
                 far = far_by_zone[view.zone] = _FarZone()
             far.workers += 1
         if view.host_id in excluded or (
-            view.busy_until > now and priority >= view.busy_priority
+            not asks_busy and view.busy_until > now and priority >= view.busy_priority
         ):
             continue
         expected_s = estimate_response_time(view, route, priority, default_s, now)
--- a/bamboocove/sidecar/candidates.py
+++ b/bamboocove/sidecar/candidates.py
@@ -67,16 +67,21 @@
         zone, as long as there are any. Otherwise the last host that is asked is in
         another zone if one has room: in a zone that is being stopped, all hosts may
         refuse before their records tell it.
+
+        A request of an account is offered to at least one host. Those that have just
+        refused one of another account may take it, since they share among accounts.
         """
         excluded = request.excluded_host_ids
-        choices = [(views, excluded)]
+        choices = [(views, excluded, False)]
+        if request.account is not None and request.hosts_tried == 0:
+            choices.append((views, excluded, True))
         if request.stays_in_zone:
             near = [view for view in views if view.zone == zone]
-            choices.insert(0, (near, excluded))
+            choices.insert(0, (near, excluded, False))
         elif request.hosts_tried == MAX_HOSTS_TRIED - 1:
             near_ids = {view.host_id for view in views if view.zone == zone}
-            choices.insert(0, (views, excluded | near_ids))
-        for choice, excluded_ids in choices:
+            choices.insert(0, (views, excluded | near_ids, False))
+        for choice, excluded_ids, asks_busy in choices:
             view = pick_host(
                 choice,
                 request.route.name,
@@ -87,6 +92,7 @@
                 self.random,
                 excluded_ids,
                 traffic,
+                asks_busy,
             )
             if view is not None:
                 return view
