Trace: show requests refused with 401 and 429 as not run

The trace of a request over its quota ended with "it may have run", since only 503 counted as a refusal. Two of the three new cases failed before.

--- a/bamboocove/tracing.py
+++ b/bamboocove/tracing.py
@@ -21,6 +21,8 @@
 )
 # Context events are shown from this long before the first line of a request.
 CONTEXT_WINDOW_S = 5.0
+# Statuses with which a node says that a request has not run.
+NOT_RUN_STATUSES = (401, 413, 429, 503)
 
 
 @frozen
@@ -133,7 +135,8 @@
         )
     if final.event == "request.answered":
         return f"answered with {fields['status']} by the worker on {fields['host']}"
-    execution = "it was not run" if fields["status"] == 503 else "it may have run"
+    has_run = fields["status"] not in NOT_RUN_STATUSES
+    execution = "it may have run" if has_run else "it was not run"
     text = f"ended with {fields['status']} after {fields['held_s']} s, {execution}"
     return f"{text}: {fields['reason']} ({fields['kind']}, host {fields['host']})"
 
--- a/tests/test_tracing.py
+++ b/tests/test_tracing.py
@@ -59,6 +59,17 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("status", "has_run"), [(429, False), (401, False), (502, True)]
+)
+def test_refusals_of_accounts_are_shown_as_not_run(status, has_run):
+    """Guards against an account that is told that its request may have run."""
+    fields = {"status": status, "held_s": 0.1, "reason": "r", "kind": "k", "host": ""}
+    line = make_line(1.0, "request.failed", id="x", **fields)
+    explanation = explain_request(parse_log("a", line), "x")
+    assert ("may have run" in explanation) == has_run
+
+
 def test_log_lines_over_the_rate_limit_are_counted():
     """Guards against a burst of failures that floods the log."""
     written_lines = []
