Drop returned tokens of an earlier limit

A request that no worker ran returned its token also when the limit had been lowered since the token was asked for, so the stock of the new limit held tokens of the old one. Such tokens are dropped, as grants that arrive late are.

--- a/bamboocove/coordination/quota_stock.py
+++ b/bamboocove/coordination/quota_stock.py
@@ -108,7 +108,9 @@
     def give_back(self, name: str, expires_at: float, now: float) -> None:
         """Keep the token of a request that no worker ran, until its expiry."""
         stock = self._stocks_by_account.get(name)
-        if stock is not None and now < expires_at:
+        if stock is None or now >= expires_at:
+            return
+        if expires_at - self.token_life_s >= stock.limited_at:
             stock.expiries.insert(0, expires_at)
 
     def set_waiting(self, name: str, count: int) -> None:
--- a/tests/coordination/test_quota_decisions.py
+++ b/tests/coordination/test_quota_decisions.py
@@ -172,3 +172,13 @@
     assert other.decide(102.0, True) is Call.READ
     other.on_result(102.0, StoredQuotaLease(None, 0, 2), 102.1)
     assert other.decide(102.2, True) is None
+
+
+def test_token_of_an_earlier_limit_is_not_taken_back():
+    """Guards against refused requests that return tokens of a limit since lowered."""
+    stock, counts = make_stock()
+    stock.on_answered(counts, {"big": 1}, {}, 10.0, 10.01)
+    expires_at = stock.take("big", 10.02)
+    stock.use_limits({"big": make_account("big", 2.0, 2.0)}, 10.05)
+    stock.give_back("big", expires_at, 10.1)
+    assert stock.take("big", 10.11) is None
