Apply limits that change before a granter's first grant

A lease begins with buckets of the limits in force, and its holder grants only a token's life (0.4 s) later. A configuration of that time was not applied to the buckets: the granter kept a limit that was since lowered, and refused accounts that were new, until the accounts changed once more. Limits are now applied while the lease is held.

Result: the new test fails before (100 per second kept instead of 2) and passes now.

--- a/bamboocove/sidecar/quotas.py
+++ b/bamboocove/sidecar/quotas.py
@@ -139,7 +139,9 @@
             log("quota.limits", config=config.version, accounts=limited)
         self._is_active = limited > 0
         self._client.stock.use_limits(accounts_by_name, now)
-        if self._may_grant(now):
+        self._may_grant(now)
+        if self._lease.holds(now):
+            # Also before the first grant, as buckets are there from the lease's begin.
             self._granter.buckets.use_limits(accounts_by_name, now)
         if not self._is_active:
             self._release()
