Rebuild buckets after a renewal that is answered late

A holder clears its buckets when its lease ends. If the answer to a renewal that was sent in time arrives after that, the lease goes on in the same term, and nothing made the buckets again: all requests of limited accounts in the zone got 429 until the limits changed. The task now forgets the term with the buckets, so that they begin empty when the lease holds again.

Result: the new test fails before (no bucket) and passes now.

--- a/bamboocove/sidecar/quotas.py
+++ b/bamboocove/sidecar/quotas.py
@@ -169,6 +169,12 @@
             self._term = 0
             self._granter.clear()
             return False
+        if not lease.holds(now):
+            # A renewal that is answered late continues the same term.
+            if self._term:
+                self._term = 0
+                self._granter.clear()
+            return False
         if lease.term != self._term:
             self._term = lease.term
             self._granter.clear()
--- a/tests/sidecar/test_quota_limits.py
+++ b/tests/sidecar/test_quota_limits.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from bamboocove.coordination.quota_lease import Call
+from bamboocove.coordination.quota_lease import LEASE_S, Call
 from bamboocove.sidecar.quotas import QuotaTask
 from bamboocove.state.quotas import StoredQuotaLease
 from tests.quota_cluster import make_account
@@ -71,3 +71,16 @@
     node.now += 1.0
     assert node.task.is_granter
     assert node.get_bucket().rate_per_s == 2.0
+
+
+def test_granter_has_buckets_after_a_late_renewal(node):
+    """Guards against refusals of all requests after a slow answer of the store."""
+    node.now += 1.0
+    node.task.tick(0.0)
+    assert node.task.is_granter
+    node.now += LEASE_S - 1.2
+    node.call_store(answered_after_s=0.4)
+    assert node.task.is_granter
+    assert node.get_bucket().tokens <= 1.0
+    node.use(2.0)
+    assert node.get_bucket().rate_per_s == 2.0
