Ask a zone again for tokens when it gave all it was asked for

Each zone was asked once per round. Requests that arrived while the first zone was asked were not in the count, and the round ended with 429 for them though that zone held more: a burst of a small account, within its quota, was refused in part. A zone that gave all of what it was asked for is now asked again in the same round, as long as requests wait; one that gave less is not.

Result: the new test fails before (no further request) and passes now.

--- a/bamboocove/coordination/quota_granter.py
+++ b/bamboocove/coordination/quota_granter.py
@@ -49,6 +49,7 @@
     number: int = 0
     asked_id: str = ""
     asked_at: float = 0.0
+    asked_parts: int = 0
 
 
 @define(eq=False)
@@ -130,8 +131,12 @@
         if name is None or self._rounds_by_account[name].asked_id != sender_id:
             return []
         self._silent_until_by_id.pop(sender_id, None)
-        asked_at = self._rounds_by_account[name].asked_at
+        gifts = self._rounds_by_account[name]
+        asked_at = gifts.asked_at
         parts = message.counts_by_account.get(name, 0)
+        if parts >= gifts.asked_parts:
+            # It may have more for requests that arrived since it was asked.
+            gifts.left_ids.append(sender_id)
         if parts > 0 and now - asked_at <= GIFT_LIFE_FRACTION * self.tolerance_s:
             self.buckets.receive(name, parts, now)
             self._given_at = now
@@ -198,6 +203,7 @@
             return []
         gifts.asked_id = gifts.left_ids.pop(0)
         gifts.asked_at, gifts.number = now, self.next_number()
+        gifts.asked_parts = parts
         self._accounts_by_number[gifts.number] = name
         return [(gifts.asked_id, QuotaRequest(gifts.number, {name: parts}, True))]
 
--- a/tests/coordination/test_quota_decisions.py
+++ b/tests/coordination/test_quota_decisions.py
@@ -1,7 +1,10 @@
 """Rules on single tokens and on the lease of a granter."""
 
+import itertools
+
 from bamboocove.coordination.quota_buckets import PARTS_PER_TOKEN, QuotaBuckets
 from bamboocove.coordination.quota_client import QuotaClient
+from bamboocove.coordination.quota_granter import QuotaGranter
 from bamboocove.coordination.quota_lease import (
     LEASE_S,
     TOKENS_PER_ERA,
@@ -9,7 +12,7 @@
     QuotaLease,
 )
 from bamboocove.coordination.quota_stock import Admission, QuotaStock
-from bamboocove.protocol.control_messages import QuotaGrant, QuotaHolder
+from bamboocove.protocol.control_messages import QuotaGrant, QuotaHolder, QuotaRequest
 from bamboocove.state.quotas import QuotaLeaseRow, StoredQuotaLease
 from tests.quota_cluster import make_account
 
@@ -182,3 +185,31 @@
     stock.use_limits({"big": make_account("big", 2.0, 2.0)}, 10.05)
     stock.give_back("big", expires_at, 10.1)
     assert stock.take("big", 10.11) is None
+
+
+def test_zone_that_gave_all_it_was_asked_for_is_asked_again():
+    """Guards against refusals while another zone holds tokens.
+
+    A burst of a small account arrives one by one, and the first request alone says how
+    much the first zone is asked for.
+    """
+    buckets = QuotaBuckets(3)
+    buckets.use_limits({"small": make_account("small", 0.5, 10.0)}, 0.0)
+    granter = QuotaGranter(buckets, 0.5, itertools.count(1).__next__)
+    request = QuotaRequest(1, {"small": 1})
+    first = granter.on_request("n", request, True, 1, ["y", "x"], 0.0)
+    for number in range(2, 7):
+        request = QuotaRequest(number, {"small": 1})
+        granter.on_request("n", request, True, 1, ["y", "x"], 0.001)
+    [(asked_id, gift)] = first
+    grant = QuotaGrant(gift.number, 1, gift.counts_by_account, {})
+    messages = granter.on_gift(asked_id, grant, 1, 0.003)
+    [(asked_id, gift)] = [m for m in messages if m[0] != "n"]
+    assert asked_id == "x"
+    messages = granter.on_gift("x", QuotaGrant(gift.number, 1, {}, {}), 1, 0.006)
+    [(asked_id, gift)] = messages
+    assert asked_id == "y"
+    # Not once more, as it has given less than that.
+    messages = granter.on_gift("y", QuotaGrant(gift.number, 1, {}, {}), 1, 0.009)
+    assert messages
+    assert {host_id for host_id, _ in messages} == {"n"}
