End each waiting request if an exception ends the refusal of another

An exception in the refusal of a request that had waited for a token left the others of its account open until their deadlines: they were no longer in the queue. Refusals are now guarded as resumed requests are.

Result: the new test fails before and passes now.

--- a/bamboocove/sidecar/quota_admission.py
+++ b/bamboocove/sidecar/quota_admission.py
@@ -159,16 +159,15 @@
             del self._waiting_by_account[name]
         stock.set_waiting(name, len(queue))
         # Last, because each of them may lead to a further request.
-        for waiting in admitted:
+        steps = [(waiting.resume, waiting.request) for waiting in admitted]
+        steps += [(lambda r: self._deny(r, now), waiting.request) for waiting in denied]
+        steps += [(self._refuse_unanswered, waiting.request) for waiting in unanswered]
+        for step, request in steps:
             try:
-                waiting.resume(waiting.request)
+                step(request)
             except Exception:
                 # Nothing else would end the request before its deadline.
-                self.end_failed(waiting.request)
-        for waiting in denied:
-            self._deny(waiting.request, now)
-        for waiting in unanswered:
-            self._refuse_unanswered(waiting.request)
+                self.end_failed(request)
 
     def _admit(self, request: OutboundRequest, expires_at: float | None) -> None:
         request.token_expires_at = expires_at
