Take a lease soon after its holder has given it back

A candidate read the row every 2 s, so a zone whose granter was shut down had no buckets of its own for up to 2.4 s, and others gave only what they spared. A candidate that the known holder refuses to grant now reads at intervals of 0.5 s for a second after each refusal.

The new test fails with the new interval switched off and passes with it.

--- a/bamboocove/coordination/quota_lease.py
+++ b/bamboocove/coordination/quota_lease.py
@@ -19,6 +19,9 @@
 # and the wait after a failed call.
 READ_INTERVAL_S = 2.0
 RETRY_INTERVAL_S = 0.5
+# Time for which a candidate reads the row at the shorter interval after the holder has
+# refused to grant, in seconds. A holder that stops has given its lease back.
+REFUSAL_LIFETIME_S = 1.0
 # Time without an answer after which a call counts as failed, in seconds. The holder
 # needs time for a further renewal before its lease ends.
 CALL_TIMEOUT_S = 1.6
@@ -74,6 +77,7 @@
     _seen_key: tuple[int, int] | None = None
     _seen_at: float = 0.0
     _read_at: float = -math.inf
+    _refused_at: float = -math.inf
     _valid_until: float = -math.inf
     _grants_from: float = math.inf
     _renew_at: float = -math.inf
@@ -93,6 +97,10 @@
         """Record a fencing token of this zone that was seen."""
         self._highest_token = max(self._highest_token, fencing_token)
 
+    def on_refusal(self, now: float) -> None:
+        """Record that the known holder no longer grants: its row may be free."""
+        self._refused_at = now
+
     def get_stored_row(self) -> QuotaLeaseRow | None:
         """Return the row that was last read or written, if it is known."""
         return None if self._stored is None else self._stored.row
@@ -129,7 +137,9 @@
         elif self._may_take(stored, known_incarnation, now):
             call = Call.WRITE
         else:
-            call = Call.READ if now - self._read_at >= READ_INTERVAL_S else None
+            was_refused = now - self._refused_at < REFUSAL_LIFETIME_S
+            interval_s = RETRY_INTERVAL_S if was_refused else READ_INTERVAL_S
+            call = Call.READ if now - self._read_at >= interval_s else None
         self._sent_at = None if call is None else now
         return call
 
--- a/bamboocove/sidecar/quotas.py
+++ b/bamboocove/sidecar/quotas.py
@@ -300,6 +300,9 @@
             messages = self._granter.on_gift(sender_id, message, token, now)
             self._count_tokens("granted", messages)
             self._send(messages)
+        known = self._client.granters_by_zone.get(self._zone)
+        if not message.fencing_token and known and known.host_id == sender_id:
+            self._lease.on_refusal(now)
         answer = self._client.on_grant(sender_id, message, now)
         self._send(answer.messages)
         self.admission.settle(answer.accounts, answer.denied)
--- a/tests/coordination/test_quota_replay.py
+++ b/tests/coordination/test_quota_replay.py
@@ -130,3 +130,15 @@
         cluster.restart(host_id)
     cluster.run(2.0)
     assert all(cluster.get_granter(zone) for zone in cluster.zones)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_lease_that_is_given_back_is_soon_taken(seed):
+    """Guards against a zone without its part until a candidate next reads the row."""
+    cluster = start(seed=seed)
+    cluster.offer("big", spread(cluster, 0.7 * RATE), 8.0)
+    cluster.run(6.0)
+    cluster.get_granter("b").release()
+    cluster.run(1.1)
+    assert cluster.get_granter("b")
+    assert count_refused(cluster, 0.0) == 0
--- a/tests/quota_cluster.py
+++ b/tests/quota_cluster.py
@@ -66,7 +66,9 @@
             getattr(self.client.granters_by_zone.get(self.zone), "fencing_token", 0)
         )
         row = self.lease.get_stored_row()
-        known = self.cluster.nodes[row.host_id].incarnation if row else 0
+        known = (
+            self.cluster.nodes[row.host_id].incarnation if row and row.host_id else 0
+        )
         call = self.lease.decide(now, self.is_candidate, known)
         if call is None:
             return
@@ -74,6 +76,13 @@
         row, version = self.lease.make_row() if call is Call.WRITE else (None, None)
         self.cluster.call_store(self, now, key, row, version)
 
+    def release(self):
+        """Give the lease back, as a node does that is shut down."""
+        self.is_candidate = False
+        row, version = self.lease.make_release()
+        self.granter.clear()
+        self.cluster.call_store(self, self.cluster.now, self.zone, row, version)
+
     def arrive(self, name):
         """Handle a request; report its outcome to the cluster."""
         now = self.cluster.now
@@ -125,6 +134,9 @@
             if self.may_grant(now) and self.client.is_valid(sender_id, message):
                 token = self.lease.fencing_token
                 self.send(self.granter.on_gift(sender_id, message, token, now))
+            known = self.client.granters_by_zone.get(self.zone)
+            if not message.fencing_token and known and known.host_id == sender_id:
+                self.lease.on_refusal(now)
             answer = self.client.on_grant(sender_id, message, now)
             self.send(answer.messages)
             self.settle(now, answer.denied)
