--- a/bamboocove/sidecar/quotas.py
+++ b/bamboocove/sidecar/quotas.py
@@ -139,7 +139,9 @@
             log("quota.limits", config=config.version, accounts=limited)
         self._is_active = limited > 0
         self._client.stock.use_limits(accounts_by_name, now)
-        if self._may_grant(now):
+        self._may_grant(now)
+        if self._lease.holds(now):
+            # Also before the first grant, as buckets are there from the lease's begin.
             self._use_limits(now)
         if not self._is_active:
             self._release()
@@ -167,6 +169,12 @@
             self._term = 0
             self._granter.clear()
             return False
+        if not lease.holds(now):
+            # A renewal that is answered late continues the same term.
+            if self._term:
+                self._term = 0
+                self._granter.clear()
+            return False
         if lease.term != self._term:
             self._term = lease.term
             self._granter.clear()
@@ -297,6 +305,9 @@
             messages = self._granter.on_gift(sender_id, message, token, now)
             self._count_tokens("granted", messages)
             self._send(messages)
+        known = self._client.granters_by_zone.get(self._zone)
+        if not message.fencing_token and known and known.host_id == sender_id:
+            self._lease.on_refusal(now)
         answer = self._client.on_grant(sender_id, message, now)
         self._send(answer.messages)
         self.admission.settle(answer.accounts, answer.denied)
