--- a/tests/sidecar/test_key_traffic.py
+++ b/tests/sidecar/test_key_traffic.py
@@ -78,7 +78,12 @@
                     config = reader.application.config
                     reader.record_update(
                         OperatorUpdate(
-                            config, (), 1, True, 0, self.now, asked_at[number]
+                            config,
+                            (),
+                            1,
+                            True,
+                            store_time_s=self.now,
+                            asked_at=asked_at[number],
                         )
                     )
                     asked_at[number] = self.now
