--- a/bamboocove/coordination/room_forecast.py
+++ b/bamboocove/coordination/room_forecast.py
@@ -10,7 +10,9 @@
 
 from attrs import define, field
 
-from bamboocove.coordination.placement import MIN_RETRY_AFTER_S
+from bamboocove.coordination.retry_after import (
+    MIN_RETRY_AFTER_S,
+)
 
 # Time over which released bytes are counted, and the least time that the rate is taken
 # over, in seconds.
--- a/bamboocove/sidecar/body_receiver.py
+++ b/bamboocove/sidecar/body_receiver.py
@@ -7,12 +7,14 @@
 from attrs import define, field
 
 from bamboocove.coordination.byte_budget import ByteBudget
-from bamboocove.coordination.placement import compute_retry_after
 from bamboocove.coordination.request_bodies import (
     RequestBodies,
     count_missing,
     limit_body,
 )
+from bamboocove.coordination.retry_after import (
+    compute_retry_after,
+)
 from bamboocove.coordination.room_forecast import RoomForecast
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.sidecar.outbound_request import OutboundRequest
--- a/bamboocove/sidecar/outbound_responses.py
+++ b/bamboocove/sidecar/outbound_responses.py
@@ -6,7 +6,10 @@
 from attrs import define, field
 
 from bamboocove.coordination.byte_budget import ByteBudget
-from bamboocove.coordination.placement import HostView, compute_retry_after
+from bamboocove.coordination.placement import HostView
+from bamboocove.coordination.retry_after import (
+    compute_retry_after,
+)
 from bamboocove.coordination.retry_limits import CrashTable
 from bamboocove.errors import ERROR_RESPONSES, ErrorKind, ErrorResult
 from bamboocove.protocol.mesh_messages import Reply
--- a/tests/coordination/test_placement.py
+++ b/tests/coordination/test_placement.py
@@ -7,9 +7,11 @@
 from bamboocove.coordination.placement import (
     HostView,
     QueueReport,
-    compute_retry_after,
     pick_host,
 )
+from bamboocove.coordination.retry_after import (
+    compute_retry_after,
+)
 
 
 def make_view(host_id, zone="a", slots=12, **values):
--- a/tests/coordination/test_retry_after.py
+++ b/tests/coordination/test_retry_after.py
@@ -2,7 +2,9 @@
 
 import random
 
-from bamboocove.coordination.placement import compute_retry_after
+from bamboocove.coordination.retry_after import (
+    compute_retry_after,
+)
 
 # Day scale-1 of szabo-offcuts-grown, from 13.0 s on: all workers of a service turn
 # away 0.55 of their requests, and less than half of their slots are in use.
--- a/tests/coordination/test_room_forecast.py
+++ b/tests/coordination/test_room_forecast.py
@@ -5,12 +5,14 @@
 import pytest
 
 from bamboocove.coordination.byte_budget import ByteBudget
-from bamboocove.coordination.placement import MIN_RETRY_AFTER_S
 from bamboocove.coordination.request_bodies import (
     RESPONSE_ROOM_BYTES,
     count_missing,
     reserve_body,
 )
+from bamboocove.coordination.retry_after import (
+    MIN_RETRY_AFTER_S,
+)
 from bamboocove.coordination.room_forecast import JITTER, WINDOW_S, RoomForecast
 
 LIMIT = 10_000_000
--- a/tests/coordination/test_worker_queue.py
+++ b/tests/coordination/test_worker_queue.py
@@ -9,7 +9,9 @@
 
 import pytest
 
-from bamboocove.coordination.placement import compute_retry_after
+from bamboocove.coordination.retry_after import (
+    compute_retry_after,
+)
 from bamboocove.coordination.retry_limits import CallerWaitEstimator
 from bamboocove.coordination.worker_queue import (
     INTERNAL_PRIORITY,
