Add a command that explains where a request would go

Operators could see where a request went, but not where one would go now. The node serves /explain beside its metrics, and bamboocove where prints it: route, account, proof and quota, candidates with expected times, and the refusal that a caller would get.

--- a/bamboocove/cli.py
+++ b/bamboocove/cli.py
@@ -20,6 +20,7 @@
     MovesCommand,
     StatusCommand,
 )
+from bamboocove.cli_where import WhereCommand
 
 COMMANDS = (
     CheckCommand,
@@ -31,6 +32,7 @@
     CallCommand,
     EventsCommand,
     TraceCommand,
+    WhereCommand,
 )
 
 
--- a/bamboocove/coordination/accounts.py
+++ b/bamboocove/coordination/accounts.py
@@ -72,7 +72,11 @@
                 "the request has several keys" if keys else "the request has no key"
             )
             return ErrorResult(ErrorKind.UNAUTHENTICATED, reason)
-        account = self._accounts_by_digest.get(digest_key(keys[0]))
+        return self.find(digest_key(keys[0]))
+
+    def find(self, digest: str) -> ClientAccount | ErrorResult:
+        """Return the account that has a key with a digest, or ``UNAUTHENTICATED``."""
+        account = self._accounts_by_digest.get(digest)
         if account is None:
             return ErrorResult(ErrorKind.UNAUTHENTICATED, "no account has this key")
         return account
--- a/bamboocove/coordination/quota_stock.py
+++ b/bamboocove/coordination/quota_stock.py
@@ -124,6 +124,11 @@
         stock = self._stocks_by_account.get(name)
         return 0.0 if stock is None else max(0.0, stock.denied_until - now)
 
+    def count_tokens(self, name: str, now: float) -> int:
+        """Return the tokens of an account that may still be used."""
+        stock = self._stocks_by_account.get(name)
+        return 0 if stock is None else sum(at > now for at in stock.expiries)
+
     def plan(
         self, now: float, names: Iterable[str] | None = None
     ) -> dict[str, tuple[int, int]]:
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -30,7 +30,7 @@
 from bamboocove.sidecar.endpoints import (
     log_failed_handler,
     log_incomplete_close,
-    make_metrics_handler,
+    make_operations_handler,
     make_readiness_handler,
 )
 from bamboocove.sidecar.evacuation import EvacuationControl
@@ -50,6 +50,7 @@
 from bamboocove.sidecar.outbound import OutboundProxy
 from bamboocove.sidecar.quotas import QuotaTask
 from bamboocove.sidecar.reply_offers import ReplyOffers
+from bamboocove.sidecar.request_explanation import explain_request
 from bamboocove.sidecar.rules import RuleTable
 from bamboocove.sidecar.settings import HostSettings
 from bamboocove.sidecar.shutdown import drain
@@ -271,8 +272,12 @@
                 lambda: self.watch.has_read_hosts,
             )
             self._listen(settings.heartbeat_address, reports, MAX_REPORT_BYTES)
-            metrics = make_metrics_handler(self.dialect, self.metrics)
-            self._listen(metrics_address, metrics, 0)
+            operations = make_operations_handler(
+                self.dialect,
+                self.metrics,
+                lambda *request: explain_request(self, *request, self.clock.seconds()),
+            )
+            self._listen(metrics_address, operations, 0)
         except CannotListenError as error:
             return ErrorResult(ErrorKind.INVALID_SETTINGS, str(error))
         self.lifecycle.listen()
--- a/bamboocove/sidecar/candidates.py
+++ b/bamboocove/sidecar/candidates.py
@@ -43,16 +43,21 @@
         During a move, the first call for a request also decides whether it counts
         towards the traffic share of the new version.
         """
-        views = self.fleet.get_linked_views(request.service)
+        allowed = self.get_allowed(request.service)
         rule = self.rules.get(request.service)
-        if rule is None:
-            current = self.fleet.get_oldest_version(request.service)
-            return [view for view in views if view.version == current]
-        allowed = [view for view in views if rule.allows(view.version)]
-        if rule.state != "running":
+        if rule is None or rule.state != "running":
             return allowed
         return self._select_during_move(request, rule, allowed)
 
+    def get_allowed(self, service: str) -> list[HostView]:
+        """Return the hosts with a link whose version may run requests of a service."""
+        views = self.fleet.get_linked_views(service)
+        rule = self.rules.get(service)
+        if rule is None:
+            current = self.fleet.get_oldest_version(service)
+            return [view for view in views if view.version == current]
+        return [view for view in views if rule.allows(view.version)]
+
     def pick(
         self,
         request: OutboundRequest,
--- a/bamboocove/sidecar/endpoints.py
+++ b/bamboocove/sidecar/endpoints.py
@@ -1,6 +1,9 @@
-"""HTTP endpoints of a node: readiness and metrics."""
+"""HTTP endpoints of a node: readiness, and metrics and explanations for operators."""
 
+import json
 from collections.abc import Callable
+from typing import Any
+from urllib.parse import parse_qsl
 
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.logs import MAX_TEXT_LENGTH, log
@@ -10,6 +13,7 @@
 from bamboocove.transport.framing import get_header
 
 Handler = Callable[[Exchange], None]
+EXPLAIN_PATH = b"/explain"
 
 
 def log_incomplete_close(dialect: Dialect, port: int, close: IncompleteClose) -> None:
@@ -55,14 +59,32 @@
     return handle
 
 
-def make_metrics_handler(dialect: Dialect, metrics: MeshMetrics) -> Handler:
-    """Return the handler that serves the metrics in the Prometheus text format."""
+def make_operations_handler(
+    dialect: Dialect,
+    metrics: MeshMetrics,
+    explain: Callable[[str, str, str], dict[str, Any]],
+) -> Handler:
+    """Return the handler of operators' requests.
+
+    It serves the metrics in the Prometheus text format, and explanations of requests
+    as JSON; ``explain`` takes the host name, the path and the digest of the key.
+    """
 
     def handle(exchange: Exchange) -> None:
-        if exchange.target.partition(b"?")[0] != dialect.metrics_path:
+        path, _, query = exchange.target.partition(b"?")
+        if path == dialect.metrics_path:
+            headers = [(b"content-type", b"text/plain; version=0.0.4")]
+            exchange.respond(200, headers, metrics.format())
+        elif path == EXPLAIN_PATH:
+            fields = dict(parse_qsl(query.decode("latin-1")))
+            explanation = explain(
+                fields.get("hostname", ""),
+                fields.get("path", ""),
+                fields.get("key_digest", ""),
+            )
+            headers = [(b"content-type", b"application/json")]
+            exchange.respond(200, headers, json.dumps(explanation).encode())
+        else:
             exchange.respond(404, [])
-            return
-        headers = [(b"content-type", b"text/plain; version=0.0.4")]
-        exchange.respond(200, headers, metrics.format())
 
     return handle
--- a/bamboocove/sidecar/key_proofs.py
+++ b/bamboocove/sidecar/key_proofs.py
@@ -80,11 +80,15 @@
         """
         if request.account is None or not self.is_active:
             return None
-        if self.get_age() > self._get_limit():
+        if self.is_stale():
             reason = "the node does not know whether keys were withdrawn of late"
             return ErrorResult(ErrorKind.STALE_KEYS, reason)
         return self.application.outbound.router.confirm_account(request)
 
+    def is_stale(self) -> bool:
+        """Return whether requests with a key are refused for lack of a recent proof."""
+        return self.is_active and self.get_age() > self._get_limit()
+
     def _get_limit(self) -> float:
         return get_max_age(self.application.settings.bounds.revocation_s)
 
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -7,6 +7,7 @@
 from bamboocove.coordination.byte_budget import ByteBudget
 from bamboocove.coordination.hand_back import HANDED_BACK
 from bamboocove.coordination.placement import (
+    HostView,
     QueueReport,
     estimate_wait,
 )
@@ -16,7 +17,7 @@
     may_retry,
 )
 from bamboocove.coordination.worker_queue import INTERNAL_PRIORITY
-from bamboocove.coordination.zone_traffic import ZoneTraffic
+from bamboocove.coordination.zone_traffic import RouteTraffic, ZoneTraffic
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.protocol.mesh_messages import (
     ANSWERED,
@@ -170,6 +171,14 @@
         """Number of requests that have no response yet."""
         return len(self._requests)
 
+    def get_views(self, service: str) -> list[HostView]:
+        """Return the hosts whose workers may run requests for a service."""
+        return self._candidates.get_allowed(service)
+
+    def get_traffic(self, service: str, route: str) -> RouteTraffic:
+        """Return the traffic between zones of a route to a service."""
+        return self._traffic.get(service, route)
+
     def take(self, exchange: Exchange) -> None:
         """Handle a request of a caller."""
         request = self.router.accept(exchange, self._clock.seconds())
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -253,7 +253,7 @@
         headers = exchange.headers
         host = get_header(headers, b"host") or b""
         path = exchange.target.partition(b"?")[0].decode("latin-1")
-        route = find_route(self._table, host.decode("latin-1"), path)
+        route = self.find_route(host.decode("latin-1"), path)
         if route is None:
             return ErrorResult(ErrorKind.NO_ROUTE, f"no route for {host!r} {path}")
         caller_timeout_s = route.timeout_s
@@ -288,6 +288,18 @@
             account,
         )
 
+    def find_route(self, hostname: str, path: str) -> HostRoute | None:
+        """Return the route of a request, or None."""
+        return find_route(self._table, hostname, path)
+
+    def authenticate_digest(
+        self, route: HostRoute, key_digest: str
+    ) -> ClientAccount | None | ErrorResult:
+        """Return the account of a request whose key has a digest, empty for no key."""
+        if not key_digest or route.is_anonymous or not self.config.accounts_by_name:
+            return self._accounts.authenticate(route.is_anonymous, [])
+        return self._accounts.find(key_digest)
+
     def may_take(
         self, route: HostRoute, now: float, deadline: float, is_internal: bool
     ) -> bool:
--- a/bamboocove/sidecar/quotas.py
+++ b/bamboocove/sidecar/quotas.py
@@ -125,6 +125,14 @@
         """Whether this node grants the tokens of its zone."""
         return self._is_active and self._may_grant(self._read_time())
 
+    def count_tokens(self, account: str) -> int:
+        """Return the tokens of an account that this node holds."""
+        return self._client.stock.count_tokens(account, self._read_time())
+
+    def get_denial(self, account: str) -> float:
+        """Return for how long this node refuses an account, in seconds."""
+        return self._client.stock.get_denial(account, self._read_time())
+
     def use_config(self, config: MeshConfig) -> None:
         """Apply the limits of a configuration."""
         accounts_by_name = config.accounts_by_name
