Answer 502 if a worker denies without proof that a payment has run

Callers saw a 503 for a payment that had run: a worker that fails part of its requests answers a signed 503 without X-Not-Executed. The status promises "not run", so a client may send the payment again, and it is made twice.

Cause: the status of an answer that bears no mark was passed on whatever it means. The log has one request.answered with 503 and no refusal of the worker or the node.

Responder.deliver, through which all answers of workers pass, now answers 502 without the worker's signature if the route is not idempotent and the status is 408, 421, 429 or 503. Answers with the mark are refusals as before, those of idempotent requests are unchanged.

--- a/bamboocove/sidecar/outbound_responses.py
+++ b/bamboocove/sidecar/outbound_responses.py
@@ -25,6 +25,9 @@
 UNAVAILABLE_RETRY_AFTER_S = 0.3
 UNAVAILABLE_KINDS = (ErrorKind.NOT_READY, ErrorKind.DRAINING, ErrorKind.STALE_KEYS)
 FIRST_SERVER_ERROR = 500
+# Status codes that tell callers that a request has not run, so that they may send it
+# again even if it is not idempotent.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 @define(eq=False, slots=False)
@@ -181,7 +184,16 @@
         request.fallback_reply = reply
 
     def deliver(self, request: OutboundRequest, reply: Reply, now: float) -> None:
-        """Respond with the response of a worker."""
+        """Respond with the response of a worker.
+
+        A worker that has not run a request says so, and its response does not come
+        here. So a status that denies it is not passed on for a request that must not
+        run twice.
+        """
+        if reply.status in NOT_RUN_STATUSES and not request.route.is_idempotent:
+            reason = f"the worker answered {reply.status} and may have run the request"
+            self.fail(request, ErrorKind.UPSTREAM_LOST, reason)
+            return
         seconds = now - request.started_at
         self.metrics.record_response(request.route.name, reply.status, seconds)
         if request.fingerprint and reply.status < FIRST_SERVER_ERROR:
