Keep the worker of a host when a report of another writer disagrees

Callers got 503 from a whole host, for good, after one heartbeat that names a service which the configuration does not know: it replaced the worker, and all later heartbeats of the real one were acknowledged and passed over.

Cause: of two starts of a worker the later "born" counted, whoever named it, and nothing outweighed it. The log has worker.state of the odd identifier and then worker.old-report for each heartbeat of the real worker. A known service with a later start, a later start or a higher sequence under the worker's own identifier, and a clock that was set back had the same effect.

A report of an unknown service no longer replaces a worker of a known one and gives way to it. Where reports disagree, the worker that answers the health check counts, or the one whose reports go on while the other has been silent. Nothing takes back that a worker leaves.

--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -220,6 +220,13 @@
         "process",
         "if requests reach a worker that has signed off, look here for its identifier",
     ),
+    MeshEvent(
+        882,
+        "worker.recovered",
+        "a worker whose reports looked outdated runs on this host and took the place "
+        "of the held one",
+        "if it repeats, look for another writer of reports, or a clock that jumps",
+    ),
     MeshEvent(
         921,
         "evacuation.changed",
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -172,11 +172,15 @@
         """The worker as the record of this host shows it."""
         return self.cold.describe(self.watch.worker)
 
-    def use_service(self, service: MeshService | None, bounds: Bounds) -> None:
-        """Apply the configuration of the worker's service."""
-        if service is not None:
-            self.watch.health_path = service.health_path
-        self.cold.configure(service, bounds)
+    def use_services(
+        self,
+        services_by_name: Mapping[str, MeshService],
+        own_service: str,
+        bounds: Bounds,
+    ) -> None:
+        """Apply the configuration; ``own_service`` is that of the host's settings."""
+        self.watch.use_services(services_by_name, own_service)
+        self.cold.configure(services_by_name.get(own_service), bounds)
 
     def update_worker(self, worker: MeshWorker) -> ReportResult:
         """Apply a report of the worker unless it is outdated."""
--- a/bamboocove/sidecar/operator_data.py
+++ b/bamboocove/sidecar/operator_data.py
@@ -83,8 +83,10 @@
         for server in application.servers:
             # Callers reuse connections for as long as the configuration says.
             server.idle_timeout_s = max(IDLE_TIMEOUT_S, config.idle_timeout_s)
-        service = config.services_by_name.get(application.settings.service)
-        application.inbound.use_service(service, application.settings.bounds)
+        settings = application.settings
+        application.inbound.use_services(
+            config.services_by_name, settings.service, settings.bounds
+        )
 
     def apply_hosts(self, records: list[HostRecord]) -> None:
         """Merge host records of the store; a reader passes on those that are new."""
--- a/bamboocove/sidecar/worker_reports.py
+++ b/bamboocove/sidecar/worker_reports.py
@@ -41,7 +41,8 @@
     A report takes effect before it is acknowledged, so that a draining worker
     receives no new requests after the acknowledgement. That it leaves is acknowledged
     only once the next process on this host would know it, too; status 503 says that
-    this was not so in time.
+    this was not so in time. A ready worker that the acknowledged report names may get
+    no request, if another one is held or the configuration does not name its service.
 
     Parameters
     ----------
@@ -109,6 +110,11 @@
         held = inbound.worker
         result = inbound.update_worker(worker)
         log_line = partial(log_report, worker_id, worker.state, held, result, worker)
+        if result is ReportResult.UNKNOWN_SERVICE and held.worker_id == worker_id:
+            # The held worker runs another service, so this says nothing of it.
+            exchange.respond(400, [], b"the worker runs another service")
+            log_line(False)
+            return
         if worker.state in LEAVING_STATES:
             answer_when_kept(exchange, log_line)
             return
--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -8,11 +8,12 @@
 
 from bamboocove.coordination.departures import LEAVING_STATES, DepartedStarts
 from bamboocove.coordination.machine_load import MachineLoad
+from bamboocove.coordination.report_conflicts import ReportConflicts
 from bamboocove.errors import ErrorResult
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.logs import log
 from bamboocove.sidecar.settings import Address
-from bamboocove.state.mesh import MeshWorker
+from bamboocove.state.mesh import MeshService, MeshWorker
 from bamboocove.transport.clients import ConnectionPool
 from bamboocove.transport.fetching import Fetch, format_request
 from bamboocove.transport.framing import Headers, get_header
@@ -39,6 +40,10 @@
     EARLIER_START = "earlier start"
     # This start of the worker has said before that it leaves.
     DEPARTED = "departed"
+    # The configuration does not name its service, and that of the held worker it does.
+    UNKNOWN_SERVICE = "unknown service"
+    # The worker has answered a health check with another identifier.
+    REFUTED = "refuted"
 
 
 @define(eq=False)
@@ -74,6 +79,8 @@
         How slow its machine is at this moment.
     health_path : str
         Path of the worker's health check; without one it is not probed.
+    services_by_name : mapping of str to MeshService
+        All services; empty until there is a configuration.
     departed : DepartedStarts
         Starts of workers on this host that are over.
     is_confirmed : bool
@@ -94,6 +101,7 @@
     worker: MeshWorker | None = None
     machine_load: MachineLoad = field(factory=MachineLoad)
     health_path: str = ""
+    services_by_name: Mapping[str, MeshService] = field(factory=dict)
     departed: DepartedStarts = field(factory=DepartedStarts)
     is_confirmed: bool = False
     _unconfirmed: MeshWorker | None = None
@@ -101,6 +109,28 @@
     _is_probing: bool = False
     _published_limit_per_s: float = 0.0
     _limit_published_at: float = float("-inf")
+    _conflicts: ReportConflicts = field(factory=ReportConflicts)
+    # Latest ready report of another worker that was not applied.
+    _rival: MeshWorker | None = None
+    _rival_probe_at: float = 0.0
+
+    def use_services(
+        self, services_by_name: Mapping[str, MeshService], own_service: str
+    ) -> None:
+        """Apply the services of a configuration.
+
+        ``own_service`` is the one that the settings of this host name.
+        """
+        self.services_by_name = services_by_name
+        service = own_service if self.worker is None else self.worker.service
+        self._use_health_path(service if self._is_named(service) else own_service)
+
+    def _use_health_path(self, service: str) -> None:
+        if service in self.services_by_name:
+            self.health_path = self.services_by_name[service].health_path
+
+    def _is_named(self, service: str) -> bool:
+        return not self.services_by_name or service in self.services_by_name
 
     def update(self, worker: MeshWorker) -> ReportResult:
         """Apply a report of the worker unless it is outdated."""
@@ -110,9 +140,36 @@
         if held is not None:
             result = self._compare(held, worker)
             if result is not ReportResult.APPLIED:
-                if worker.state in LEAVING_STATES:
-                    self._keep_leaving(held, worker)
-                return result
+                return self._pass_over(held, worker, result)
+        self._apply(held, worker)
+        return ReportResult.APPLIED
+
+    def _pass_over(
+        self, held: MeshWorker, worker: MeshWorker, result: ReportResult
+    ) -> ReportResult:
+        """Handle a report that looks outdated; return what was done with it."""
+        now = self.clock.seconds()
+        is_same = worker.worker_id == held.worker_id
+        if result is ReportResult.UNKNOWN_SERVICE:
+            if worker.state in LEAVING_STATES and not is_same:
+                self._keep_leaving(held, worker)
+        elif self._conflicts.pass_over(held, worker, now):
+            log("worker.recovered", worker=worker.worker_id, held=held.worker_id)
+            self._probe_at = now
+            self._apply(held, evolve(worker, state="down"))
+            return ReportResult.APPLIED
+        elif worker.state in LEAVING_STATES:
+            self._keep_leaving(held, worker)
+        elif not is_same:
+            self._probe_rival(worker, now)
+        return result
+
+    def _apply(self, held: MeshWorker | None, worker: MeshWorker) -> None:
+        self._conflicts.accept(self.clock.seconds())
+        self._rival = None
+        if held is None or held.service != worker.service:
+            self._use_health_path(worker.service)
+        if held is not None:
             if held.incarnation != worker.incarnation:
                 if held.state in LEAVING_STATES:
                     self.departed.add(*held.incarnation)
@@ -132,7 +189,6 @@
             or _get_published_state(held) != _get_published_state(worker)
         ):
             self._publish_state()
-        return ReportResult.APPLIED
 
     def _must_probe(self, held: MeshWorker | None, worker: MeshWorker) -> bool:
         if worker.state != "ready" or self.is_confirmed:
@@ -148,9 +204,16 @@
         self._unconfirmed = None
 
     def _compare(self, held: MeshWorker, worker: MeshWorker) -> ReportResult:
+        is_named = self._is_named(worker.service)
+        if is_named != self._is_named(held.service):
+            # A report of another writer, whatever start it names, if it is not that of
+            # a worker whose service the configuration will name.
+            return ReportResult.APPLIED if is_named else ReportResult.UNKNOWN_SERVICE
         if held.incarnation == worker.incarnation:
             is_newer = worker.sequence > held.sequence and held.state != "gone"
             return ReportResult.APPLIED if is_newer else ReportResult.OUTDATED
+        if self._conflicts.is_refuted(worker.worker_id):
+            return ReportResult.REFUTED
         if worker.born_ms < held.born_ms:
             log("worker.old-report", worker=worker.worker_id, held=held.worker_id)
             return ReportResult.EARLIER_START
@@ -204,6 +267,8 @@
         if self.departed.covers(worker):
             worker = evolve(worker, state="gone")
         if held is None:
+            self._conflicts.accept(self.clock.seconds())
+            self._use_health_path(worker.service)
             state = worker.state if worker.state in LEAVING_STATES else "down"
             # A limit of a cold worker is none that it has named.
             limit_per_s = 0.0 if worker.cold_per_s else worker.limit_per_s
@@ -311,9 +376,23 @@
     def _probe(self) -> None:
         if not self.health_path:
             return
+        self._start_probe(self.health_path)
+
+    def _probe_rival(self, worker: MeshWorker, now: float) -> None:
+        """Ask the worker at the address whether it is the one of a passed-over report.
+
+        At most once in ``PROBE_INTERVAL_S``.
+        """
+        self._rival = worker
+        service = self.services_by_name.get(worker.service)
+        path = self.health_path if service is None else service.health_path
+        if path and now >= self._rival_probe_at and not self._is_probing:
+            self._rival_probe_at = now + PROBE_INTERVAL_S
+            self._start_probe(path)
+
+    def _start_probe(self, path: str) -> None:
         self._is_probing = True
-        path = self.health_path.encode()
-        data = format_request(b"GET", path, self.address, [], b"")
+        data = format_request(b"GET", path.encode(), self.address, [], b"")
         fetch = Fetch(self.pool, self.address, data, max_bytes=MAX_PROBE_RESPONSE_BYTES)
         fetch.start(PROBE_TIMEOUT_S).addCallback(self._on_probe_result, self.worker)
 
@@ -322,6 +401,8 @@
         if isinstance(result, ErrorResult) or self.worker is not worker:
             return
         answering_id = get_header(result.headers, self.dialect.answering_worker_id)
+        if answering_id is not None:
+            self._settle_conflict(answering_id.decode("latin-1"))
         if result.status != 200 or answering_id != worker.worker_id.encode():
             return
         # Health checks of some workers may lack the limit, so its absence ends none.
@@ -338,6 +419,17 @@
                 self.on_cold(cold_s)
             self.set_state("ready")
 
+    def _settle_conflict(self, answering_id: str) -> None:
+        """Apply the passed-over report of the worker that answers at the address."""
+        held, rival, self._rival = self.worker, self._rival, None
+        self._conflicts.confirm(answering_id)
+        if held.worker_id == answering_id:
+            return
+        self._conflicts.refute(held.worker_id)
+        if rival is not None and rival.worker_id == answering_id:
+            log("worker.recovered", worker=answering_id, held=held.worker_id)
+            self._apply(held, rival)
+
 
 def _get_published_state(worker: MeshWorker) -> tuple:
     return (*worker.incarnation, worker.state, worker.version, worker.slots)
