Watch a worker that has lost an answer until it is known whether it crashed

A request that crashes each worker that runs it was passed on again and again: its crashes were taken for lost answers, of which nobody is told.

Cause: one new connection right after the answer was lost told the two apart. A process that dies closes its connections and its port in any order, and the port accepts connections until it is closed.

Such a request is now watched. It is suspected of a crash if the port refuses a connection within a second, or if another start of the worker reports itself within five and the worker had not announced that it leaves. Its caller is answered at once as before. A connection that timed out is no sign of a crash.

--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -227,6 +227,13 @@
         "of the held one",
         "if it repeats, look for another writer of reports, or a clock that jumps",
     ),
+    MeshEvent(
+        883,
+        "request.suspect",
+        "a request whose answer was lost is suspected of a crash of the worker, which "
+        "has become unreachable or started anew since",
+        "if it repeats with one path, find out what the worker does with it",
+    ),
     MeshEvent(
         921,
         "evacuation.changed",
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -210,6 +210,7 @@
         return get_share_key(name.decode(), self._accounts_by_name)
 
     def _on_worker_replaced(self) -> None:
+        self._responses.on_worker_replaced(self.worker)
         self.refuse_waiting("worker was replaced")
         self._pool.close()
         self._failure_average = 0.0
@@ -263,6 +264,7 @@
             self.handed_back += 1
             self._end(entry.payload, REFUSED, reason=HANDED_BACK)
         self.cold.tick()
+        self._responses.tick(now)
         self.watch.tick(now)
 
     def submit(
@@ -412,7 +414,7 @@
 
     def _on_unreachable(self, request: InboundRequest, reason: str) -> None:
         self._end(request, REFUSED, reason="worker is unreachable")
-        self.watch.mark_down(reason)
+        self._responses.on_unreachable(reason)
 
     def cancel(self, request: InboundRequest) -> None:
         """Cancel a request whose caller has disconnected.
--- a/bamboocove/sidecar/worker_responses.py
+++ b/bamboocove/sidecar/worker_responses.py
@@ -7,6 +7,8 @@
 
 from bamboocove.coordination.body_queue import PIECE_BYTES, BodyQueue
 from bamboocove.coordination.byte_budget import ByteBudget
+from bamboocove.coordination.departures import LEAVING_STATES
+from bamboocove.coordination.lost_answers import LostAnswers
 from bamboocove.protocol.mesh_messages import (
     ANSWERED,
     CRASHED,
@@ -21,7 +23,9 @@
 from bamboocove.sidecar.logs import log
 from bamboocove.sidecar.settings import Address
 from bamboocove.sidecar.worker_watch import WorkerWatch
+from bamboocove.state.mesh import MeshWorker
 from bamboocove.transport.clients import ClientConnection, ConnectionPool
+from bamboocove.transport.connecting import TIMEOUT_REASON
 from bamboocove.transport.framing import get_header
 
 # A worker is marked down after this many consecutive time-outs, if it has also
@@ -65,6 +69,7 @@
     crash_reports: CrashReports
     budget: ByteBudget
     end: Callable[..., None]
+    _lost_answers: LostAnswers = field(factory=LostAnswers)
     _bodies: BodyQueue = field(init=False)
     _consecutive_timeouts: int = 0
     _last_response_at: float = 0.0
@@ -139,8 +144,8 @@
     def on_response_lost(self, request: InboundRequest, reason: str) -> None:
         """Handle a request whose response was lost.
 
-        A new connection attempt tells whether the worker crashed or only the
-        response was lost. Only a crash makes the request a suspected cause.
+        Only a crash of the worker makes the request a suspected cause. If a new
+        connection is refused, the worker has crashed; else it is watched for a while.
         """
         self._bodies.remove(request)
         if request.is_ended:
@@ -153,23 +158,67 @@
         self.pool.connect(
             self.address,
             lambda connection: self._on_reconnected(request, connection, reason),
-            lambda failure: self._on_worker_crashed(request, failure),
+            lambda failure: self._on_not_reconnected(request, failure),
         )
 
     def _on_reconnected(
         self, request: InboundRequest, connection: ClientConnection, reason: str
     ) -> None:
         self.pool.put(self.address, connection)
+        self._watch_lost(request)
         self.end(request, LOST, is_failure=True, reason=reason)
 
-    def _on_worker_crashed(self, request: InboundRequest, reason: str) -> None:
-        if request.is_ended:
-            return
-        is_suspect = self.crash_reports.record_crash(request.forward)
-        outcome = CRASHED if is_suspect else LOST
+    def _watch_lost(self, request: InboundRequest) -> None:
+        worker = self.watch.worker
+        if worker is not None and worker.incarnation == request.worker.incarnation:
+            now = self.clock.seconds()
+            self._lost_answers.add(request.forward, worker.sequence, now)
+
+    def _on_not_reconnected(self, request: InboundRequest, reason: str) -> None:
+        outcome = LOST
+        if reason == TIMEOUT_REASON:
+            self._watch_lost(request)
+        elif self.crash_reports.record_crash(request.forward):
+            outcome = CRASHED
         self.end(request, outcome, is_failure=True, reason=reason)
+        self.on_unreachable(reason)
+
+    def on_unreachable(self, reason: str) -> None:
+        """Mark the worker down, which may have crashed because of lost requests."""
+        # A worker that has many connections waiting is none that has crashed.
+        if reason != TIMEOUT_REASON:
+            self._report_lost(reason)
         self.watch.mark_down(reason)
 
+    def on_worker_replaced(self, held: MeshWorker) -> None:
+        """Report the requests with which the held worker ended without notice."""
+        if held.state in LEAVING_STATES:
+            self._lost_answers.take()
+        else:
+            self._report_lost("another start of the worker has reported itself")
+
+    def _report_lost(self, reason: str) -> None:
+        for forward in self._lost_answers.take():
+            if self.crash_reports.record_crash(forward):
+                log(
+                    "request.suspect",
+                    id=get_header(forward.headers, self.dialect.attempt_id),
+                    reason=reason,
+                )
+
+    def tick(self, now: float) -> None:
+        """Check whether a worker that has lost answers still accepts connections."""
+        worker = self.watch.worker
+        if worker is None:
+            return
+        self._lost_answers.settle(worker.sequence, now)
+        if self._lost_answers.start_check(now):
+            self.pool.connect(
+                self.address,
+                lambda connection: connection.abort(),
+                self.on_unreachable,
+            )
+
     def on_deadline(self, request: InboundRequest) -> None:
         """End a request that has no response at its deadline."""
         request.timer = None
--- a/tests/sidecar/test_crash_reports.py
+++ b/tests/sidecar/test_crash_reports.py
@@ -3,6 +3,7 @@
 import pytest
 from twisted.internet import reactor
 
+from bamboocove.coordination import lost_answers
 from bamboocove.coordination.retry_limits import CRASHES_TO_BLOCK, CrashTable
 from bamboocove.protocol.mesh_messages import CrashNotice, Forward
 from bamboocove.sidecar.crash_reports import CrashReports
@@ -101,3 +102,68 @@
     assert crashes.record("x", "h1", 0.0) == crashes.record("x", "h1", 0.3) == 1
     assert not crashes.is_blocked("x", 0.4)
     assert crashes.record("x", "h2", 0.4) == 2
+
+
+def crash_later(host, delay_s):
+    """Let a worker reset a request, and close its port only after a delay."""
+
+    def handle(exchange):
+        host.request_handler = None
+        exchange.abort()
+        reactor.callLater(delay_s, host.worker.close)
+
+    host.request_handler = handle
+
+
+def get_crashes(caller):
+    suspects = caller.node.outbound.crashes._suspects_by_fingerprint.values()
+    return sum(suspect.crashes for suspect in suspects)
+
+
+@pytest.mark.parametrize("delay_s", [0.01, 0.3, 0.8])
+def test_crash_is_seen_if_the_port_closes_after_the_connection(mesh, delay_s):
+    """Guards against a crash that is taken for a lost answer because of the order."""
+    (caller,), targets = make_hosts(mesh, 1, 3)
+    for host in targets:
+        crash_later(host, delay_s)
+    for number in range(1, CRASHES_TO_BLOCK + 1):
+        status = caller.call("/pay/1", "POST", attempt=f"a{number}")[0]
+        assert status in (502, 503)
+        run_reactor_until(lambda: get_crashes(caller) >= number)
+    caller.call("/pay/1", "POST", attempt="a9")
+    assert sum(len(host.requests) for host in targets) == CRASHES_TO_BLOCK
+
+
+def test_crash_is_seen_if_the_worker_is_back_before_the_port_is_checked(mesh):
+    """Guards against a crash that nobody sees since the worker starts again at once."""
+    (caller,), (target,) = make_hosts(mesh, 1, 1)
+    target.request_handler = lambda exchange: exchange.abort()
+    assert caller.call("/pay/1", "POST")[0] == 502
+    target.worker_id, target.sequence = "i-again", 0
+    target.born_ms += 500
+    assert target.report() == 200
+    run_reactor_until(lambda: get_crashes(caller) == 1)
+
+
+@pytest.mark.parametrize("ending", ["lives on", "leaves"])
+def test_worker_that_only_lost_answers_is_not_blamed(mesh, ending, monkeypatch):
+    """Guards against requests that are blocked because their answers were lost."""
+    monkeypatch.setattr(lost_answers, "CHECKED_S", 0.3)
+    (caller,), targets = make_hosts(mesh, 1, 2)
+    for host in targets:
+        host.request_handler = lambda exchange: exchange.abort()
+    for number in range(4):
+        assert caller.call("/pay/1", "POST", attempt=f"a{number}")[0] == 502
+    ends_at = reactor.seconds() + 0.6
+    run_reactor_until(lambda: reactor.seconds() >= ends_at)
+    for host in targets:
+        host.report("draining" if ending == "leaves" else "ready")
+    ends_at = reactor.seconds() + 0.3
+    run_reactor_until(lambda: reactor.seconds() >= ends_at)
+    for host in targets:
+        host.worker_id, host.sequence, host.request_handler = "i-new", 0, None
+        host.born_ms += 9000
+        assert host.report() == 200
+    assert get_crashes(caller) == 0
+    mesh.settle()
+    assert caller.call("/pay/1", "POST", attempt="a9")[0] == 200
