Judge a version by its client errors beyond those of the caller's requests

A new version that answered half of its requests with 404 got all traffic and succeeded: callers saw half of their requests fail for good.

Cause: an answer was a failure of a version from status 500 on, in the comparison of versions and in the sequential test, since a client error may be the fault of the caller.

The node of a caller now tells with a request how often other versions have answered its own requests of that route with a status from 300 to 499. The node beside the worker counts what goes beyond twice that as failures of its version. Load and health of a worker are judged as before.

--- a/bamboocove/coordination/version_comparison.py
+++ b/bamboocove/coordination/version_comparison.py
@@ -41,7 +41,7 @@
 OLD_CALLS_MIN = 20
 # Status codes of failures that tell little of the version: a worker that is overloaded,
 # and one that reaches the deadline of a request, as each one on a slow host does.
-FIRST_SERVER_ERROR = 500
+FIRST_FAILURE_STATUS = 300
 LOAD_ERROR_STATUSES = (503, 504)
 # Upper bounds of the latency buckets, each 1.5 times the one before.
 BUCKET_BOUNDS_S = tuple(0.004 * 1.5**index for index in range(18))
@@ -68,7 +68,7 @@
     outliers : int
         Successful requests that took far longer than most of those before them.
     errors : int, optional
-        Requests that a worker answered with a server error other than 503 and 504.
+        Failed requests that a worker answered with a status other than 503 and 504.
         Failed requests without an answer are not among them. None if unknown, since a
         host of an earlier release does not count them.
     """
@@ -88,7 +88,7 @@
         self.calls += 1
         if is_failure:
             self.failed += 1
-            is_error = status >= FIRST_SERVER_ERROR
+            is_error = status >= FIRST_FAILURE_STATUS
             self.errors += is_error and status not in LOAD_ERROR_STATUSES
             return
         self.total_s += seconds
--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -194,6 +194,11 @@
 # back again. It never reaches a worker. It is no message field, since nodes of an
 # earlier release would drop the message.
 PLACED_AGAIN_FIELD = b"bamboocove-placed-again"
+# Header field of a ``Forward`` with the rate of client errors that the caller's node
+# expects, from 0 to 1.
+EXPECTED_ERRORS_FIELD = b"bamboocove-expected-errors"
+# Header fields that nodes add for each other, and that reach no worker.
+INTERNAL_FIELDS = (PLACED_AGAIN_FIELD, EXPECTED_ERRORS_FIELD)
 
 # The worker responded.
 ANSWERED = 0
--- a/bamboocove/sidecar/attempts.py
+++ b/bamboocove/sidecar/attempts.py
@@ -7,9 +7,11 @@
 from bamboocove.coordination.body_grants import MIN_OFFERED_BYTES
 from bamboocove.coordination.body_queue import BodyQueue
 from bamboocove.coordination.byte_budget import ByteBudget
+from bamboocove.coordination.client_errors import ClientErrorRates, format_rate
 from bamboocove.coordination.placement import HostView
 from bamboocove.protocol.mesh_messages import (
     ANSWERED,
+    EXPECTED_ERRORS_FIELD,
     LOST,
     BodyGrant,
     BodyOffer,
@@ -102,6 +104,8 @@
         Called with each reply of the worker on this host.
     budget : ByteBudget
         Bodies that this node holds.
+    client_errors : ClientErrorRates
+        Client errors that callers of this host get.
     """
 
     get_settings: Callable[[], HostSettings]
@@ -110,6 +114,7 @@
     hub: LinkHub
     on_reply: Callable[[Reply], None]
     budget: ByteBudget
+    client_errors: ClientErrorRates = field(factory=ClientErrorRates)
     _attempts_by_stream: dict[int, Attempt] = field(factory=dict)
     _next_stream: int = 1
     _replies: BodyQueue = field(init=False)
@@ -155,6 +160,12 @@
     def _make_forward(self, attempt: Attempt, now: float) -> Forward:
         request = attempt.request
         exchange = request.exchange
+        headers = request.headers
+        rate = self.client_errors.get_expected(
+            request.route.name, request.service, attempt.view.version
+        )
+        if rate:
+            headers = [*headers, [EXPECTED_ERRORS_FIELD, format_rate(rate)]]
         return Forward(
             attempt.stream,
             request.route.name,
@@ -167,7 +178,7 @@
             self.get_settings().service,
             exchange.method,
             exchange.target,
-            request.headers,
+            headers,
             request.body,
         )
 
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from bamboocove.coordination.byte_budget import ByteBudget
+from bamboocove.coordination.client_errors import ExpectedClientErrors, parse_rate
 from bamboocove.coordination.drain_window import NOT_DRAINING, SlowestResponses
 from bamboocove.coordination.fair_shares import SHARED, get_share_key, make_shares
 from bamboocove.coordination.hand_back import HANDED_BACK
@@ -16,6 +17,7 @@
 from bamboocove.coordination.worker_queue import QueuedRequest, WorkerQueue
 from bamboocove.protocol.mesh_messages import (
     ANSWERED,
+    EXPECTED_ERRORS_FIELD,
     LOST,
     REFUSED,
     SHED,
@@ -154,6 +156,7 @@
         )
         self._running_ids = self._sender.running_ids
         self.tallies_by_route: dict[str, Tally] = {}
+        self._expected_errors = ExpectedClientErrors()
         self.is_draining = False
         self._is_evacuated = False
         self.handed_back = 0
@@ -215,6 +218,7 @@
         self._pool.close()
         self._failure_average = 0.0
         self.tallies_by_route = {}
+        self._expected_errors = ExpectedClientErrors()
         self.watch.machine_load = MachineLoad()
         self.queue = WorkerQueue(
             1,
@@ -465,7 +469,13 @@
     ) -> None:
         self._failure_average = update_average(self._failure_average, is_failure)
         if outcome != SHED:
-            tally = self.tallies_by_route.setdefault(request.forward.route, Tally())
+            forward = request.forward
+            if outcome == ANSWERED and not is_failure:
+                expected = get_header(forward.headers, EXPECTED_ERRORS_FIELD)
+                is_failure = self._expected_errors.is_failure(
+                    forward.route, parse_rate(expected), request.status
+                )
+            tally = self.tallies_by_route.setdefault(forward.route, Tally())
             tally.record(is_failure, seconds, request.status)
 
     def make_load(self) -> list[int]:
--- a/bamboocove/sidecar/inbound_request.py
+++ b/bamboocove/sidecar/inbound_request.py
@@ -10,6 +10,7 @@
 from bamboocove.coordination.worker_queue import QueuedRequest
 from bamboocove.protocol.mesh_messages import (
     ANSWERED,
+    INTERNAL_FIELDS,
     LOST,
     PLACED_AGAIN_FIELD,
     BodyOffer,
@@ -223,7 +224,7 @@
     """Return the HTTP request for the worker as bytes, including the body."""
     forward = request.forward
     left_ms = max(1, int((request.deadline - now) * 1000))
-    fields = [item for item in forward.headers if item[0] != PLACED_AGAIN_FIELD]
+    fields = [item for item in forward.headers if item[0] not in INTERNAL_FIELDS]
     length = b""
     if forward.body or forward.method in (b"POST", b"PUT", b"PATCH"):
         length = b"content-length: %d\r\n" % len(forward.body)
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -354,6 +354,9 @@
         if reply.outcome == ANSWERED:
             service_s = reply.service_ms / 1000
             attempt.view.record_service_time(request.route.name, service_s)
+            self._attempts.client_errors.record(
+                request.route.name, request.service, attempt.view.version, reply.status
+            )
         self._traffic.get(request.service, request.route.name).record_reply(
             len(reply.body) + (0 if attempt.is_offered else len(request.body)),
             attempt.view.zone != self.settings.zone,
--- a/bamboocove/sidecar/outbound_request.py
+++ b/bamboocove/sidecar/outbound_request.py
@@ -19,7 +19,7 @@
 )
 from bamboocove.coordination.worker_queue import INTERNAL_PRIORITY
 from bamboocove.errors import ErrorKind, ErrorResult
-from bamboocove.protocol.mesh_messages import PLACED_AGAIN_FIELD, Reply
+from bamboocove.protocol.mesh_messages import INTERNAL_FIELDS, Reply
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.logs import log
 from bamboocove.state.mesh import ClientAccount, HostRoute, MeshConfig
@@ -204,7 +204,7 @@
             dialect.caller_service,
             dialect.key,
             dialect.account,
-            PLACED_AGAIN_FIELD,
+            *INTERNAL_FIELDS,
         )
         self._table: PrefixTable = {}
         self._accounts = AccountTable()
--- /dev/null
+++ b/tests/sidecar/test_client_error_rollback.py
@@ -0,0 +1,88 @@
+"""Moves to versions that answer requests with client errors."""
+
+import pytest
+
+from tests.callpath import run_reactor_until
+from tests.sidecar.hosts import HostMesh
+
+
+@pytest.fixture
+def mesh():
+    mesh = HostMesh()
+    yield mesh
+    mesh.close()
+
+
+def answer_half(host, status, is_wanted=lambda exchange: True):
+    """Let a worker answer each second of some requests with a status."""
+    count = 0
+
+    def handle(exchange):
+        nonlocal count
+        count += is_wanted(exchange)
+        is_error = is_wanted(exchange) and count % 2
+        host.respond(exchange, status if is_error else 200)
+
+    host.request_handler = handle
+
+
+def run_move(mesh, callers, duration_s=3.0):
+    """Order a move and send requests until it has ended; return its state."""
+    for caller in callers:
+        for path in ("/read/1", "/read/odd") * 20:
+            caller.call(path)
+    mesh.store.put_order("orders", "v2", duration_s)
+    nodes = [caller.node for caller in callers]
+    run_reactor_until(
+        lambda: all("orders" in node.rule_table.rules_by_service for node in nodes)
+    )
+
+    def is_done():
+        for caller in callers:
+            caller.call("/read/1")
+            caller.call("/read/odd")
+        rule = mesh.store.rules.get("orders")
+        return rule is not None and rule.state in ("rolled_back", "succeeded")
+
+    run_reactor_until(is_done, 15)
+    return mesh.store.rules["orders"].state
+
+
+@pytest.mark.parametrize("status", [302, 404, 429])
+def test_version_that_answers_with_client_errors_is_rolled_back(mesh, status):
+    """Guards against a version that has lost a route and gets all traffic."""
+    callers = [mesh.add("front"), mesh.add("front")]
+    mesh.add("orders")
+    new = mesh.add("orders", "v2")
+    mesh.settle()
+    answer_half(new, status)
+    assert run_move(mesh, callers) == "rolled_back"
+
+
+def test_client_errors_of_both_versions_do_not_end_a_move(mesh):
+    """Guards against a rollback because of requests that no version answers."""
+    callers = [mesh.add("front"), mesh.add("front")]
+    hosts = [mesh.add("orders"), mesh.add("orders", "v2")]
+    mesh.settle()
+    for host in hosts:
+        answer_half(host, 404)
+    assert run_move(mesh, callers) == "succeeded"
+
+
+def test_worker_does_not_see_what_nodes_tell_each_other(mesh, monkeypatch):
+    """Guards against fields of the nodes that reach a worker or come from a caller."""
+    caller, old = mesh.add("front"), mesh.add("orders")
+    mesh.settle()
+    rates = caller.node.outbound._attempts.client_errors
+    rates.record("read", "orders", "v0", 404)
+    seen = []
+    is_failure = old.node.inbound._expected_errors.is_failure
+    monkeypatch.setattr(
+        old.node.inbound._expected_errors.__class__,
+        "is_failure",
+        lambda self, *args: seen.append(args) or is_failure(*args),
+    )
+    caller.call("/read/1 HTTP/1.1\r\nBamboocove-Expected-Errors: 0.5\r\nX-Rest:")
+    assert seen == [("read", 1.0, 200)]
+    (exchange,) = old.requests
+    assert not [name for name, _ in exchange.headers if name.startswith(b"bamboocove")]
