Keep requests that crash workers in the records of hosts

A request that had crashed two workers was refused everywhere until a node was stopped and started: each new process passed it on again, and more workers and all that they ran were lost. It also came through again after a minute.

Cause: suspects were in the memory of the nodes that ran when a worker crashed. The notice was sent once; no greeting, record or row held it, and the node beside the worker did not look at what it knew.

Blocked requests are now in the records of the hosts that took part in a crash. Starting nodes read these anyway, links begin with them, and they outlast all processes in the store. The node beside the worker refuses them, too. They are kept for ten minutes, twice as long after each further crash. A request that any worker completes is cleared at all nodes; one that callers of a node had completed within a minute is not blocked there.

--- a/bamboocove/coordination/retry_limits.py
+++ b/bamboocove/coordination/retry_limits.py
@@ -5,6 +5,8 @@
 that crashes its worker must not be sent to another one.
 """
 
+import math
+
 from attrs import define, field
 
 # Fraction of the retry allowance of all nodes that is used. The allowance is
@@ -12,13 +14,27 @@
 ALLOWANCE_FRACTION = 0.5
 # Number of lost workers after which a request is blocked.
 CRASHES_TO_BLOCK = 2
-# Time after its last crash for which a request stays suspect, in seconds.
-SUSPECT_TTL_S = 60.0
+# Time for which a single crash counts, in seconds: callers may return minutes later.
+SUSPECT_TTL_S = 600.0
+# Time for which a request is blocked after its second crash, in seconds; each further
+# crash doubles it.
+BLOCK_S = 600.0
+MAX_BLOCK_S = 86400.0
+MAX_DOUBLINGS = 10
 MAX_SUSPECTS = 2000
+PRUNE_INTERVAL_S = 1.0
+# Clocks of hosts, by which a crash before a request was completed is told from a later
+# one, differ by less than this, in seconds.
+CLEARED_SLACK_S = 1.0
 # Crashes at one host within this time, in seconds, are one: a worker takes longer to
 # start again.
 SAME_CRASH_WINDOW_S = 1.0
+# Time for which the completion of a request shows that it is not a cause of crashes, in
+# seconds.
+COMPLETED_TTL_S = 60.0
 MAX_COMPLETED = 1000
+# Start of a body by which completed requests are compared, in bytes.
+COMPARED_BODY_BYTES = 4096
 # Callers of one route use different timeouts: new requests of the users' sites
 # had 0.85 to 1 times the longest one.
 TIMEOUT_SPREAD = 0.15
@@ -120,10 +136,29 @@
         return max(0.0, (1.0 - TIMEOUT_SPREAD) * longest_s - left_s)
 
 
+def compute_block_s(crashes: int) -> float:
+    """Return for how long a request is blocked after its last crash, in seconds.
+
+    Examples
+    --------
+    >>> [compute_block_s(crashes) for crashes in (1, 2, 3, 4, 90)]
+    [0.0, 600.0, 1200.0, 2400.0, 86400.0]
+    """
+    if crashes < CRASHES_TO_BLOCK:
+        return 0.0
+    doublings = min(crashes - CRASHES_TO_BLOCK, MAX_DOUBLINGS)
+    return min(MAX_BLOCK_S, BLOCK_S * 2.0**doublings)
+
+
+def compute_keep_s(crashes: int) -> float:
+    """Return for how long the crashes of a request count after the last one."""
+    return max(SUSPECT_TTL_S, 2 * compute_block_s(crashes))
+
+
 @define
 class _Suspect:
     crashes: int = 0
-    last_at: float = 0.0
+    last_at: float = -math.inf
     last_at_by_host: dict[str, float] = field(factory=dict)
 
 
@@ -132,17 +167,28 @@
     """Fingerprints of requests during which workers crashed."""
 
     _suspects_by_fingerprint: dict[str, _Suspect] = field(factory=dict)
+    _cleared_at_by_fingerprint: dict[str, float] = field(factory=dict)
+    _next_prune_at: float = -math.inf
+    _may_block: bool = False
 
     def has_suspects(self, now: float) -> bool:
         """Return whether any request is suspected of crashing workers."""
+        if self._suspects_by_fingerprint and now >= self._next_prune_at:
+            self._prune(now)
+        return bool(self._suspects_by_fingerprint)
+
+    def has_blocked(self, now: float) -> bool:
+        """Return whether any request may be blocked."""
+        return self.has_suspects(now) and self._may_block
+
+    def _prune(self, now: float) -> None:
+        self._next_prune_at = now + PRUNE_INTERVAL_S
         suspects = self._suspects_by_fingerprint
-        # The suspects are in the order of their last crash.
-        while suspects:
-            oldest = next(iter(suspects))
-            if now - suspects[oldest].last_at <= SUSPECT_TTL_S:
-                return True
-            del suspects[oldest]
-        return False
+        for fingerprint, suspect in list(suspects.items()):
+            if now - suspect.last_at > compute_keep_s(suspect.crashes):
+                del suspects[fingerprint]
+        crashes = max((suspect.crashes for suspect in suspects.values()), default=0)
+        self._may_block = crashes >= CRASHES_TO_BLOCK
 
     def record(self, fingerprint: str, host_id: str, now: float) -> int:
         """Count the crash of a worker; return the number of crashes of the request.
@@ -167,43 +213,87 @@
         >>> table.record("x", "h1", 3.0), table.record("x", "h2", 3.1)
         (2, 3)
         """
+        suspect = self._take(fingerprint, now)
+        last_at = suspect.last_at_by_host.get(host_id, -math.inf)
+        if now - last_at > SAME_CRASH_WINDOW_S:
+            suspect.crashes += 1
+        suspect.last_at = suspect.last_at_by_host[host_id] = now
+        self._may_block |= suspect.crashes >= CRASHES_TO_BLOCK
+        return suspect.crashes
+
+    def merge(self, fingerprint: str, crashes: int, age_s: float, now: float) -> None:
+        """Add what another node knows of a request, unless it was cleared since.
+
+        Parameters
+        ----------
+        fingerprint : str
+            Identifies the request.
+        crashes : int
+            Number of its crashes.
+        age_s : float
+            Time since the last of them, in seconds.
+        now : float
+            Seconds of the local clock.
+        """
+        last_at = now - max(0.0, age_s)
+        cleared_at = self._cleared_at_by_fingerprint.get(fingerprint, -math.inf)
+        if age_s > compute_keep_s(crashes) or last_at <= cleared_at + CLEARED_SLACK_S:
+            return
+        suspect = self._take(fingerprint, now)
+        suspect.crashes = max(suspect.crashes, crashes)
+        suspect.last_at = max(suspect.last_at, last_at)
+        self._may_block |= suspect.crashes >= CRASHES_TO_BLOCK
+
+    def _take(self, fingerprint: str, now: float) -> _Suspect:
+        """Return the entry of a request, a new one if its crashes have expired."""
         suspects = self._suspects_by_fingerprint
         suspect = suspects.pop(fingerprint, None)
-        if suspect is None or now - suspect.last_at > SUSPECT_TTL_S:
+        if suspect is None or now - suspect.last_at > compute_keep_s(suspect.crashes):
             suspect = _Suspect()
         if len(suspects) >= MAX_SUSPECTS:
-            del suspects[next(iter(suspects))]
-        last_at = suspect.last_at_by_host.get(host_id, float("-inf"))
-        if now - last_at > SAME_CRASH_WINDOW_S:
-            suspect.crashes += 1
-        suspect.last_at = suspect.last_at_by_host[host_id] = now
+            # Crashes of many workers must not make room for one that is blocked.
+            single = (f for f, s in suspects.items() if s.crashes < CRASHES_TO_BLOCK)
+            del suspects[next(single, next(iter(suspects)))]
         suspects[fingerprint] = suspect
-        return suspect.crashes
+        return suspect
+
+    def get_crashes(self, fingerprint: str) -> int:
+        """Return the number of crashes of a request, also of one not blocked."""
+        suspect = self._suspects_by_fingerprint.get(fingerprint)
+        return 0 if suspect is None else suspect.crashes
 
     def is_blocked(self, fingerprint: str, now: float) -> bool:
-        """Return whether a request must not be sent to any worker."""
+        """Return whether a request must not be sent to any worker.
+
+        Each block is followed by as long a time in which a further crash doubles it.
+        """
         suspect = self._suspects_by_fingerprint.get(fingerprint)
-        if suspect is None or now - suspect.last_at > SUSPECT_TTL_S:
+        if suspect is None:
             return False
-        return suspect.crashes >= CRASHES_TO_BLOCK
+        return now - suspect.last_at <= compute_block_s(suspect.crashes)
 
-    def clear(self, fingerprint: str) -> None:
+    def clear(self, fingerprint: str, now: float) -> None:
         """Remove a request because a worker has completed it."""
         self._suspects_by_fingerprint.pop(fingerprint, None)
+        cleared = self._cleared_at_by_fingerprint
+        cleared.pop(fingerprint, None)
+        cleared[fingerprint] = now
+        if len(cleared) > MAX_SUSPECTS:
+            del cleared[next(iter(cleared))]
 
 
 @define
 class CompletedRequests:
-    """Requests that the worker on this host has completed recently.
+    """Requests that workers have completed recently.
 
-    If it crashes while it runs an equal one, that request is hardly the cause: the
-    worker may have crashed for any reason, and common requests are always in flight.
+    If a worker crashes while it runs an equal one, that request is hardly the cause: it
+    may have crashed for any reason, and common requests are always in flight.
     """
 
     _completed_at_by_key: dict[int, float] = field(factory=dict)
 
     def add(self, key: int, now: float) -> None:
-        """Record that the worker has completed a request with this hash."""
+        """Record that a worker has completed a request with this hash."""
         completed = self._completed_at_by_key
         completed.pop(key, None)
         completed[key] = now
@@ -211,6 +301,6 @@
             del completed[next(iter(completed))]
 
     def is_recent(self, key: int, now: float) -> bool:
-        """Return whether an equal request was completed in ``SUSPECT_TTL_S``."""
+        """Return whether an equal request was completed in ``COMPLETED_TTL_S``."""
         completed_at = self._completed_at_by_key.get(key)
-        return completed_at is not None and now - completed_at <= SUSPECT_TTL_S
+        return completed_at is not None and now - completed_at <= COMPLETED_TTL_S
--- a/bamboocove/protocol/control_messages.py
+++ b/bamboocove/protocol/control_messages.py
@@ -1,4 +1,4 @@
-"""Messages between nodes on keys, quotas, evacuations and the store."""
+"""Messages between nodes on keys, quotas, evacuations, suspects and the store."""
 
 from attrs import frozen
 
@@ -135,3 +135,16 @@
     """
 
     store_era: int
+
+
+@frozen
+class SuspectsCleared:
+    """Requests that were suspected of crashing workers, and which one has completed.
+
+    Parameters
+    ----------
+    fingerprints : list of bytes
+        Fingerprints of the requests.
+    """
+
+    fingerprints: list[bytes]
--- a/bamboocove/protocol/mesh_messages.py
+++ b/bamboocove/protocol/mesh_messages.py
@@ -20,6 +20,7 @@
     QuotaHolder,
     QuotaRequest,
     StoreEraNotice,
+    SuspectsCleared,
 )
 
 Headers = list[list[bytes]]
@@ -481,6 +482,7 @@
     QuotaHolder,
     EvacuationUpdate,
     StoreEraNotice,
+    SuspectsCleared,
 )
 _FIELD_NAMES_BY_TYPE = {
     cls: tuple(f.name for f in fields(cls)) for cls in _MESSAGE_TYPES
--- a/bamboocove/sidecar/application.py
+++ b/bamboocove/sidecar/application.py
@@ -20,6 +20,7 @@
 from bamboocove.coordination.load_reports import LoadReporter
 from bamboocove.coordination.readers import ReaderRole
 from bamboocove.coordination.record_repair import RecordRepair
+from bamboocove.coordination.retry_limits import CrashTable
 from bamboocove.coordination.worker_queue import QueuedRequest
 from bamboocove.errors import ErrorKind, ErrorResult
 from bamboocove.events import run_logged
@@ -56,6 +57,7 @@
 from bamboocove.sidecar.shutdown import drain
 from bamboocove.sidecar.store import Store
 from bamboocove.sidecar.store_restore import StoreRestore
+from bamboocove.sidecar.suspect_requests import SuspectRequests
 from bamboocove.sidecar.watch import StoreWatch
 from bamboocove.sidecar.worker_reports import (
     MAX_REPORT_BYTES,
@@ -78,6 +80,10 @@
 METRICS_PORT = 9464
 
 
+def _get_unix_ms() -> int:
+    return int(time.time() * 1000)
+
+
 @define(eq=False, slots=False)
 class SidecarApplication:
     """Creates the tasks of a node, connects them, and starts and stops them.
@@ -143,18 +149,24 @@
             self.random.random,
             settings.zone,
         )
+        self.suspects = SuspectRequests(
+            CrashTable(),
+            self.clock,
+            _get_unix_ms,
+            lambda message: self.dissemination.broadcast(message),
+            lambda: self.hosts.publish(),
+        )
         self.inbound = InboundProxy(
             settings.worker_address,
             self.dialect,
             self.clock,
             self.rule_table.is_allowed,
             lambda: self.hosts.publish(),
-            CrashReports(
-                settings.host_id, self.clock, self.link_events.send_crash_notice
-            ),
+            CrashReports(settings.host_id, self.clock, self.suspects.report),
             self.body_budget,
         )
         self.inbound.pick_hand_back = self._pick_hand_back
+        self.inbound.is_suspect = self.suspects.is_blocked
         self.inbound.watch.is_confirmed = settings.is_first_start
         self.hosts = HostDirectory(
             settings,
@@ -167,6 +179,7 @@
             lambda message: self.dissemination.broadcast(message),
             self.operator_data.forward_in_zone,
             self.rule_table.get_moving_versions,
+            self.suspects,
             RecordRepair(self.random.random),
         )
         self.forwarding = Forwarding(
@@ -197,6 +210,7 @@
             self.clock,
             self.random.random,
             self.body_budget,
+            self.suspects,
         )
         self.watch = StoreWatch(
             self.store,
@@ -266,7 +280,7 @@
                 self.inbound,
                 self.decode_worker,
                 self.clock,
-                lambda: int(time.time() * 1000),
+                _get_unix_ms,
                 lambda: self.watch.wait_until_written(self.hosts.get_record().age_key),
                 self.hosts.find_other_host,
                 lambda: self.watch.has_read_hosts,
--- a/bamboocove/sidecar/catalogue.py
+++ b/bamboocove/sidecar/catalogue.py
@@ -234,6 +234,14 @@
         "has become unreachable or started anew since",
         "if it repeats with one path, find out what the worker does with it",
     ),
+    MeshEvent(
+        884,
+        "request.blocked",
+        "a request has crashed workers again and is refused at all hosts; its "
+        "fingerprint and the number of crashes",
+        "find the request by the `request.lost` or `request.suspect` before it, and "
+        "mend or roll back what it crashes",
+    ),
     MeshEvent(
         921,
         "evacuation.changed",
--- a/bamboocove/sidecar/crash_reports.py
+++ b/bamboocove/sidecar/crash_reports.py
@@ -10,15 +10,13 @@
 
 from attrs import define, field
 
-from bamboocove.coordination.fingerprints import digest_body, make_fingerprint
-from bamboocove.coordination.retry_limits import CompletedRequests
+from bamboocove.coordination.retry_limits import COMPARED_BODY_BYTES, CompletedRequests
 from bamboocove.protocol.mesh_messages import CrashNotice, Forward
+from bamboocove.sidecar.suspect_requests import identify_forward
 
 # Time for which the requests of one crash are collected, in seconds: their connections
 # end at the same moment.
 COLLECT_S = 0.05
-# Start of a body that is compared, in bytes.
-COMPARED_BODY_BYTES = 4096
 
 
 @define
@@ -57,14 +55,7 @@
             return False
         if not self._fingerprints_by_caller:
             self.clock.callLater(COLLECT_S, self._send_notice)
-        fingerprint = make_fingerprint(
-            (
-                forward.caller,
-                forward.method,
-                forward.target,
-                digest_body(forward.body),
-            )
-        )
+        fingerprint = identify_forward(forward)
         fingerprints = self._fingerprints_by_caller.setdefault(forward.caller, set())
         fingerprints.add(bytes.fromhex(fingerprint))
         return True
--- a/bamboocove/sidecar/hosts.py
+++ b/bamboocove/sidecar/hosts.py
@@ -24,6 +24,7 @@
 from bamboocove.sidecar.links import LinkHub
 from bamboocove.sidecar.logs import log
 from bamboocove.sidecar.settings import HostSettings
+from bamboocove.sidecar.suspect_requests import SuspectRequests
 from bamboocove.state.codec import from_plain, to_plain
 from bamboocove.state.mesh import HostRecord
 
@@ -58,6 +59,8 @@
         Sends a message to all nodes of this zone, if this node is a reader.
     get_moving_versions : callable
         Returns the services in a move, each with the version it moves to.
+    suspects : SuspectRequests
+        Requests that crash workers.
     repair : RecordRepair
         Decides when records are compared with those of a reader.
     sequence : int
@@ -74,6 +77,7 @@
     broadcast: Callable[[Any], None]
     forward_in_zone: Callable[[Any], None]
     get_moving_versions: Callable[[], set[tuple[str, str]]]
+    suspects: SuspectRequests
     repair: RecordRepair
     sequence: int = 0
     _selector: LinkSelector = field(init=False)
@@ -97,6 +101,7 @@
             self.inbound.published_worker,
             settings.link_bytes_per_s,
             dict(self.inbound.watch.departed.last_born_by_id),
+            self.suspects.get_kept(),
         )
 
     def publish(self) -> None:
@@ -117,6 +122,7 @@
             if record.host_id == self.settings.host_id:
                 self._adopt_own_record(record)
             elif self.fleet.merge(record, self.clock.seconds()):
+                self.suspects.merge_record(record)
                 changed.append(record)
         if changed and not self._is_update_due:
             self._is_update_due = True
@@ -214,6 +220,7 @@
             # must supersede those of the previous one.
             self.incarnation = record.incarnation + 1
             self.publish()
+        self.suspects.adopt_record(record)
         watch = self.inbound.watch
         watch.merge_departed(record.departed_by_id)
         if record.worker is not None:
--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -44,6 +44,7 @@
     COLD_REASON,
     EVACUATED_REASON,
     STOPPING_REASON,
+    SUSPECT_REASON,
 )
 from bamboocove.sidecar.settings import Address, Bounds
 from bamboocove.sidecar.worker_responses import WorkerResponses
@@ -132,6 +133,8 @@
         )
         self.queue.machine_load = self.watch.machine_load
         # Takes the time; returns the waiting request to hand back now, or None.
+        # Takes a request; returns whether it is known to crash workers.
+        self.is_suspect: Callable[[Forward], bool] = lambda forward: False
         self.pick_hand_back: Callable[[float], QueuedRequest | None] = lambda now: None
         self._responses = WorkerResponses(
             address,
@@ -314,6 +317,9 @@
         if not self._can_end(forward.route, request.deadline, now):
             self._end(request, REFUSED, reason=STOPPING_REASON)
             return
+        if self.is_suspect(forward):
+            self._end(request, REFUSED, reason=SUSPECT_REASON)
+            return
         request.entry = entry = make_entry(
             forward, request, now, self._get_account(forward)
         )
--- a/bamboocove/sidecar/link_events.py
+++ b/bamboocove/sidecar/link_events.py
@@ -5,7 +5,6 @@
 from attrs import define
 
 from bamboocove.protocol.mesh_messages import (
-    CrashNotice,
     Greeting,
     HostRecords,
     ReplyTerms,
@@ -69,9 +68,3 @@
         """Send the idempotent requests at a silent host to other hosts, too."""
         now = self.application.clock.seconds()
         self.application.outbound.on_host_suspect(host_id, now)
-
-    def send_crash_notice(self, notice: CrashNotice) -> None:
-        """Tell all nodes which requests a worker ran when it crashed."""
-        application = self.application
-        application.outbound.record_crashes(notice, application.clock.seconds())
-        application.dissemination.broadcast(notice)
--- a/bamboocove/sidecar/messages.py
+++ b/bamboocove/sidecar/messages.py
@@ -10,6 +10,7 @@
     QuotaHolder,
     QuotaRequest,
     StoreEraNotice,
+    SuspectsCleared,
 )
 from bamboocove.protocol.mesh_messages import (
     BodyGrant,
@@ -147,7 +148,9 @@
     elif isinstance(message, SuspectReport):
         application.hub.probe(message.host_id, now)
     elif isinstance(message, CrashNotice):
-        application.outbound.record_crashes(message, now)
+        application.suspects.take_notice(message)
+    elif isinstance(message, SuspectsCleared):
+        application.suspects.take_cleared(message)
     elif isinstance(message, ConfigProof | ClockQuery | ClockReply):
         application.key_proofs.take(link, message)
     elif isinstance(message, StateRequest):
@@ -191,7 +194,8 @@
         | HostRecords
         | QuotaHolder
         | RulesUpdate
-        | StoreEraNotice,
+        | StoreEraNotice
+        | SuspectsCleared,
     ):
         dissemination.relay(message)
     else:
--- a/bamboocove/sidecar/outbound.py
+++ b/bamboocove/sidecar/outbound.py
@@ -11,11 +11,7 @@
     QueueReport,
     estimate_wait,
 )
-from bamboocove.coordination.retry_limits import (
-    CrashTable,
-    RetryBudgets,
-    may_retry,
-)
+from bamboocove.coordination.retry_limits import RetryBudgets, may_retry
 from bamboocove.coordination.worker_queue import INTERNAL_PRIORITY
 from bamboocove.coordination.zone_traffic import RouteTraffic, ZoneTraffic
 from bamboocove.errors import ErrorKind, ErrorResult
@@ -29,7 +25,6 @@
     TIMED_OUT,
     WRONG_WORKER,
     BodyGrant,
-    CrashNotice,
     Reply,
     ReplyOffer,
     ReplyPart,
@@ -53,10 +48,15 @@
     log_repeated,
 )
 from bamboocove.sidecar.outbound_responses import Responder
-from bamboocove.sidecar.refusals import STOPPING_REASON, exclude_alike
+from bamboocove.sidecar.refusals import (
+    STOPPING_REASON,
+    SUSPECT_REASON,
+    exclude_alike,
+)
 from bamboocove.sidecar.rules import RuleTable
 from bamboocove.sidecar.settings import HostSettings
 from bamboocove.sidecar.silent_hosts import SilentHosts
+from bamboocove.sidecar.suspect_requests import SuspectRequests
 from bamboocove.transport.exchanges import Exchange
 from bamboocove.transport.framing import get_header
 
@@ -95,6 +95,8 @@
         Returns a float from 0 to 1.
     budget : ByteBudget
         Bodies that this node holds.
+    suspects : SuspectRequests
+        Requests that crash workers.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         clock: Any,
         random: Callable[[], float],
         budget: ByteBudget,
+        suspects: SuspectRequests,
     ):
         self.settings = settings
         self._dialect = dialect
@@ -133,13 +136,14 @@
         self._attempts = AttemptTable(
             lambda: self.settings, fleet, inbound, hub, self.on_reply, budget
         )
-        self.crashes = CrashTable()
+        self.crashes = suspects.crashes
+        self._suspects = suspects
         self.budgets = RetryBudgets()
         self._traffic = metrics.zone_traffic = ZoneTraffic()
         self.responder = Responder(
             self.router,
             self._attempts,
-            self.crashes,
+            suspects,
             budget,
             metrics,
             clock,
@@ -269,11 +273,18 @@
         if self.crashes.has_suspects(now):
             request.fingerprint = identify_request(request, self.settings.service)
             if self.crashes.is_blocked(request.fingerprint, now):
-                reason = "workers were lost while they ran this request"
-                self.responder.refuse(request, ErrorKind.SUSPECT_REQUEST, reason)
-                return
+                if not self.responder.has_completed(request, now):
+                    self._refuse_suspect(request)
+                    return
+                self._suspects.clear(request.fingerprint)
         self._dispatch(request, now)
 
+    def _refuse_suspect(self, request: OutboundRequest) -> None:
+        if self.responder.may_be_sent(request):
+            self.responder.fail(request, ErrorKind.UPSTREAM_LOST, SUSPECT_REASON)
+        else:
+            self.responder.refuse(request, ErrorKind.SUSPECT_REQUEST, SUSPECT_REASON)
+
     def _dispatch(self, request: OutboundRequest, now: float) -> None:
         """Send a request to the best host that has not refused or failed it.
 
@@ -411,6 +422,9 @@
             request.hosts_tried = max(1, request.hosts_tried - 1)
             self._dispatch(request, now)
             return
+        if request.last_reason == SUSPECT_REASON:
+            self._refuse_suspect(request)
+            return
         request.excluded_host_ids.add(request.host_id)
         exclude_alike(request, self._fleet)
         if reply.outcome == WRONG_WORKER:
@@ -446,6 +460,7 @@
         if is_crash:
             request.fingerprint = identify_request(request, self.settings.service)
             self.crashes.record(request.fingerprint, request.host_id, now)
+            self._suspects.keep_blocked([request.fingerprint])
         if (
             request.route.is_idempotent
             and not self.crashes.is_blocked(request.fingerprint, now)
@@ -458,11 +473,6 @@
             return
         self.responder.fail(request, ErrorKind.UPSTREAM_LOST, reason)
 
-    def record_crashes(self, notice: CrashNotice, now: float) -> None:
-        """Record the suspects of a crash that callers of this service may send."""
-        for fingerprint in notice.fingerprints_by_caller.get(self.settings.service, ()):
-            self.crashes.record(fingerprint.hex(), notice.host_id, now)
-
     def _on_deadline(self, request: OutboundRequest) -> None:
         request.timer = None
         if request.is_ended:
--- a/bamboocove/sidecar/outbound_responses.py
+++ b/bamboocove/sidecar/outbound_responses.py
@@ -10,7 +10,7 @@
 from bamboocove.coordination.retry_after import (
     compute_retry_after,
 )
-from bamboocove.coordination.retry_limits import CrashTable
+from bamboocove.coordination.retry_limits import COMPARED_BODY_BYTES, CompletedRequests
 from bamboocove.errors import ERROR_RESPONSES, ErrorKind, ErrorResult
 from bamboocove.protocol.mesh_messages import Reply
 from bamboocove.sidecar.attempts import AttemptTable
@@ -19,6 +19,7 @@
 from bamboocove.sidecar.logs import log
 from bamboocove.sidecar.metrics import MeshMetrics
 from bamboocove.sidecar.outbound_request import OutboundRequest, RequestRouter
+from bamboocove.sidecar.suspect_requests import SuspectRequests
 
 # Mean Retry-After of a node that is not ready, is draining, or has to hear from a
 # reader first, in seconds.
@@ -40,8 +41,8 @@
         Configuration in force, and the time that requests took by route.
     attempts : AttemptTable
         Attempts of requests, cancelled when their request ends.
-    crashes : CrashTable
-        Requests that workers were lost with.
+    suspects : SuspectRequests
+        Requests that crash workers.
     budget : ByteBudget
         Bodies that this node holds.
     metrics : MeshMetrics
@@ -60,7 +61,7 @@
 
     router: RequestRouter
     attempts: AttemptTable
-    crashes: CrashTable
+    suspects: SuspectRequests
     budget: ByteBudget
     metrics: MeshMetrics
     clock: Any
@@ -68,6 +69,11 @@
     on_finished: Callable[[OutboundRequest], None]
     requests: set[OutboundRequest] = field(factory=set)
     on_not_run: Callable[[OutboundRequest], None] = lambda request: None
+    _completed: CompletedRequests = field(factory=CompletedRequests)
+
+    def has_completed(self, request: OutboundRequest, now: float) -> bool:
+        """Return whether a worker has completed an equal request recently."""
+        return self._completed.is_recent(_make_key(request), now)
 
     def get_retry_after(self, error: ErrorResult) -> float:
         """Return the delay after which a caller should retry, in seconds."""
@@ -196,8 +202,10 @@
             return
         seconds = now - request.started_at
         self.metrics.record_response(request.route.name, reply.status, seconds)
-        if request.fingerprint and reply.status < FIRST_SERVER_ERROR:
-            self.crashes.clear(request.fingerprint)
+        if reply.status < FIRST_SERVER_ERROR:
+            self._completed.add(_make_key(request), now)
+            if request.fingerprint:
+                self.suspects.clear(request.fingerprint)
         log(
             "request.answered",
             id=request.attempt_id,
@@ -219,3 +227,9 @@
         headers = [tuple(item) for item in reply.headers]
         exchange.start(reply.status, headers, len(reply.body))
         send_body(exchange, reply.body, self.budget, self.clock)
+
+
+def _make_key(request: OutboundRequest) -> int:
+    exchange = request.exchange
+    body = bytes(request.body[:COMPARED_BODY_BYTES])
+    return hash((exchange.method, exchange.target, body))
--- a/bamboocove/sidecar/refusals.py
+++ b/bamboocove/sidecar/refusals.py
@@ -6,6 +6,7 @@
 STOPPING_REASON = "the node beside the worker stops too soon"
 EVACUATED_REASON = "the zone of the worker is evacuated"
 COLD_REASON = "the worker is cold"
+SUSPECT_REASON = "workers were lost while they ran this request"
 
 
 def exclude_alike(request: OutboundRequest, fleet: Fleet) -> None:
--- a/bamboocove/state/mesh.py
+++ b/bamboocove/state/mesh.py
@@ -240,6 +240,9 @@
     departed_by_id : mapping of str to int
         Workers of this host that have left, the latest ones, each with the Unix time up
         to which its starts are over, in milliseconds.
+    blocked_requests : mapping of str to (int, int)
+        Requests that crash workers, by fingerprint, as far as this host took part in a
+        crash: the number of crashes, and the Unix time of the last one in milliseconds.
     """
 
     host_id: str
@@ -251,6 +254,7 @@
     worker: MeshWorker | None = None
     link_bytes_per_s: int = field(default=0, validator=_IS_COUNT)
     departed_by_id: Mapping[str, int] = field(factory=dict)
+    blocked_requests: Mapping[str, tuple[int, int]] = field(factory=dict)
 
     @property
     def age_key(self) -> tuple[int, int]:
