Leave out a worker that has signed off while it was asked for its identity

A request could reach a worker after the acknowledgement that it leaves: its report looked outdated, the node asked its health check, the worker signed off and, still serving for a while, answered. The answer put it into the place of the held worker.

Found by reading the change that introduced it. The worker is now left out if one of its sign-offs covers the report. The test failed before.

--- a/bamboocove/sidecar/worker_watch.py
+++ b/bamboocove/sidecar/worker_watch.py
@@ -426,7 +426,12 @@
         if held.worker_id == answering_id:
             return
         self._conflicts.refute(held.worker_id)
-        if rival is not None and rival.worker_id == answering_id:
+        # It may have signed off since its report, and still serve for a while.
+        if (
+            rival is not None
+            and rival.worker_id == answering_id
+            and not self.departed.covers(rival)
+        ):
             log("worker.recovered", worker=answering_id, held=held.worker_id)
             self._apply(held, rival)
 
--- a/tests/sidecar/test_odd_reports.py
+++ b/tests/sidecar/test_odd_reports.py
@@ -172,3 +172,17 @@
     mesh.store.config = MeshConfig(3)
     host = mesh.add("orders")
     assert host.node.inbound.worker.service == "orders"
+
+
+def test_worker_that_signs_off_while_it_is_asked_does_not_come_back(mesh):
+    """Guards against requests to a worker whose leaving was acknowledged."""
+    target = mesh.add("orders")
+    mesh.settle()
+    watch = target.node.inbound.watch
+    # Without a path the worker is not asked, so that its answer can come later.
+    watch.health_path, watch.services_by_name = "", {}
+    assert send_odd(target, service="orders", born=2**45) == 200
+    assert target.report() == 200
+    assert target.send_report(b"DELETE") == 200
+    watch._settle_conflict(target.worker_id)
+    assert watch.worker.worker_id == "i-odd"
