Count requests that a worker turns away with free slots against its version

A new version that rejected half of its requests (503, marked as not run) got all traffic and succeeded. While there are other workers callers see little of that, since the requests are sent to those; once the old version is gone, half of them fail.

Cause: requests that were not run are left out of the outcomes that decide a move, because a full worker rejects for its load.

The node beside the worker is its only client and knows how many of its slots are taken. A rejection while one is free now counts as a failure of the version, old or new.

--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -59,6 +59,8 @@
 # Kernel's buffer of a connection to the worker: what waits there while the node does
 # not read counts as memory of the host, too. Ample without a network between.
 RECEIVE_BUFFER_BYTES = 128 * 1024
+# Status with which a worker without room turns a request away.
+OVERLOAD_STATUS = 503
 WRONG_WORKER_REASON = "worker is not ready for this"
 # A request that still waits this long before its deadline is refused, in seconds: the
 # node that placed it must have the refusal before it gives up, and can only then tell
@@ -453,6 +455,7 @@
         request.disconnect()
         service_s = 0.0
         entry = request.entry
+        was_full = len(self.queue.running) >= self.queue.slots
         if entry is not None:
             if request.is_sent:
                 service_s = now - entry.started_at
@@ -461,7 +464,7 @@
                 self.queue.finish(entry, now, is_timed)
         if request.is_sent and reason != "cancelled":
             self._slowest.record(request.forward.route, service_s, now)
-            self._record_outcome(request, outcome, is_failure, service_s)
+            self._record_outcome(request, outcome, is_failure, service_s, was_full)
         if outcome in (REFUSED, WRONG_WORKER, SHED, TIMED_OUT):
             text = reason or "the worker did not run it"
             self._log_refusal(request.forward, request.deadline - now, text, now)
@@ -471,10 +474,16 @@
             self._start_next(now)
 
     def _record_outcome(
-        self, request: InboundRequest, outcome: int, is_failure: bool, seconds: float
+        self,
+        request: InboundRequest,
+        outcome: int,
+        is_failure: bool,
+        seconds: float,
+        was_full: bool,
     ) -> None:
         self._failure_average = update_average(self._failure_average, is_failure)
-        if outcome != SHED:
+        # A version that turns requests away with free slots fails them.
+        if outcome != SHED or request.status == OVERLOAD_STATUS and not was_full:
             forward = request.forward
             if outcome == ANSWERED and not is_failure:
                 expected = get_header(forward.headers, EXPECTED_ERRORS_FIELD)
--- a/tests/sidecar/test_client_error_rollback.py
+++ b/tests/sidecar/test_client_error_rollback.py
@@ -1,4 +1,4 @@
-"""Moves to versions that answer requests with client errors."""
+"""Moves to versions that answer requests with client errors or turn them away."""
 
 import pytest
 
@@ -13,15 +13,17 @@
     mesh.close()
 
 
-def answer_half(host, status, is_wanted=lambda exchange: True):
-    """Let a worker answer each second of some requests with a status."""
+def answer_half(host, status, *fields):
+    """Let a worker answer each second request with a status and header fields."""
     count = 0
 
     def handle(exchange):
         nonlocal count
-        count += is_wanted(exchange)
-        is_error = is_wanted(exchange) and count % 2
-        host.respond(exchange, status if is_error else 200)
+        count += 1
+        if count % 2:
+            host.respond(exchange, status, *fields)
+        else:
+            host.respond(exchange)
 
     host.request_handler = handle
 
@@ -69,6 +71,29 @@
     assert run_move(mesh, callers) == "succeeded"
 
 
+def test_version_that_turns_requests_away_is_rolled_back(mesh):
+    """Guards against a version that rejects half of its requests and succeeds."""
+    callers = [mesh.add("front"), mesh.add("front")]
+    mesh.add("orders")
+    new = mesh.add("orders", "v2")
+    mesh.settle()
+    answer_half(new, 503, (b"x-not-executed", b"1"))
+    assert run_move(mesh, callers) == "rolled_back"
+
+
+def test_requests_that_a_full_worker_turns_away_do_not_count(mesh):
+    """Guards against a good version that is rolled back because of its load."""
+    target = mesh.add("orders")
+    inbound = target.node.inbound
+    target.request_handler = target.respond_not_executed
+    for slots, failed in ((1, 0), (2, 1)):
+        target.node.inbound.tallies_by_route = {}
+        inbound.queue.slots = slots
+        target.call("/read/1")
+        tallies = inbound.tallies_by_route.values()
+        assert sum(tally.failed for tally in tallies) == failed
+
+
 def test_worker_does_not_see_what_nodes_tell_each_other(mesh, monkeypatch):
     """Guards against fields of the nodes that reach a worker or come from a caller."""
     caller, old = mesh.add("front"), mesh.add("orders")
