Keep only the identity of requests whose answers were lost

A worker that loses the answers to large requests would have made its node hold up to 64 KB of each for five seconds, beside the budget for bodies.

The node keeps a hash, the caller and the fingerprint, of the latest 200.

--- a/bamboocove/coordination/lost_answers.py
+++ b/bamboocove/coordination/lost_answers.py
@@ -8,11 +8,10 @@
 """
 
 import math
+from typing import Any
 
 from attrs import define, field, frozen
 
-from bamboocove.protocol.mesh_messages import Forward
-
 # Time after a lost answer for which the port of the worker is checked, and the interval
 # of the checks, in seconds.
 CHECKED_S = 1.0
@@ -21,6 +20,8 @@
 # Time after which a worker has not crashed because of a request, in seconds. One that
 # crashes reports itself again some seconds later.
 WATCHED_S = 5.0
+# Requests that are watched, the latest ones.
+MAX_LOST = 200
 
 
 @frozen
@@ -29,15 +30,15 @@
 
     Parameters
     ----------
-    forward : Forward
-        The request.
+    run : object
+        Identity of the request.
     lost_at : float
         Seconds of the local clock.
     sequence : int
         Number of the last report of the worker before that.
     """
 
-    forward: Forward
+    run: Any
     lost_at: float
     sequence: int
 
@@ -50,16 +51,17 @@
     _next_check_at: float = math.inf
     _checked_at: float = -math.inf
 
-    def add(self, forward: Forward, sequence: int, now: float) -> None:
+    def add(self, run: Any, sequence: int, now: float) -> None:
         """Keep a request whose answer was lost while the worker accepts connections."""
-        self._answers.append(LostAnswer(forward, now, sequence))
+        self._answers.append(LostAnswer(run, now, sequence))
+        del self._answers[:-MAX_LOST]
         self._next_check_at = min(self._next_check_at, now + FIRST_CHECK_S)
 
-    def take(self) -> list[Forward]:
+    def take(self) -> list[Any]:
         """Return the requests that may have crashed the worker, and forget them."""
         answers, self._answers = self._answers, []
         self._next_check_at = math.inf
-        return [answer.forward for answer in answers]
+        return [answer.run for answer in answers]
 
     def start_check(self, now: float) -> bool:
         """Return whether to check the port of the worker now.
--- a/bamboocove/sidecar/crash_reports.py
+++ b/bamboocove/sidecar/crash_reports.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from bamboocove.coordination.retry_limits import COMPARED_BODY_BYTES, CompletedRequests
 from bamboocove.protocol.mesh_messages import CrashNotice, Forward
@@ -19,6 +19,35 @@
 COLLECT_S = 0.05
 
 
+@frozen
+class RequestRun:
+    """Identity of a request that a worker ran.
+
+    Parameters
+    ----------
+    key : int
+        Hash by which equal requests of a service are compared on this host.
+    caller : str
+        Service of the caller.
+    fingerprint : str
+        Identifies equal requests on all hosts.
+    attempt_id : bytes
+        Identifies this one in logs.
+    """
+
+    key: int
+    caller: str
+    fingerprint: str
+    attempt_id: bytes
+
+
+def identify_run(forward: Forward, attempt_id: bytes) -> RequestRun:
+    """Return the identity of a request, which takes far less room than its body."""
+    return RequestRun(
+        _make_key(forward), forward.caller, identify_forward(forward), attempt_id
+    )
+
+
 @define
 class CrashReports:
     """Decides which requests are suspected of a crash, and collects them.
@@ -51,13 +80,16 @@
         is_suspect : bool
             Whether the worker has not completed an equal request recently.
         """
-        if self._completed.is_recent(_make_key(forward), self.clock.seconds()):
+        return self.record_identified(identify_run(forward, b""))
+
+    def record_identified(self, run: RequestRun) -> bool:
+        """Report a request of which only the identity is left, see ``record_crash``."""
+        if self._completed.is_recent(run.key, self.clock.seconds()):
             return False
         if not self._fingerprints_by_caller:
             self.clock.callLater(COLLECT_S, self._send_notice)
-        fingerprint = identify_forward(forward)
-        fingerprints = self._fingerprints_by_caller.setdefault(forward.caller, set())
-        fingerprints.add(bytes.fromhex(fingerprint))
+        fingerprints = self._fingerprints_by_caller.setdefault(run.caller, set())
+        fingerprints.add(bytes.fromhex(run.fingerprint))
         return True
 
     def _send_notice(self) -> None:
--- a/bamboocove/sidecar/worker_responses.py
+++ b/bamboocove/sidecar/worker_responses.py
@@ -17,7 +17,7 @@
     SHED,
     TIMED_OUT,
 )
-from bamboocove.sidecar.crash_reports import CrashReports
+from bamboocove.sidecar.crash_reports import CrashReports, identify_run
 from bamboocove.sidecar.dialect import Dialect
 from bamboocove.sidecar.inbound_request import FIRST_ERROR_STATUS, InboundRequest
 from bamboocove.sidecar.logs import log
@@ -171,8 +171,8 @@
     def _watch_lost(self, request: InboundRequest) -> None:
         worker = self.watch.worker
         if worker is not None and worker.incarnation == request.worker.incarnation:
-            now = self.clock.seconds()
-            self._lost_answers.add(request.forward, worker.sequence, now)
+            run = identify_run(request.forward, request.attempt_id)
+            self._lost_answers.add(run, worker.sequence, self.clock.seconds())
 
     def _on_not_reconnected(self, request: InboundRequest, reason: str) -> None:
         outcome = LOST
@@ -198,13 +198,9 @@
             self._report_lost("another start of the worker has reported itself")
 
     def _report_lost(self, reason: str) -> None:
-        for forward in self._lost_answers.take():
-            if self.crash_reports.record_crash(forward):
-                log(
-                    "request.suspect",
-                    id=get_header(forward.headers, self.dialect.attempt_id),
-                    reason=reason,
-                )
+        for run in self._lost_answers.take():
+            if self.crash_reports.record_identified(run):
+                log("request.suspect", id=run.attempt_id, reason=reason)
 
     def tick(self, now: float) -> None:
         """Check whether a worker that has lost answers still accepts connections."""
--- a/tests/sidecar/test_crash_reports.py
+++ b/tests/sidecar/test_crash_reports.py
@@ -1,12 +1,13 @@
 """Requests that crash the worker that runs them, and those that run beside them."""
 
 import pytest
+from attrs import astuple, evolve
 from twisted.internet import reactor
 
 from bamboocove.coordination import lost_answers
 from bamboocove.coordination.retry_limits import CRASHES_TO_BLOCK, CrashTable
 from bamboocove.protocol.mesh_messages import CrashNotice, Forward
-from bamboocove.sidecar.crash_reports import CrashReports
+from bamboocove.sidecar.crash_reports import CrashReports, identify_run
 from tests.callpath import run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, make_config, read_response
 
@@ -167,3 +168,14 @@
     assert get_crashes(caller) == 0
     mesh.settle()
     assert caller.call("/pay/1", "POST", attempt="a9")[0] == 200
+
+
+def test_lost_answers_that_are_watched_are_bounded():
+    """Guards against memory for each answer of a worker that loses all of them."""
+    answers = lost_answers.LostAnswers()
+    for number in range(lost_answers.MAX_LOST + 50):
+        answers.add(number, 7, 1.0)
+    assert answers.take() == list(range(50, lost_answers.MAX_LOST + 50))
+    run = identify_run(evolve(make_forward(), body=b"x" * 60_000), b"a1")
+    assert not any(isinstance(value, Forward) for value in astuple(run))
+    assert sum(len(value) for value in astuple(run)[1:]) < 100
