--- a/bamboocove/coordination/retry_limits.py
+++ b/bamboocove/coordination/retry_limits.py
@@ -17,10 +17,11 @@
 # Time for which a single crash counts, in seconds: callers may return minutes later.
 SUSPECT_TTL_S = 600.0
 # Time for which a request is blocked after its second crash, in seconds; each further
-# crash doubles it.
+# crash multiplies it.
 BLOCK_S = 600.0
+BLOCK_FACTOR = 4.0
 MAX_BLOCK_S = 86400.0
-MAX_DOUBLINGS = 10
+MAX_BLOCK_STEPS = 10
 MAX_SUSPECTS = 2000
 PRUNE_INTERVAL_S = 1.0
 # Clocks of hosts, by which a crash before a request was completed is told from a later
@@ -142,12 +143,12 @@
     Examples
     --------
     >>> [compute_block_s(crashes) for crashes in (1, 2, 3, 4, 90)]
-    [0.0, 600.0, 1200.0, 2400.0, 86400.0]
+    [0.0, 600.0, 2400.0, 9600.0, 86400.0]
     """
     if crashes < CRASHES_TO_BLOCK:
         return 0.0
-    doublings = min(crashes - CRASHES_TO_BLOCK, MAX_DOUBLINGS)
-    return min(MAX_BLOCK_S, BLOCK_S * 2.0**doublings)
+    steps = min(crashes - CRASHES_TO_BLOCK, MAX_BLOCK_STEPS)
+    return min(MAX_BLOCK_S, BLOCK_S * BLOCK_FACTOR**steps)
 
 
 def compute_keep_s(crashes: int) -> float:
@@ -265,7 +266,7 @@
     def is_blocked(self, fingerprint: str, now: float) -> bool:
         """Return whether a request must not be sent to any worker.
 
-        Each block is followed by as long a time in which a further crash doubles it.
+        Each block is followed by as long a time in which a further crash prolongs it.
         """
         suspect = self._suspects_by_fingerprint.get(fingerprint)
         if suspect is None:
--- a/tests/coordination/test_retry_limits.py
+++ b/tests/coordination/test_retry_limits.py
@@ -3,6 +3,7 @@
 from bamboocove.coordination import retry_limits
 from bamboocove.coordination.kept_suspects import MAX_KEPT, KeptSuspects
 from bamboocove.coordination.retry_limits import (
+    BLOCK_FACTOR,
     BLOCK_S,
     SUSPECT_TTL_S,
     CrashTable,
@@ -61,18 +62,19 @@
 
 
 def test_request_that_returns_after_a_minute_is_still_blocked():
-    """Guards against a request that crashes two workers a minute, for ever."""
+    """Guards against a request that crashes more workers in a day than is allowed."""
     crashes = CrashTable()
-    retries = 0
-    for number in range(200):
+    count = 0
+    for number in range(86400 // 62):
         now = 62.0 * number
         if not crashes.is_blocked("x", now):
             crashes.record("x", f"h{number}", now)
-            retries += number > 2
-    assert retries <= 4
+            count += 1
+    # Three retries after the third crash.
+    assert count - 3 <= 3
 
 
-def test_each_crash_after_a_block_doubles_it():
+def test_each_crash_after_a_block_prolongs_it():
     """Guards against a table that forgets a request at the end of its block."""
     crashes = CrashTable()
     crashes.record("x", "h1", 0.0)
@@ -80,8 +82,8 @@
     now = 5.0 + BLOCK_S + 1.0
     assert not crashes.is_blocked("x", now)
     crashes.record("x", "h1", now)
-    assert crashes.is_blocked("x", now + 2 * BLOCK_S)
-    assert not crashes.is_blocked("x", now + 2 * BLOCK_S + 1.0)
+    assert crashes.is_blocked("x", now + BLOCK_FACTOR * BLOCK_S)
+    assert not crashes.is_blocked("x", now + BLOCK_FACTOR * BLOCK_S + 1.0)
     assert not crashes.has_suspects(now + compute_keep_s(3) + 1.0)
 
 
