--- a/bamboocove/sidecar/inbound.py
+++ b/bamboocove/sidecar/inbound.py
@@ -134,9 +134,9 @@
             self._on_change,
         )
         self.queue.machine_load = self.watch.machine_load
-        # Takes the time; returns the waiting request to hand back now, or None.
         # Takes a request; returns whether it is known to crash workers.
         self.is_suspect: Callable[[Forward], bool] = lambda forward: False
+        # Takes the time; returns the waiting request to hand back now, or None.
         self.pick_hand_back: Callable[[float], QueuedRequest | None] = lambda now: None
         self._responses = WorkerResponses(
             address,
