--- a/bamboocove/coordination/retry_limits.py
+++ b/bamboocove/coordination/retry_limits.py
@@ -283,6 +283,11 @@
             del cleared[next(iter(cleared))]
 
 
+def make_completed_key(identity: tuple, body: bytes) -> int:
+    """Return the hash by which equal requests are compared on this host."""
+    return hash((*identity, bytes(body[:COMPARED_BODY_BYTES])))
+
+
 @define
 class CompletedRequests:
     """Requests that workers have completed recently.
--- a/bamboocove/sidecar/crash_reports.py
+++ b/bamboocove/sidecar/crash_reports.py
@@ -10,7 +10,7 @@
 
 from attrs import define, field, frozen
 
-from bamboocove.coordination.retry_limits import COMPARED_BODY_BYTES, CompletedRequests
+from bamboocove.coordination.retry_limits import CompletedRequests, make_completed_key
 from bamboocove.protocol.mesh_messages import CrashNotice, Forward
 from bamboocove.sidecar.suspect_requests import identify_forward
 
@@ -103,5 +103,5 @@
 
 
 def _make_key(forward: Forward) -> int:
-    body = forward.body[:COMPARED_BODY_BYTES]
-    return hash((forward.caller, forward.method, forward.target, body))
+    identity = (forward.caller, forward.method, forward.target)
+    return make_completed_key(identity, forward.body)
--- a/bamboocove/sidecar/outbound_responses.py
+++ b/bamboocove/sidecar/outbound_responses.py
@@ -10,7 +10,7 @@
 from bamboocove.coordination.retry_after import (
     compute_retry_after,
 )
-from bamboocove.coordination.retry_limits import COMPARED_BODY_BYTES, CompletedRequests
+from bamboocove.coordination.retry_limits import CompletedRequests, make_completed_key
 from bamboocove.errors import ERROR_RESPONSES, ErrorKind, ErrorResult
 from bamboocove.protocol.mesh_messages import Reply
 from bamboocove.sidecar.attempts import AttemptTable
@@ -231,5 +231,4 @@
 
 def _make_key(request: OutboundRequest) -> int:
     exchange = request.exchange
-    body = bytes(request.body[:COMPARED_BODY_BYTES])
-    return hash((exchange.method, exchange.target, body))
+    return make_completed_key((exchange.method, exchange.target), request.body)
--- a/tests/callpath.py
+++ b/tests/callpath.py
@@ -8,6 +8,7 @@
 
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
+from twisted.internet.task import deferLater
 
 from bamboocove.memory_platform import MemoryTable
 from bamboocove.metrics import Metrics
@@ -112,6 +113,10 @@
         reactor.doIteration(0.005)
 
 
+async def pause(seconds: float) -> None:
+    await deferLater(reactor, seconds)
+
+
 def make_proxy(
     members: MemberTable, config: Config, table: Any = None, **options: Any
 ) -> Proxy:
--- a/tests/sidecar/hosts.py
+++ b/tests/sidecar/hosts.py
@@ -428,3 +428,9 @@
             connection.abort()
     run(node.hub.stop())
     node.inbound.close()
+
+
+def knows_crashes(host, count):
+    """Return whether a node knows a request that crashed at least so many workers."""
+    suspects = host.node.suspects.crashes._suspects_by_fingerprint.values()
+    return any(suspect.crashes >= count for suspect in suspects)
--- a/tests/sidecar/test_crash_reports.py
+++ b/tests/sidecar/test_crash_reports.py
@@ -3,14 +3,19 @@
 import pytest
 from attrs import astuple, evolve
 from twisted.internet import reactor
-from twisted.internet.task import deferLater
 
 from bamboocove.coordination import lost_answers
 from bamboocove.coordination.retry_limits import CRASHES_TO_BLOCK, CrashTable
 from bamboocove.protocol.mesh_messages import CrashNotice, Forward
 from bamboocove.sidecar.crash_reports import CrashReports, identify_run
-from tests.callpath import run, run_reactor_until
-from tests.sidecar.hosts import HostMesh, format_call, make_config, read_response
+from tests.callpath import pause, run, run_reactor_until
+from tests.sidecar.hosts import (
+    HostMesh,
+    format_call,
+    knows_crashes,
+    make_config,
+    read_response,
+)
 
 
 @pytest.fixture
@@ -28,11 +33,6 @@
     return hosts[:callers], hosts[callers:]
 
 
-def knows_crash(caller, crashes):
-    suspects = caller.node.outbound.crashes._suspects_by_fingerprint.values()
-    return any(suspect.crashes >= crashes for suspect in suspects)
-
-
 def test_request_that_crashes_workers_is_blocked_at_all_hosts(mesh):
     """Guards against a request that crashes a worker for each host it comes to."""
     callers, targets = make_hosts(mesh, 4, 5)
@@ -41,7 +41,7 @@
     for number, caller in enumerate(callers):
         assert caller.call("/pay/1", "POST", attempt=f"a{number}")[0] in (502, 503)
         crashes = min(number + 1, CRASHES_TO_BLOCK)
-        run_reactor_until(lambda: all(knows_crash(c, crashes) for c in callers))
+        run_reactor_until(lambda: all(knows_crashes(c, crashes) for c in callers))
     assert sum(len(host.requests) for host in targets) == CRASHES_TO_BLOCK
     for host in targets:
         host.request_handler = None
@@ -70,7 +70,7 @@
                 host.respond(exchange)
     assert {read_response(call)[0] for call in open_calls} <= {200, 502}
     for caller in callers:
-        run_reactor_until(lambda: knows_crash(caller, 1))
+        run_reactor_until(lambda: knows_crashes(caller, 1))
         assert caller.call("/pay/1", "POST", b"7")[0] == 200
 
 
@@ -117,10 +117,6 @@
     host.request_handler = handle
 
 
-async def pause(seconds):
-    await deferLater(reactor, seconds)
-
-
 def get_crashes(caller):
     suspects = caller.node.outbound.crashes._suspects_by_fingerprint.values()
     return sum(suspect.crashes for suspect in suspects)
--- a/tests/sidecar/test_dissemination.py
+++ b/tests/sidecar/test_dissemination.py
@@ -6,7 +6,6 @@
 
 import pytest
 from twisted.internet import reactor
-from twisted.internet.task import deferLater
 
 from bamboocove.coordination import relay_tree
 from bamboocove.coordination.readers import (
@@ -34,7 +33,7 @@
 from bamboocove.sidecar.watch import WATCH_DELAY_S, WATCH_TIMEOUT_S
 from bamboocove.state.codec import to_plain
 from bamboocove.state.mesh import HostRecord
-from tests.callpath import run, run_reactor_until
+from tests.callpath import pause, run, run_reactor_until
 from tests.sidecar.hosts import HostMesh, make_config, stop_at_once
 from tests.sidecar.store_calls import OperatorCalls
 
@@ -49,10 +48,6 @@
     mesh.close()
 
 
-async def pause(seconds):
-    await deferLater(reactor, seconds)
-
-
 def is_watching(node):
     """Return whether a node's duty is to watch the store."""
     return node.dissemination.get_duty() in (Duty.READER, Duty.SUBSTITUTE)
--- a/tests/sidecar/test_odd_reports.py
+++ b/tests/sidecar/test_odd_reports.py
@@ -8,7 +8,7 @@
 
 from bamboocove.coordination import report_conflicts
 from bamboocove.state.mesh import MeshConfig
-from tests.callpath import Caller, run_reactor_until
+from tests.callpath import Caller, pause, run, run_reactor_until
 from tests.sidecar.hosts import HostMesh, make_config, stop_at_once
 
 
@@ -41,11 +41,6 @@
     return int(data.split()[1])
 
 
-def run_for(seconds):
-    ends_at = reactor.seconds() + seconds
-    run_reactor_until(lambda: reactor.seconds() >= ends_at)
-
-
 def report_until_served(caller, target, path="/read/1"):
     """Let a worker go on with its reports until a request of a caller is served."""
     next_at = 0.0
@@ -164,7 +159,7 @@
         assert target.node.inbound.worker.worker_id == target.worker_id
         assert caller.call()[0] == 200
         assert target.report() == 200
-        run_for(0.15)
+        run(pause(0.15))
 
 
 def test_configuration_without_services_refuses_no_report(mesh):
--- a/tests/sidecar/test_suspect_requests.py
+++ b/tests/sidecar/test_suspect_requests.py
@@ -1,12 +1,11 @@
 """Requests that crash workers, at nodes that did not run when they did."""
 
 import pytest
-from twisted.internet import reactor
 
 from bamboocove.coordination.retry_limits import CRASHES_TO_BLOCK, CrashTable
 from bamboocove.sidecar.refusals import SUSPECT_REASON
-from tests.callpath import run_reactor_until
-from tests.sidecar.hosts import HostMesh, make_config, stop_at_once
+from tests.callpath import pause, run, run_reactor_until
+from tests.sidecar.hosts import HostMesh, knows_crashes, make_config, stop_at_once
 
 
 @pytest.fixture
@@ -34,11 +33,6 @@
     return callers[0], left
 
 
-def knows_crashes(host, count):
-    suspects = host.node.suspects.crashes._suspects_by_fingerprint.values()
-    return any(suspect.crashes >= count for suspect in suspects)
-
-
 def settle(mesh, hosts):
     """Wait until some hosts serve and reach the workers."""
     run_reactor_until(
@@ -138,12 +132,10 @@
     while crashed < CRASHES_TO_BLOCK:
         callers[0].call("/pay/1", "POST", attempt=f"b{crashed}")
         crashed = sum(bool(host.requests) for host in targets)
-        ends_at = reactor.seconds() + 0.2
-        run_reactor_until(lambda: reactor.seconds() >= ends_at)
+        run(pause(0.2))
     for host in targets:
         host.request_handler = None
     assert callers[1].call("/pay/1", "POST", attempt="c1")[0] in (200, 503)
-    ends_at = reactor.seconds() + 0.2
-    run_reactor_until(lambda: reactor.seconds() >= ends_at)
+    run(pause(0.2))
     for caller in callers:
         assert caller.call("/pay/1", "POST", attempt="c2")[0] == 200
--- a/tests/sidecar/test_upload_memory.py
+++ b/tests/sidecar/test_upload_memory.py
@@ -3,7 +3,6 @@
 import pytest
 from attrs import evolve
 from twisted.internet import reactor
-from twisted.internet.task import deferLater
 
 from bamboocove.coordination.request_bodies import (
     MIN_JUDGED_AGE_S,
@@ -12,7 +11,7 @@
 )
 from bamboocove.protocol.mesh_messages import MAX_FORWARDED_BODY_BYTES
 from bamboocove.transport.closing import LINGER_TIME_S
-from tests.callpath import run, run_reactor_until
+from tests.callpath import pause, run, run_reactor_until
 from tests.sidecar.hosts import (
     HostMesh,
     format_call,
@@ -108,10 +107,6 @@
     return host
 
 
-async def pause(seconds):
-    await deferLater(reactor, seconds)
-
-
 def send_until(uploads, condition, timeout_s=10.0):
     def check():
         for upload in uploads:
--- a/tests/sidecar/test_uploads.py
+++ b/tests/sidecar/test_uploads.py
@@ -3,9 +3,8 @@
 import pytest
 from attrs import evolve
 from twisted.internet import reactor
-from twisted.internet.task import deferLater
 
-from tests.callpath import run, run_reactor_until
+from tests.callpath import pause, run, run_reactor_until
 from tests.sidecar.hosts import (
     HostMesh,
     format_call,
@@ -55,10 +54,6 @@
     host.node.forwarding.grants.take_granted(reactor.seconds())
 
 
-async def pause(seconds):
-    await deferLater(reactor, seconds)
-
-
 def test_upload_arrives_whole_and_runs_once(mesh):
     caller, *targets = make_hosts(mesh)
     status, _, body = read_response(upload(caller))
--- a/tests/sidecar/test_worker_limits.py
+++ b/tests/sidecar/test_worker_limits.py
@@ -4,7 +4,7 @@
 from twisted.internet import reactor
 from twisted.internet.task import deferLater
 
-from tests.callpath import run, run_reactor_until
+from tests.callpath import pause, run, run_reactor_until
 from tests.sidecar.hosts import HostMesh, format_call, stop_at_once
 
 LIMIT_PER_S = 8.0
@@ -97,10 +97,6 @@
     assert received <= count_allowed(LIMIT_PER_S, seconds)
 
 
-async def pause(seconds):
-    await deferLater(reactor, seconds)
-
-
 def test_requests_beyond_a_limit_go_to_other_workers(mesh):
     """Guards against callers that are turned away while another worker has room."""
     host = make_worker(mesh, name_limit(b"4"))
